--- /dev/null
+++ b/internal/balance/balance.go
@@ -0,0 +1,241 @@
+// Package balance chooses the backend server for a request from what this daemon has seen of each.
+package balance
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rookpass/rookpass/internal/catalog"
+	"github.com/rookpass/rookpass/internal/policy"
+)
+
+const (
+	// ejectAfter consecutive failures take a server out of the choice for ejectTime, doubled with each
+	// further one up to maxEject. A crashed server is noticed after two requests.
+	ejectAfter = 2
+	ejectTime  = 500 * time.Millisecond
+	maxEject   = 4 * time.Second
+	// busyTime is how long a server that shed a request is passed over: about one short request.
+	busyTime = 60 * time.Millisecond
+	// remotePenalty is how many requests in flight a server in another data centre counts more: a trip there
+	// and back costs a few milliseconds, and its bytes have a price.
+	remotePenalty = 1.2
+	// latencyWeight is the weight of the newest answer in a server's mean time.
+	latencyWeight = 0.15
+	// maxSlowness bounds how much worse a server counts for having been slow.
+	maxSlowness = 6.0
+)
+
+// engineCosts are the costs of a model server, worked out from the platform's engines: 40 to 60 prompt tokens
+// a millisecond, and some 3% slower steps for each request that runs beside.
+var engineCosts = policy.Costs{PrefillPerToken: 0.00002, SlowdownPerCall: 0.008, CrossDataCentre: 0.004}
+
+// state is what was seen of one server. It is guarded by Balancer.mu.
+type state struct {
+	inFlight     int
+	failures     int
+	ejectedUntil time.Time
+	busyUntil    time.Time
+	// mean is the moving mean of its answers' times, in seconds; 0 before the first.
+	mean float64
+	// parts are prompt parts that it has read.
+	parts *partSet
+	seen  time.Time
+}
+
+// Balancer keeps what was seen of servers. Use New.
+type Balancer struct {
+	dataCentre string
+	mu         sync.Mutex
+	states     map[string]*state
+	// means are the moving means of services' answers, in seconds.
+	means map[string]float64
+}
+
+// New returns a balancer of a daemon in a data centre.
+func New(dataCentre string) *Balancer {
+	return &Balancer{dataCentre: dataCentre, states: map[string]*state{}, means: map[string]float64{}}
+}
+
+// Ask is what a choice depends on.
+type Ask struct {
+	Servers []catalog.Server
+	// Tried servers are passed over.
+	Tried map[string]bool
+	// Holder is the server that holds Cached tokens of the prompt; empty where none is known.
+	Holder string
+	Cached int64
+	// PromptTokens is the size of the prompt; 0 for plain requests.
+	PromptTokens int64
+	// Parts are the prompt's parts in order.
+	Parts []string
+	Sizes []int64
+}
+
+// Choice is the server chosen. Done must be called once.
+type Choice struct {
+	Server catalog.Server
+	// InFlight is how many requests of this daemon the server had.
+	InFlight int
+	// Candidates is how many servers could have been chosen.
+	Candidates int
+
+	balancer *Balancer
+	state    *state
+	began    time.Time
+	settled  bool
+}
+
+// Pick chooses a server, or returns false when none may take the request.
+func (b *Balancer) Pick(ask *Ask) (*Choice, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	best, candidates := b.choose(ask, now, false)
+	if best < 0 {
+		// Rather a server that seems to fail than none at all.
+		best, candidates = b.choose(ask, now, true)
+	}
+	if best < 0 {
+		return nil, false
+	}
+	server := ask.Servers[best]
+	s := b.state(server.ID)
+	c := &Choice{Server: server, InFlight: s.inFlight, Candidates: candidates, balancer: b, state: s, began: now}
+	s.inFlight++
+	s.seen = now
+	if len(ask.Parts) > 0 {
+		s.read(ask.Parts)
+	}
+	return c, true
+}
+
+func (b *Balancer) choose(ask *Ask, now time.Time, desperate bool) (best, candidates int) {
+	best = -1
+	var bestCost float64
+	for i := range ask.Servers {
+		server := &ask.Servers[i]
+		if server.Draining || ask.Tried[server.ID] {
+			continue
+		}
+		s := b.state(server.ID)
+		if !desperate && (now.Before(s.ejectedUntil) || now.Before(s.busyUntil)) {
+			continue
+		}
+		candidates++
+		cost := b.cost(ask, server, s) * (1 + 0.02*rand.Float64())
+		if best < 0 || cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	return best, candidates
+}
+
+// cost is what a request is expected to take: seconds at a model server, a count of requests elsewhere.
+func (b *Balancer) cost(ask *Ask, server *catalog.Server, s *state) float64 {
+	remote := server.DataCentre != b.dataCentre
+	slowness := b.slowness(server.Service, s)
+	if ask.PromptTokens == 0 {
+		cost := float64(s.inFlight+1) / float64(max(1, server.Slots))
+		if remote {
+			cost += remotePenalty / float64(max(1, server.Slots))
+		}
+		return cost * slowness
+	}
+	cached := s.cached(ask.Parts, ask.Sizes)
+	if ask.Holder == server.ID {
+		cached = max(cached, ask.Cached)
+	}
+	engine := policy.Engine{InFlight: s.inFlight, Capacity: 1 << 30, CachedTokens: cached, Remote: remote}
+	return policy.Expected(engine, ask.PromptTokens, engineCosts)*slowness + 0.05*(slowness-1)
+}
+
+// slowness is how much longer a server's answers take than its service's.
+func (b *Balancer) slowness(service string, s *state) float64 {
+	mean := b.means[service]
+	if s.mean == 0 || mean == 0 {
+		return 1
+	}
+	return min(max(1, s.mean/mean), maxSlowness)
+}
+
+func (b *Balancer) state(id string) *state {
+	s := b.states[id]
+	if s == nil {
+		s = &state{parts: newPartSet()}
+		b.states[id] = s
+	}
+	return s
+}
+
+// Outcome is how a request at a server ended.
+type Outcome int
+
+// The outcomes.
+const (
+	// Answered requests got a whole answer in time.
+	Answered Outcome = iota
+	// Shed requests were turned away by a server that is full.
+	Shed
+	// Failed requests got no usable answer.
+	Failed
+	// Abandoned requests were given up by their caller: they tell nothing of the server.
+	Abandoned
+)
+
+// Done tells how the request ended.
+func (c *Choice) Done(outcome Outcome) {
+	if c.settled {
+		return
+	}
+	c.settled = true
+	b := c.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	s := c.state
+	s.inFlight--
+	switch outcome {
+	case Answered:
+		s.failures = 0
+		s.ejectedUntil = time.Time{}
+		b.learn(c.Server.Service, s, now.Sub(c.began).Seconds())
+	case Shed:
+		s.busyUntil = now.Add(busyTime)
+	case Failed:
+		s.failures++
+		if s.failures >= ejectAfter {
+			pause := min(ejectTime<<min(s.failures-ejectAfter, 4), maxEject)
+			s.ejectedUntil = now.Add(pause)
+		}
+	case Abandoned:
+	}
+}
+
+func (b *Balancer) learn(service string, s *state, seconds float64) {
+	blend := func(mean float64) float64 {
+		if mean == 0 {
+			return seconds
+		}
+		return mean + latencyWeight*(seconds-mean)
+	}
+	s.mean = blend(s.mean)
+	// The service's mean moves as much slower as it has more servers' answers.
+	if b.means[service] == 0 {
+		b.means[service] = seconds
+		return
+	}
+	b.means[service] += 0.02 * (seconds - b.means[service])
+}
+
+// Forget drops what is known of servers that no longer exist.
+func (b *Balancer) Forget(exists func(id string) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, s := range b.states {
+		if s.inFlight == 0 && !exists(id) {
+			delete(b.states, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/catalog/catalog.go
@@ -0,0 +1,166 @@
+// Package catalog is a daemon's copy of what it serves: routes, services and the backend servers that are up.
+//
+// Readers load an immutable view without a lock; the feeds of the platform replace it. Configurations only
+// ever rise in version.
+package catalog
+
+import (
+	"strings"
+	"time"
+)
+
+// Kind tells how often a request may run.
+type Kind int
+
+// The kinds of request. The zero value is the strictest.
+const (
+	// AtMostOnce requests must not be sent again once a server may have begun on them.
+	AtMostOnce Kind = iota
+	// Idempotent requests may run more than once.
+	Idempotent
+	// Stream requests are answered by events; they run at most once too.
+	Stream
+)
+
+// String returns the kind's name for logs.
+func (k Kind) String() string {
+	switch k {
+	case Idempotent:
+		return "idempotent"
+	case Stream:
+		return "stream"
+	default:
+		return "at-most-once"
+	}
+}
+
+// Target is a service that takes a share of a route's requests.
+type Target struct {
+	Service string
+	Weight  int
+}
+
+// Route tells where requests of a host and path prefix go.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Timeout is the longest a request may be held; 0 means no bound.
+	Timeout time.Duration
+	// Objective is the time within which an answer has its full value.
+	Objective time.Duration
+	// Priority ranks requests; 0 is the most urgent.
+	Priority    int
+	Targets     []Target
+	MaxAttempts int
+	// Kept routes carry turns whose history rookpass keeps for Retention after their end.
+	Kept      bool
+	Retention time.Duration
+	// PreferCached is set where a server that has seen the same data answers sooner.
+	PreferCached bool
+}
+
+// Service is a set of like backend servers.
+type Service struct {
+	Name string
+	// MaxConns bounds the connections of all callers to one server.
+	MaxConns int
+	// TokensPerEvent is how many tokens one event of a model stream stands for; 0 for plain services.
+	TokensPerEvent int
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// Config is one version of what operators set.
+type Config struct {
+	Version  int64
+	Routes   []Route
+	Services []Service
+	Limits   Limits
+}
+
+// Server is one incarnation of a backend server.
+type Server struct {
+	// ID is unique to the incarnation; Address may be reused by another.
+	ID         string
+	Service    string
+	Address    string
+	DataCentre string
+	Slots      int
+	Draining   bool
+}
+
+// Table finds the route of a request in one version of the configuration. It is immutable.
+type Table struct {
+	Config   Config
+	routes   map[string]map[string]*Route
+	services map[string]*Service
+}
+
+// NewTable indexes a configuration.
+func NewTable(config Config) *Table {
+	t := &Table{
+		Config:   config,
+		routes:   make(map[string]map[string]*Route),
+		services: make(map[string]*Service, len(config.Services)),
+	}
+	for i := range config.Routes {
+		route := &config.Routes[i]
+		byPrefix := t.routes[route.Host]
+		if byPrefix == nil {
+			byPrefix = make(map[string]*Route)
+			t.routes[route.Host] = byPrefix
+		}
+		byPrefix[route.Prefix] = route
+	}
+	for i := range config.Services {
+		t.services[config.Services[i].Name] = &config.Services[i]
+	}
+	return t
+}
+
+// Route returns the route with the longest prefix of path at the host, or nil. Prefixes begin and end with a
+// slash, so only the slashes of path are tried.
+func (t *Table) Route(host, path string) *Route {
+	byPrefix := t.routes[host]
+	for end := len(path); end > 0; {
+		slash := strings.LastIndexByte(path[:end], '/')
+		if slash < 0 {
+			return nil
+		}
+		if route := byPrefix[path[:slash+1]]; route != nil {
+			return route
+		}
+		end = slash
+	}
+	return nil
+}
+
+// Service returns a service by name, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Pick returns the service for a request, by the targets' weights; r lies in [0, 1).
+func (r *Route) Pick(random float64) string {
+	total := 0
+	for _, target := range r.Targets {
+		total += target.Weight
+	}
+	mark := int(random * float64(total))
+	for _, target := range r.Targets {
+		if mark < target.Weight {
+			return target.Service
+		}
+		mark -= target.Weight
+	}
+	if len(r.Targets) == 0 {
+		return ""
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
--- /dev/null
+++ b/internal/eventlog/eventlog.go
@@ -0,0 +1,102 @@
+// Package eventlog writes log lines without ever keeping the writer waiting: what does not fit is dropped and
+// counted.
+package eventlog
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// queueBytes is what may wait for a slow reader: some seconds of lines at the usual rate.
+	queueBytes = 256 << 10
+	// bytesPerSecond bounds what is written under load; the rest is dropped. Twice a busy VM's usual rate.
+	bytesPerSecond = 256 << 10
+	// flushPause gathers lines, so that a write carries several.
+	flushPause = 50 * time.Millisecond
+)
+
+// Writer is an io.Writer whose Write never blocks. Use New.
+type Writer struct {
+	out io.Writer
+
+	mu      sync.Mutex
+	queue   []byte
+	spare   []byte
+	allowed float64
+	filled  time.Time
+	closed  bool
+	wake    chan struct{}
+	done    chan struct{}
+	dropped atomic.Int64
+}
+
+// New returns a writer to out.
+func New(out io.Writer) *Writer {
+	w := &Writer{out: out, allowed: bytesPerSecond, filled: time.Now(), wake: make(chan struct{}, 1), done: make(chan struct{})}
+	go w.run()
+	return w
+}
+
+// Dropped returns how many lines were dropped.
+func (w *Writer) Dropped() int64 { return w.dropped.Load() }
+
+// Write queues one line or drops it.
+func (w *Writer) Write(line []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	w.allowed = min(bytesPerSecond, w.allowed+now.Sub(w.filled).Seconds()*bytesPerSecond)
+	w.filled = now
+	if w.closed || len(w.queue)+len(line) > queueBytes || w.allowed < float64(len(line)) {
+		w.dropped.Add(1)
+		return len(line), nil
+	}
+	w.allowed -= float64(len(line))
+	w.queue = append(w.queue, line...)
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+	return len(line), nil
+}
+
+func (w *Writer) run() {
+	defer close(w.done)
+	told := int64(0)
+	for range w.wake {
+		time.Sleep(flushPause)
+		w.mu.Lock()
+		lines := w.queue
+		w.queue = w.spare[:0]
+		w.mu.Unlock()
+		if dropped := w.dropped.Load(); dropped > told {
+			lines = fmt.Appendf(lines, "level=warning event=log-dropped lines=%d\n", dropped-told)
+			told = dropped
+		}
+		_, _ = w.out.Write(lines) // there is nowhere else to report it
+		w.mu.Lock()
+		w.spare = lines
+		w.mu.Unlock()
+	}
+}
+
+// Close writes what is queued.
+func (w *Writer) Close() {
+	w.mu.Lock()
+	if w.closed {
+		w.mu.Unlock()
+		return
+	}
+	w.closed = true
+	close(w.wake)
+	w.mu.Unlock()
+	<-w.done
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_, _ = w.out.Write(w.queue) // as above
+	w.queue = nil
+}
--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rookpass/rookpass/internal/balance"
+	"github.com/rookpass/rookpass/internal/catalog"
+	"github.com/rookpass/rookpass/internal/upstream"
+	"github.com/rookpass/rookpass/internal/verdict"
+)
+
+// attempt is one try of a request at one server, for the log.
+type attempt struct {
+	server  string
+	outcome string
+	took    time.Duration
+	// inFlight and candidates are what the choice saw.
+	inFlight   int
+	candidates int
+	reused     bool
+}
+
+// describe returns attempts as one word for the log: server/outcome/ms/in flight/candidates, joined by commas.
+func describe(attempts []attempt) string {
+	parts := make([]string, len(attempts))
+	for i, a := range attempts {
+		parts[i] = fmt.Sprintf("%s/%s/%dms/%d/%d", a.server, a.outcome, a.took.Milliseconds(), a.inFlight, a.candidates)
+		if a.reused {
+			parts[i] += "/kept"
+		}
+	}
+	return strings.Join(parts, ",")
+}
+
+// try sends the request to one chosen server. It returns an answer that the server signed, or a failure.
+// NotRun answers are failures too.
+func (x *exchange) try(choice *balance.Choice, body [][]byte) (*upstream.Answer, *upstream.Failure) {
+	header := maps.Clone(x.header)
+	x.g.dialect.Address(header, x.left(), choice.Server.ID)
+	request := &upstream.Request{
+		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: header, Body: body, ID: x.info.ID,
+	}
+	limit := 0
+	if service := x.table.Service(choice.Server.Service); service != nil {
+		limit = service.MaxConns
+	}
+	answer, failure := x.g.sender.Do(x.ctx, choice.Server.Address, limit, request)
+	if failure != nil {
+		return nil, failure
+	}
+	switch {
+	case answer.Reply.NotRun:
+		_, _ = io.Copy(io.Discard, answer.Body) // so that the connection can be kept; the answer says all
+		answer.Close()
+		reason := reasonShed
+		if answer.Status == http.StatusMisdirectedRequest {
+			reason = reasonGone
+		}
+		return nil, upstream.NewFailure(verdict.NotRun, reason, Error.New("status %d", answer.Status))
+	case isSuccess(answer.Status) && !answer.Reply.Sealed:
+		answer.Close()
+		return nil, upstream.NewFailure(verdict.MayHaveRun, upstream.ReasonGarbled, Error.New("status %d without a signature", answer.Status))
+	}
+	return answer, nil
+}
+
+const (
+	// reasonShed is a server's word that it was full.
+	reasonShed = "shed"
+	// reasonGone means that another server answers at the address.
+	reasonGone = "gone"
+)
+
+// note records an attempt and tells the balancer how it went.
+func (x *exchange) note(choice *balance.Choice, began time.Time, outcome string, told balance.Outcome) {
+	choice.Done(told)
+	x.attempts = append(x.attempts, attempt{server: choice.Server.ID, outcome: outcome, took: time.Since(began),
+		inFlight: choice.InFlight, candidates: choice.Candidates})
+	x.g.stats.attempt(outcome)
+}
+
+// noteFailure records a failed attempt.
+func (x *exchange) noteFailure(choice *balance.Choice, began time.Time, failure *upstream.Failure) {
+	told := balance.Failed
+	switch {
+	case failure.Reason == reasonShed, failure.Reason == upstream.ReasonNoConns:
+		told = balance.Shed
+	case x.r.Context().Err() != nil:
+		told = balance.Abandoned
+	}
+	x.note(choice, began, failure.Reason, told)
+	x.attempts[len(x.attempts)-1].reused = failure.Reused
+}
+
+func isSuccess(status int) bool { return status >= 200 && status < 300 }
+
+// servers returns the servers of the service that a route's weights pick.
+func (x *exchange) servers() []catalog.Server {
+	name := x.route.Pick(random())
+	x.service = x.table.Service(name)
+	return x.g.catalog.Servers().Of(name)
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,199 @@
+// Package gateway takes callers' HTTP requests, sends them to backend servers and returns their answers.
+//
+// A request passes a row of steps that each may refuse it. What is left is sent either as a plain request or
+// as a turn of an agent program, whose history and token budget the ledger keeps.
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/zeebo/errs"
+
+	"github.com/rookpass/rookpass/internal/balance"
+	"github.com/rookpass/rookpass/internal/call"
+	"github.com/rookpass/rookpass/internal/catalog"
+	"github.com/rookpass/rookpass/internal/turn"
+	"github.com/rookpass/rookpass/internal/upstream"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("gateway")
+
+// Ledger keeps turns and budgets.
+type Ledger interface {
+	Ready() bool
+	Chain(ctx context.Context, program, id string) ([]*turn.Record, error)
+	Reserve(ctx context.Context, record *turn.Record, budget int64) (spent int64, err error)
+	Finish(ctx context.Context, record *turn.Record) error
+	Void(record *turn.Record)
+}
+
+// Sender sends one request to one server.
+type Sender interface {
+	Do(ctx context.Context, address string, limit int, r *upstream.Request) (*upstream.Answer, *upstream.Failure)
+}
+
+// Gateway is an http.Handler. Use New.
+type Gateway struct {
+	catalog  *catalog.Catalog
+	balancer *balance.Balancer
+	sender   Sender
+	ledger   Ledger
+	dialect  call.Dialect
+	log      logrus.FieldLogger
+	stats    *Stats
+	steps    []step
+	stopping atomic.Bool
+	active   atomic.Int64
+}
+
+// Options are what a gateway needs.
+type Options struct {
+	Catalog  *catalog.Catalog
+	Balancer *balance.Balancer
+	Sender   Sender
+	Ledger   Ledger
+	Dialect  call.Dialect
+	Log      logrus.FieldLogger
+	Stats    *Stats
+}
+
+// New returns a gateway.
+func New(o Options) *Gateway {
+	g := &Gateway{catalog: o.Catalog, balancer: o.Balancer, sender: o.Sender, ledger: o.Ledger, dialect: o.Dialect,
+		log: o.Log, stats: o.Stats}
+	g.steps = []step{withCallInfo, withConfig, withRoute, withDeadline, withBody}
+	return g
+}
+
+// Stop makes every answer from here on close its connection.
+func (g *Gateway) Stop() { g.stopping.Store(true) }
+
+// Active returns how many requests are being served.
+func (g *Gateway) Active() int64 { return g.active.Load() }
+
+// exchange is one request on its way.
+type exchange struct {
+	g       *Gateway
+	w       http.ResponseWriter
+	r       *http.Request
+	ctx     context.Context
+	arrived time.Time
+	// until is when the caller or the route's timeout gives the request up; zero where neither bounds it.
+	until   time.Time
+	info    call.Info
+	table   *catalog.Table
+	route   *catalog.Route
+	service *catalog.Service
+	body    []byte
+	header  http.Header
+
+	attempts []attempt
+	// begun is set once a part of the answer has left.
+	begun bool
+}
+
+// refusal is an answer of the gateway's own.
+type refusal struct {
+	status int
+	// reason is a stable word for logs and counters.
+	reason string
+	// retryAfter tells the caller when to come back; 0 says nothing.
+	retryAfter time.Duration
+	err        error
+}
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	x := &exchange{g: g, w: w, r: r, ctx: r.Context(), arrived: time.Now()}
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	var cancel context.CancelFunc
+	x.ctx, cancel = context.WithCancel(x.ctx)
+	defer cancel()
+	for _, s := range g.steps {
+		if refused := s(x); refused != nil {
+			x.refuse(refused)
+			return
+		}
+	}
+	if !x.until.IsZero() {
+		var cancelDeadline context.CancelFunc
+		x.ctx, cancelDeadline = context.WithDeadline(x.ctx, x.until)
+		defer cancelDeadline()
+	}
+	var refused *refusal
+	if x.route.Kept {
+		refused = x.serveTurn()
+	} else {
+		refused = x.servePlain()
+	}
+	if refused != nil {
+		x.refuse(refused)
+		return
+	}
+	x.finish(0, "answered", nil)
+}
+
+// refuse answers the request, or breaks the answer off where a part of it has left already.
+func (x *exchange) refuse(f *refusal) {
+	status := f.status
+	if x.begun || x.r.Context().Err() != nil {
+		status = 0
+	}
+	x.finish(status, f.reason, f.err)
+	if x.begun {
+		panic(http.ErrAbortHandler)
+	}
+	h := x.w.Header()
+	x.g.dialect.Echo(h, x.info.ID)
+	if f.retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 3, 64))
+	}
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	text := f.reason + "\n"
+	h.Set("Content-Length", strconv.Itoa(len(text)))
+	x.w.WriteHeader(f.status)
+	_, _ = x.w.Write([]byte(text)) // the caller may have left; nothing more can be done for it
+}
+
+// finish counts and logs the request.
+func (x *exchange) finish(status int, reason string, err error) {
+	took := time.Since(x.arrived)
+	route, config := "", int64(0)
+	if x.route != nil {
+		route = x.route.Name
+	}
+	if x.table != nil {
+		config = x.table.Config.Version
+	}
+	x.g.stats.request(reason, took)
+	fields := logrus.Fields{"event": "request", "id": x.info.ID, "route": route, "config": config, "outcome": reason,
+		"ms": took.Milliseconds(), "attempts": describe(x.attempts)}
+	if x.info.Program != "" {
+		fields["program"] = x.info.Program
+	}
+	if status != 0 {
+		fields["status"] = status
+	}
+	if err != nil {
+		fields["error"] = err
+	}
+	x.g.log.WithFields(fields).Info("request ended")
+}
+
+// left returns the time until the request is given up, or 0 where nothing bounds it.
+func (x *exchange) left() time.Duration {
+	if x.until.IsZero() {
+		return 0
+	}
+	return max(time.Until(x.until), time.Millisecond)
+}
--- /dev/null
+++ b/internal/gateway/stats.go
@@ -0,0 +1,25 @@
+package gateway
+
+import (
+	"time"
+)
+
+// Observer takes counts and times; the metrics page implements it.
+type Observer interface {
+	Count(name, label string)
+	Observe(name, label string, d time.Duration)
+}
+
+// Stats counts requests by outcome and attempts by outcome.
+type Stats struct {
+	observer Observer
+}
+
+// NewStats returns counters that go to an observer.
+func NewStats(observer Observer) *Stats { return &Stats{observer: observer} }
+
+func (s *Stats) request(outcome string, took time.Duration) {
+	s.observer.Observe("rookpass_request_seconds", outcome, took)
+}
+
+func (s *Stats) attempt(outcome string) { s.observer.Count("rookpass_attempts_total", outcome) }
--- /dev/null
+++ b/internal/ledger/chain.go
@@ -0,0 +1,123 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/rookpass/rookpass/internal/layout"
+	"github.com/rookpass/rookpass/internal/replica"
+	"github.com/rookpass/rookpass/internal/turn"
+)
+
+// Chain returns a turn and all before it in its line, the oldest first. ErrNoTurn means that the turn does
+// not exist; ErrUnsure that it may.
+func (l *Ledger) Chain(ctx context.Context, program, id string) ([]*turn.Record, error) {
+	var chain []*turn.Record
+	for next := id; next != ""; {
+		if record := l.cache.get(next); record != nil {
+			chain = append(chain, record)
+			next = record.Previous
+			continue
+		}
+		found, err := l.fetch(ctx, program, next)
+		if errors.Is(err, ErrNoTurn) && len(chain) > 0 {
+			return nil, fmt.Errorf("%w: turn %s before %s", ErrUnsure, next, id)
+		}
+		if err != nil {
+			return nil, err
+		}
+		for i := range found {
+			l.cache.add(&found[i])
+			chain = append(chain, &found[i])
+		}
+		next = found[len(found)-1].Previous
+	}
+	slices.Reverse(chain)
+	return chain, nil
+}
+
+// part is one disk's answer to a fetch.
+type part struct {
+	slot  int
+	reply replica.FetchReply
+	err   error
+}
+
+// fetch returns a turn and some of those before it, the newest first. It asks the nearest disk of the
+// program's group, and all disks if that one does not answer soon or does not hold it.
+func (l *Ledger) fetch(ctx context.Context, program, id string) ([]turn.Record, error) {
+	current := l.layout.Load()
+	if current == nil || !current.Formed {
+		return nil, ErrUnsure
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	order := l.nearestFirst(current, program)
+	answers := make(chan part, len(order))
+	ask := func(slot int) {
+		disk := current.Slots[slot].Disk
+		args := &replica.FetchArgs{Target: replica.Target{Disk: disk.ID, Epoch: current.Epoch}, ID: id}
+		go func() {
+			p := part{slot: slot}
+			p.err = l.links.To(disk.Address).Call(ctx, replica.ServiceName+".Fetch", args, &p.reply)
+			answers <- p
+		}()
+	}
+	ask(order[0])
+	asked := 1
+	askRest := func() {
+		for ; asked < len(order); asked++ {
+			ask(order[asked])
+		}
+	}
+	hedge := time.NewTimer(hedgeDelay)
+	defer hedge.Stop()
+	absent, answered := 0, 0
+	var problem error
+	for answered < len(order) {
+		select {
+		case <-hedge.C:
+			askRest()
+		case p := <-answers:
+			answered++
+			if err := l.judge(p.reply.Header, p.err); err != nil {
+				problem = err
+			} else if len(p.reply.Chain) > 0 {
+				return p.reply.Chain, nil
+			} else if p.reply.Header.Complete {
+				absent++
+			}
+			askRest()
+		case <-ctx.Done():
+			return nil, errors.Join(ErrUnsure, ctx.Err())
+		}
+	}
+	if absent >= current.Absence() {
+		return nil, ErrNoTurn
+	}
+	return nil, errors.Join(ErrUnsure, problem)
+}
+
+// nearestFirst returns all slots: those of the program's group first, and of those the ones in this data
+// centre.
+func (l *Ledger) nearestFirst(current *layout.Layout, program string) []int {
+	order := current.Group(program)
+	for slot := range current.Slots {
+		if !slices.Contains(order, slot) {
+			order = append(order, slot)
+		}
+	}
+	group := order[:min(2*current.Tolerance+1, len(order))]
+	slices.SortStableFunc(group, func(a, b int) int { return l.distance(current, a) - l.distance(current, b) })
+	return order
+}
+
+func (l *Ledger) distance(current *layout.Layout, slot int) int {
+	if current.Slots[slot].Disk.DataCentre == l.dataCentre {
+		return 0
+	}
+	return 1
+}
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,234 @@
+// Package ledger reads and writes the kept turns and the token budgets of programs on the disks of the
+// layout. Any daemon may do so for any program: records never change, and any two quorums share a disk.
+package ledger
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/rookpass/rookpass/internal/layout"
+	"github.com/rookpass/rookpass/internal/peerlink"
+	"github.com/rookpass/rookpass/internal/replica"
+	"github.com/rookpass/rookpass/internal/turn"
+	"github.com/rookpass/rookpass/internal/wait"
+)
+
+var (
+	// ErrNoTurn means that no such turn is kept. It is certain.
+	ErrNoTurn = errors.New("no such turn")
+	// ErrUnsure means that too few disks answered to know.
+	ErrUnsure = errors.New("too few disks answered")
+	// ErrBudget means that the turn might not fit into what is left of the program's budget.
+	ErrBudget = errors.New("token budget spent")
+)
+
+const (
+	// callTimeout bounds one call to a disk. A quorum gathered within it can't hold an acknowledgement of a
+	// disk that was lost and has already been copied anew: a VM takes longer to start.
+	callTimeout = time.Second
+	// retryPause is the time between two tries to reach a quorum; each asks every disk of the group.
+	retryPause = 60 * time.Millisecond
+	// hedgeDelay is when a fetch asks the other disks too: ten times a usual answer of the nearest.
+	hedgeDelay = 20 * time.Millisecond
+)
+
+// Ledger talks to the disks. Use New.
+type Ledger struct {
+	links      *peerlink.Set
+	log        logrus.FieldLogger
+	dataCentre string
+	layout     atomic.Pointer[layout.Layout]
+	cache      *cache
+	// background are the writes that go on after their quorum.
+	background sync.WaitGroup
+}
+
+// New returns a ledger of a daemon in a data centre. cacheBytes bounds the turns kept in memory.
+func New(links *peerlink.Set, dataCentre string, cacheBytes int, log logrus.FieldLogger) *Ledger {
+	return &Ledger{links: links, dataCentre: dataCentre, cache: newCache(cacheBytes), log: log}
+}
+
+// Learn takes a layout over if it is newer than the one in use.
+func (l *Ledger) Learn(next *layout.Layout) {
+	for {
+		current := l.layout.Load()
+		if current != nil && current.Epoch >= next.Epoch {
+			return
+		}
+		if l.layout.CompareAndSwap(current, next) {
+			l.log.WithFields(logrus.Fields{"event": "layout", "epoch": next.Epoch, "formed": next.Formed,
+				"slots": len(next.Slots)}).Info("layout in force")
+			return
+		}
+	}
+}
+
+// Layout returns the layout in use, or nil.
+func (l *Ledger) Layout() *layout.Layout { return l.layout.Load() }
+
+// Ready tells whether turns can be kept.
+func (l *Ledger) Ready() bool {
+	current := l.layout.Load()
+	return current != nil && current.Formed
+}
+
+// Reserve makes durable that a turn may generate up to record.Tokens, and tells whether that fits into the
+// budget beside all that the program's other turns have generated or reserved. ErrBudget and ErrUnsure mean
+// that the turn must not run; Void then takes the reservation back.
+func (l *Ledger) Reserve(ctx context.Context, record *turn.Record, budget int64) (spent int64, err error) {
+	entries, err := l.write(ctx, record, true)
+	if err != nil {
+		return 0, err
+	}
+	for id, e := range entries {
+		if id != record.ID && e.State != turn.Void {
+			spent += e.Tokens
+		}
+	}
+	if spent+record.Tokens > budget {
+		return spent, ErrBudget
+	}
+	return spent, nil
+}
+
+// Finish makes a whole turn durable.
+func (l *Ledger) Finish(ctx context.Context, record *turn.Record) error {
+	if _, err := l.write(ctx, record, false); err != nil {
+		return err
+	}
+	l.cache.add(record)
+	return nil
+}
+
+// Void takes a reservation back, for a turn that no server has run nor will. It is tried for a while beside
+// the caller's work: a reservation that stays only counts too much.
+func (l *Ledger) Void(record *turn.Record) {
+	void := &turn.Record{State: turn.Void, ID: record.ID, Program: record.Program, Retention: record.Retention}
+	l.background.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*callTimeout)
+		defer cancel()
+		if _, err := l.write(ctx, void, false); err != nil {
+			l.log.WithFields(logrus.Fields{"event": "void-failed", "turn": record.ID, "error": err}).Warn("reservation stays")
+		}
+	})
+}
+
+// Flush waits for the writes that still go on.
+func (l *Ledger) Flush() { l.background.Wait() }
+
+// write sends a record to the disks of its group until a quorum has it, and returns the program's turns as
+// the quorum knows them.
+func (l *Ledger) write(ctx context.Context, record *turn.Record, entries bool) (map[string]replica.Entry, error) {
+	var lastErr error
+	for ctx.Err() == nil {
+		current := l.layout.Load()
+		if current == nil || !current.Formed {
+			return nil, ErrUnsure
+		}
+		known, err := l.writeOnce(ctx, current, record, entries)
+		if err == nil {
+			return known, nil
+		}
+		lastErr = err
+		if l.layout.Load() == current {
+			_ = wait.For(ctx, retryPause)
+		}
+	}
+	return nil, errors.Join(ErrUnsure, lastErr)
+}
+
+// ack is one disk's answer to a write.
+type ack struct {
+	slot  int
+	reply replica.WriteReply
+	err   error
+}
+
+// writeOnce asks each disk of the group once.
+func (l *Ledger) writeOnce(ctx context.Context, current *layout.Layout, record *turn.Record, entries bool) (map[string]replica.Entry, error) {
+	group := current.Group(record.Program)
+	need := map[int]int{}
+	answers := make(chan ack, 2*len(group))
+	sent := 0
+	send := func(slot int, disk layout.Disk) {
+		sent++
+		need[slot]++
+		args := &replica.WriteArgs{Target: replica.Target{Disk: disk.ID, Epoch: current.Epoch}, Record: *record, Entries: entries}
+		l.background.Go(func() {
+			callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+			defer cancel()
+			a := ack{slot: slot}
+			a.err = l.links.To(disk.Address).Call(callCtx, replica.ServiceName+".Write", args, &a.reply)
+			answers <- a
+		})
+	}
+	for _, slot := range group {
+		send(slot, current.Slots[slot].Disk)
+		if joining := current.Slots[slot].Joining; joining != nil {
+			send(slot, *joining)
+		}
+	}
+	known := map[string]replica.Entry{}
+	held, quorum := 0, current.Quorum()
+	var problem error
+	for range sent {
+		select {
+		case a := <-answers:
+			if err := l.judge(a.reply.Header, a.err); err != nil {
+				problem = err
+				continue
+			}
+			merge(known, a.reply.Entries)
+			need[a.slot]--
+			if need[a.slot] == 0 {
+				held++
+			}
+			if held == quorum {
+				return known, nil
+			}
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	return nil, errors.Join(ErrUnsure, problem)
+}
+
+// judge turns a disk's answer into an error, and learns the layout that it brings.
+func (l *Ledger) judge(header replica.Header, err error) error {
+	if err != nil {
+		return err
+	}
+	if header.Layout != nil {
+		l.Learn(header.Layout)
+	}
+	switch header.Status {
+	case replica.OK:
+		return nil
+	case replica.StaleLayout:
+		return errStale
+	case replica.WrongDisk:
+		return errWrongDisk
+	default:
+		return errDiskFailed
+	}
+}
+
+var (
+	errStale      = errors.New("layout is out of date")
+	errWrongDisk  = errors.New("another disk answers at the address")
+	errDiskFailed = errors.New("disk failed")
+)
+
+// merge adds entries to those known; a later state of a turn wins.
+func merge(known map[string]replica.Entry, entries []replica.Entry) {
+	for _, e := range entries {
+		if e.State > known[e.ID].State {
+			known[e.ID] = e
+		}
+	}
+}
--- /dev/null
+++ b/internal/mirror/mirror.go
@@ -0,0 +1,156 @@
+// Package mirror keeps a copy of an object API prefix and answers lists and watches from it, so that one
+// daemon's watch serves many.
+package mirror
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rookpass/rookpass/internal/objectapi"
+)
+
+// historyLimit is how many past events a watch can resume over; more than a burst of new servers makes.
+const historyLimit = 1024
+
+// Mirror is a watch.Handler that answers other daemons.
+type Mirror struct {
+	prefix string
+
+	mu      sync.Mutex
+	objects map[string]objectapi.Object
+	events  []positioned
+	// trimmed is the version from which events are whole; version is how far the copy has come.
+	trimmed, version uint64
+	// fresh is false until the first list and while the API does not answer.
+	fresh   bool
+	changed chan struct{}
+}
+
+// positioned is an event with the version from which on a reader has seen it. Deletions carry no version of
+// their own, so the version of the batch that brought them counts; 0 until the batch is confirmed.
+type positioned struct {
+	event   objectapi.Event
+	version uint64
+}
+
+// New returns an empty mirror of a prefix.
+func New(prefix string) *Mirror {
+	return &Mirror{prefix: prefix, objects: map[string]objectapi.Object{}, changed: make(chan struct{})}
+}
+
+// Prefix implements watch.Handler.
+func (m *Mirror) Prefix() string { return m.prefix }
+
+// Reset implements watch.Handler.
+func (m *Mirror) Reset(objects []objectapi.Object, version uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.objects = make(map[string]objectapi.Object, len(objects))
+	for _, object := range objects {
+		m.objects[object.Key] = object
+	}
+	m.events = nil
+	m.trimmed, m.version = version, version
+	m.wake()
+}
+
+// Change implements watch.Handler.
+func (m *Mirror) Change(event objectapi.Event) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if event.Deleted {
+		delete(m.objects, event.Key)
+	} else {
+		m.objects[event.Key] = event.Object
+	}
+	m.events = append(m.events, positioned{event: event})
+}
+
+// Confirm implements watch.Handler.
+func (m *Mirror) Confirm(version uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fresh = true
+	if version <= m.version {
+		return
+	}
+	for i := len(m.events) - 1; i >= 0 && m.events[i].version == 0; i-- {
+		m.events[i].version = version
+	}
+	if len(m.events) > historyLimit {
+		cut := len(m.events) / 2
+		m.trimmed = m.events[cut-1].version
+		m.events = slices.Clone(m.events[cut:])
+	}
+	m.version = version
+	m.wake()
+}
+
+// Lost implements watch.Handler.
+func (m *Mirror) Lost() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fresh = false
+	m.wake()
+}
+
+// wake lets the waiters look again. It is called with the lock held.
+func (m *Mirror) wake() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// List returns the copy, or ErrUnavailable while it may be stale.
+func (m *Mirror) List() (objectapi.Snapshot, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.fresh {
+		return objectapi.Snapshot{}, objectapi.ErrUnavailable
+	}
+	snapshot := objectapi.Snapshot{Version: m.version}
+	for _, object := range m.objects {
+		snapshot.Objects = append(snapshot.Objects, object)
+	}
+	return snapshot, nil
+}
+
+// Wait returns the changes after a version as soon as there is one, or an empty batch once wait has passed.
+func (m *Mirror) Wait(ctx context.Context, after uint64, wait time.Duration) (objectapi.Batch, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		batch, changed, err := m.since(after)
+		if err != nil || len(batch.Events) > 0 {
+			return batch, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return batch, nil
+		case <-ctx.Done():
+			return objectapi.Batch{}, ctx.Err()
+		}
+	}
+}
+
+// since returns the changes after a version. A version ahead of the copy is answered by an empty batch that
+// keeps it, so that a reader never goes back.
+func (m *Mirror) since(after uint64) (objectapi.Batch, <-chan struct{}, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.fresh {
+		return objectapi.Batch{}, nil, objectapi.ErrUnavailable
+	}
+	if after < m.trimmed {
+		return objectapi.Batch{}, nil, objectapi.ErrGone
+	}
+	batch := objectapi.Batch{Version: max(after, m.version)}
+	for _, p := range m.events {
+		if p.version > after {
+			batch.Events = append(batch.Events, p.event)
+		}
+	}
+	return batch, m.changed, nil
+}
--- /dev/null
+++ b/internal/mirror/rpc.go
@@ -0,0 +1,137 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rookpass/rookpass/internal/objectapi"
+	"github.com/rookpass/rookpass/internal/peerlink"
+)
+
+// ServiceName is the net/rpc name of the service.
+const ServiceName = "Mirror"
+
+// answerMargin is how much longer than its wait an answer may take; a busy VM with a fifth of a core needs
+// some tens of milliseconds.
+const answerMargin = 500 * time.Millisecond
+
+// outcome is how a call ended; net/rpc carries no typed errors.
+type outcome uint8
+
+const (
+	outcomeOK outcome = iota + 1
+	outcomeGone
+	outcomeUnavailable
+)
+
+func outcomeOf(err error) outcome {
+	switch {
+	case err == nil:
+		return outcomeOK
+	case errors.Is(err, objectapi.ErrGone):
+		return outcomeGone
+	default:
+		return outcomeUnavailable
+	}
+}
+
+func (o outcome) err() error {
+	switch o {
+	case outcomeOK:
+		return nil
+	case outcomeGone:
+		return objectapi.ErrGone
+	default:
+		return objectapi.ErrUnavailable
+	}
+}
+
+// ListArgs ask for a mirror's copy.
+type ListArgs struct{ Prefix string }
+
+// ListReply holds the copy.
+type ListReply struct {
+	Outcome  outcome
+	Snapshot objectapi.Snapshot
+}
+
+// WaitArgs ask for the changes after a version.
+type WaitArgs struct {
+	Prefix string
+	After  uint64
+	Wait   time.Duration
+}
+
+// WaitReply holds the changes.
+type WaitReply struct {
+	Outcome outcome
+	Batch   objectapi.Batch
+}
+
+// Service answers daemons from mirrors. Its exported methods are net/rpc methods.
+type Service struct{ mirrors map[string]*Mirror }
+
+// NewService returns the service of some mirrors.
+func NewService(mirrors ...*Mirror) *Service {
+	s := &Service{mirrors: map[string]*Mirror{}}
+	for _, m := range mirrors {
+		s.mirrors[m.prefix] = m
+	}
+	return s
+}
+
+// List answers with a mirror's copy.
+func (s *Service) List(args *ListArgs, reply *ListReply) error {
+	m := s.mirrors[args.Prefix]
+	if m == nil {
+		reply.Outcome = outcomeUnavailable
+		return nil
+	}
+	var err error
+	reply.Snapshot, err = m.List()
+	reply.Outcome = outcomeOf(err)
+	return nil
+}
+
+// Wait answers with the changes after a version.
+func (s *Service) Wait(args *WaitArgs, reply *WaitReply) error {
+	m := s.mirrors[args.Prefix]
+	if m == nil {
+		reply.Outcome = outcomeUnavailable
+		return nil
+	}
+	var err error
+	reply.Batch, err = m.Wait(context.Background(), args.After, args.Wait)
+	reply.Outcome = outcomeOf(err)
+	return nil
+}
+
+// Client reads a mirror of another daemon. It implements the reading half of objectapi.API.
+type Client struct{ link *peerlink.Link }
+
+// NewClient returns a client over a link.
+func NewClient(link *peerlink.Link) *Client { return &Client{link: link} }
+
+// List returns the copy of a prefix.
+func (c *Client) List(ctx context.Context, prefix string) (objectapi.Snapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, answerMargin)
+	defer cancel()
+	var reply ListReply
+	if err := c.link.Call(ctx, ServiceName+".List", &ListArgs{Prefix: prefix}, &reply); err != nil {
+		return objectapi.Snapshot{}, errors.Join(objectapi.ErrUnavailable, err)
+	}
+	return reply.Snapshot, reply.Outcome.err()
+}
+
+// Wait returns the changes of a prefix after a version.
+func (c *Client) Wait(ctx context.Context, prefix string, after uint64, wait time.Duration) (objectapi.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+answerMargin)
+	defer cancel()
+	var reply WaitReply
+	args := &WaitArgs{Prefix: prefix, After: after, Wait: wait}
+	if err := c.link.Call(ctx, ServiceName+".Wait", args, &reply); err != nil {
+		return objectapi.Batch{}, errors.Join(objectapi.ErrUnavailable, err)
+	}
+	return reply.Batch, reply.Outcome.err()
+}
--- /dev/null
+++ b/internal/node/front.go
@@ -0,0 +1,221 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/rookpass/rookpass/internal/balance"
+	"github.com/rookpass/rookpass/internal/catalog"
+	"github.com/rookpass/rookpass/internal/feed"
+	"github.com/rookpass/rookpass/internal/gateway"
+	"github.com/rookpass/rookpass/internal/layout"
+	"github.com/rookpass/rookpass/internal/ledger"
+	"github.com/rookpass/rookpass/internal/mirror"
+	"github.com/rookpass/rookpass/internal/objectapi"
+	"github.com/rookpass/rookpass/internal/peerlink"
+	"github.com/rookpass/rookpass/internal/upstream"
+	"github.com/rookpass/rookpass/internal/wait"
+	"github.com/rookpass/rookpass/internal/watch"
+	"github.com/rookpass/rookpass/platform"
+)
+
+const (
+	// frontWait is how long a front daemon's watch waits at the platform's store, where no mirror answers.
+	frontWait = 1500 * time.Millisecond
+	// cacheShare of a VM's memory holds kept turns.
+	cacheShare = 0.05
+	// headerTimeout bounds a request's headers before the configuration says how long; callers keep within 3 s.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is how long a caller's connection is kept; configurations so far say 15 s and less.
+	idleTimeout = 90 * time.Second
+	// maxHeaderBytes is above every limit that a configuration has set so far.
+	maxHeaderBytes = 64 << 10
+	// sweepPause is the time between two looks for connections and servers that are no longer needed.
+	sweepPause = time.Second
+	// unreadyTime is how long a stopping daemon still takes connections: the platform asks every second, and
+	// two misses take it out.
+	unreadyTime = 2500 * time.Millisecond
+	// stopMargin is what a stopping daemon leaves of its grace.
+	stopMargin = 500 * time.Millisecond
+	// drainPoll is the time between two looks whether requests still run.
+	drainPoll = 20 * time.Millisecond
+)
+
+// front is the front daemon.
+type front struct {
+	*base
+	catalog  *catalog.Catalog
+	balancer *balance.Balancer
+	pool     *upstream.Pool
+	ledger   *ledger.Ledger
+	gateway  *gateway.Gateway
+	stopping atomic.Bool
+}
+
+// RunFront runs the front daemon until ctx ends, and then until its requests have.
+func RunFront(ctx context.Context, settings platform.Settings, level string) error {
+	b, err := newBase(settings, level, "front")
+	if err != nil {
+		return err
+	}
+	err = newFront(b).run(ctx)
+	b.stopped("signal", ignoreEnd(err))
+	return ignoreEnd(err)
+}
+
+func newFront(b *base) *front {
+	f := &front{base: b, catalog: catalog.New(), balancer: balance.New(b.settings.DataCentre)}
+	f.pool = upstream.NewPool(b.dial, platform.Headers{})
+	f.ledger = ledger.New(b.links, b.settings.DataCentre, int(cacheShare*float64(b.settings.MemoryBytes)), b.log)
+	f.gateway = gateway.New(gateway.Options{
+		Catalog: f.catalog, Balancer: f.balancer, Sender: f.pool, Ledger: f.ledger, Dialect: platform.Headers{},
+		Log: b.log, Stats: gateway.NewStats(b.metrics),
+	})
+	b.metrics.Gauge("rookpass_connections_opened_total", func() float64 { return float64(f.pool.Opened()) })
+	b.metrics.Gauge("rookpass_connections_reused_total", func() float64 { return float64(f.pool.Reused()) })
+	b.metrics.Gauge("rookpass_requests_active", func() float64 { return float64(f.gateway.Active()) })
+	b.metrics.Gauge("rookpass_servers", func() float64 { return float64(f.catalog.Servers().Len()) })
+	return f
+}
+
+func (f *front) run(ctx context.Context) error {
+	callers, err := listen(f.settings.CallerAddress)
+	if err != nil {
+		return err
+	}
+	readiness, err := listen(f.settings.ReadyAddress)
+	if err != nil {
+		return err
+	}
+	f.serveMetrics()
+	server := &http.Server{Handler: f.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	ready := &http.Server{Handler: http.HandlerFunc(f.answerReady), ReadHeaderTimeout: headerTimeout}
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
+	group, work := errgroup.WithContext(work)
+	group.Go(func() error { return serve(server, callers) })
+	group.Go(func() error { return serve(ready, readiness) })
+	for _, w := range f.watchers() {
+		group.Go(func() error { return w.Run(work) })
+	}
+	group.Go(func() error { return f.sweep(work) })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-work.Done():
+			return work.Err()
+		}
+		f.drain(server)
+		stopWork()
+		_ = ready.Close() // the process ends
+		return nil
+	})
+	return group.Wait()
+}
+
+func serve(server *http.Server, listener net.Listener) error {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return Error.Wrap(err)
+	}
+	return nil
+}
+
+// watchers returns the watches that keep this daemon's view.
+func (f *front) watchers() []*watch.Watcher {
+	source := feed.New(f.mirrors(), feed.Named{Name: "platform", Source: single{f.store}}, f.log)
+	handlers := []watch.Handler{
+		catalog.NewConfigHandler(f.catalog, platform.ConfigPrefix, platform.DecodeConfig, f.log),
+		catalog.NewServersHandler(f.catalog, platform.ServersPrefix, platform.DecodeServer, f.log),
+		&handler{prefix: layoutPrefix, apply: f.applyLayout},
+	}
+	var watchers []*watch.Watcher
+	for _, h := range handlers {
+		watchers = append(watchers, watch.New(source, watchPace, h).WithWait(frontWait))
+	}
+	return watchers
+}
+
+func (f *front) applyLayout(object objectapi.Object) {
+	l, err := layout.Decode(object.Value)
+	if err != nil {
+		f.log.WithFields(logrus.Fields{"event": "layout-malformed", "error": err}).Error("layout not read")
+		return
+	}
+	f.ledger.Learn(l)
+}
+
+// mirrors returns a function that lists the store daemons, those of this data centre first.
+func (f *front) mirrors() func() []feed.Named {
+	links := peerlink.NewSet(f.dial) // apart from the ledger's: a watch that hangs must not break its calls
+	return func() []feed.Named {
+		l := f.ledger.Layout()
+		if l == nil {
+			return nil
+		}
+		var sources []feed.Named
+		for _, slot := range l.Slots {
+			source := feed.Named{Name: slot.Disk.Node, Source: mirror.NewClient(links.To(slot.Disk.Address))}
+			if slot.Disk.DataCentre == f.settings.DataCentre {
+				sources = slices.Insert(sources, 0, source)
+			} else {
+				sources = append(sources, source)
+			}
+		}
+		return sources
+	}
+}
+
+// single adapts the platform's store to one prefix a watch.
+type single struct{ store *platform.Store }
+
+func (s single) List(ctx context.Context, prefix string) (objectapi.Snapshot, error) {
+	return s.store.List(ctx, prefix)
+}
+
+func (s single) Wait(ctx context.Context, prefix string, after uint64, d time.Duration) (objectapi.Batch, error) {
+	return s.store.Wait(ctx, []string{prefix}, after, d)
+}
+
+// answerReady tells the platform whether this daemon should get new connections.
+func (f *front) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if f.stopping.Load() || f.catalog.Table() == nil || f.catalog.Servers().Len() == 0 || !f.ledger.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// sweep closes connections that are no longer needed, again and again.
+func (f *front) sweep(ctx context.Context) error {
+	for wait.For(ctx, sweepPause) == nil {
+		servers := f.catalog.Servers()
+		addresses := servers.Addresses()
+		f.pool.CloseIdle(func(address string) bool { return addresses[address] })
+		f.balancer.Forget(servers.Has)
+	}
+	return ctx.Err()
+}
+
+// drain stops taking connections once the platform has noticed, and returns when the requests have ended or
+// the grace is over.
+func (f *front) drain(server *http.Server) {
+	began := time.Now()
+	deadline := began.Add(f.settings.StopGrace - stopMargin)
+	f.stopping.Store(true)
+	f.gateway.Stop()
+	f.log.WithFields(logrus.Fields{"event": "drain", "active": f.gateway.Active()}).Info("stopping")
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	_ = wait.For(ctx, unreadyTime)
+	_ = server.Shutdown(ctx) // what still runs at the deadline is cut by the end of the process
+	f.ledger.Flush()
+	f.log.WithFields(logrus.Fields{"event": "drained", "active": f.gateway.Active(), "ms": time.Since(began).Milliseconds()}).Info("requests ended")
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,140 @@
+// Package node wires the daemons that run on the users' platform: the front daemon, which takes callers'
+// requests, and the store daemon, which keeps turns on its VM's disk.
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/zeebo/errs"
+
+	"github.com/rookpass/rookpass/internal/eventlog"
+	"github.com/rookpass/rookpass/internal/metrics"
+	"github.com/rookpass/rookpass/internal/network"
+	"github.com/rookpass/rookpass/internal/objectapi"
+	"github.com/rookpass/rookpass/internal/peerlink"
+	"github.com/rookpass/rookpass/internal/telemetry"
+	"github.com/rookpass/rookpass/platform"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("node")
+
+const (
+	// layoutPrefix and layoutKey are where the layout of disks lies in the platform's store.
+	layoutPrefix = "rookpass-layout/"
+	layoutKey    = layoutPrefix + "main"
+	// connectTimeout is far above a connection between data centres, and below what a caller waits.
+	connectTimeout = 400 * time.Millisecond
+	// silenceTimeout ends connections on which sent bytes stay unacknowledged: some lost packets are borne.
+	silenceTimeout = 1200 * time.Millisecond
+	// watchPace is the least time between two calls of a watch: a burst of changes costs few calls.
+	watchPace = 40 * time.Millisecond
+	// heapShare of a VM's memory is where the collector begins to work hard.
+	heapShare = 0.6
+)
+
+// base is what both daemons have.
+type base struct {
+	settings platform.Settings
+	out      *eventlog.Writer
+	log      logrus.FieldLogger
+	metrics  *metrics.Registry
+	store    *platform.Store
+	dial     network.DialContext
+	links    *peerlink.Set
+}
+
+func newBase(settings platform.Settings, level, role string) (*base, error) {
+	out := eventlog.New(os.Stdout)
+	log, err := telemetry.NewLog(out, level, settings.Node)
+	if err != nil {
+		return nil, err
+	}
+	debug.SetMemoryLimit(int64(heapShare * float64(settings.MemoryBytes)))
+	dial := network.NewDialer(connectTimeout, silenceTimeout)
+	b := &base{
+		settings: settings,
+		out:      out,
+		log:      log,
+		metrics:  metrics.New(),
+		store:    platform.NewStore(settings.StoreAddress, dial),
+		dial:     dial,
+		links:    peerlink.NewSet(dial),
+	}
+	b.metrics.Gauge("rookpass_store_calls_total", func() float64 { return float64(b.store.Calls()) })
+	b.metrics.Gauge("rookpass_log_lines_dropped_total", func() float64 { return float64(out.Dropped()) })
+	log.WithFields(logrus.Fields{"event": "start", "role": role, "data_centre": settings.DataCentre, "first_start": settings.FirstStart,
+		"memory_bytes": settings.MemoryBytes, "peers": settings.PeerAddress(), "store": settings.StoreAddress}).Info("started")
+	return b, nil
+}
+
+// stopped logs the end of the process and writes the last lines.
+func (b *base) stopped(reason string, err error) {
+	fields := logrus.Fields{"event": "stop", "reason": reason}
+	if err != nil {
+		fields["error"] = err
+	}
+	b.log.WithFields(fields).Info("stopped")
+	b.out.Close()
+}
+
+// serveMetrics serves the metrics page until the process ends. A daemon works without it.
+func (b *base) serveMetrics() {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", b.metrics)
+	go func() {
+		err := http.ListenAndServe(b.settings.MetricsAddress(), mux)
+		b.log.WithFields(logrus.Fields{"event": "metrics-failed", "error": err}).Error("metrics not served")
+	}()
+}
+
+func listen(address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	return listener, Error.Wrap(err)
+}
+
+// handler is a watch.Handler made of functions.
+type handler struct {
+	prefix string
+	apply  func(objectapi.Object)
+	remove func(key string)
+	reset  func()
+}
+
+func (h *handler) Prefix() string { return h.prefix }
+
+func (h *handler) Reset(objects []objectapi.Object, _ uint64) {
+	if h.reset != nil {
+		h.reset()
+	}
+	for _, object := range objects {
+		h.apply(object)
+	}
+}
+
+func (h *handler) Change(event objectapi.Event) {
+	switch {
+	case !event.Deleted:
+		h.apply(event.Object)
+	case h.remove != nil:
+		h.remove(event.Key)
+	}
+}
+
+func (h *handler) Confirm(uint64) {}
+func (h *handler) Lost()          {}
+
+// ignoreEnd drops the error of a controller that ended because its context did.
+func ignoreEnd(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/node/store.go
@@ -0,0 +1,148 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/rookpass/rookpass/internal/layout"
+	"github.com/rookpass/rookpass/internal/mirror"
+	"github.com/rookpass/rookpass/internal/objectapi"
+	"github.com/rookpass/rookpass/internal/peerlink"
+	"github.com/rookpass/rookpass/internal/replica"
+	"github.com/rookpass/rookpass/internal/watch"
+	"github.com/rookpass/rookpass/platform"
+)
+
+// storeWait is how long a store daemon's watch waits for a change. It bounds how late a silent cut from the
+// platform's store is noticed; each call has a price.
+const storeWait = 1800 * time.Millisecond
+
+// RunStore runs the store daemon until ctx ends.
+func RunStore(ctx context.Context, settings platform.Settings, level string) error {
+	b, err := newBase(settings, level, "store")
+	if err != nil {
+		return err
+	}
+	err = b.runStore(ctx)
+	b.stopped("signal", ignoreEnd(err))
+	return ignoreEnd(err)
+}
+
+func (b *base) runStore(ctx context.Context) error {
+	s := b.settings
+	if s.DataDir == "" {
+		return Error.New("a store daemon needs data_dir")
+	}
+	self := layout.Disk{Node: s.Node, Address: s.PeerAddress(), DataCentre: s.DataCentre}
+	store, err := replica.OpenStore(s.DataDir, self, b.log)
+	if err != nil {
+		return err
+	}
+	retiring := &retirements{platform: b.store, nodes: map[string]bool{}, log: b.log}
+	controller := replica.NewController(replica.Options{
+		Store: store, API: b.store, Links: b.links, Retirements: retiring, Log: b.log, Key: layoutKey,
+		FirstStart: s.FirstStart, Tolerance: s.DisksLostAtOnce, DiskBytes: s.DiskBytes,
+	})
+	mirrors := []*mirror.Mirror{mirror.New(platform.ConfigPrefix), mirror.New(platform.ServersPrefix), mirror.New(layoutPrefix)}
+	layouts := &handler{prefix: layoutPrefix, apply: controller.Observe}
+	watchers := []*watch.Watcher{
+		watch.New(b.store, watchPace, mirrors[0]),
+		watch.New(b.store, watchPace, mirrors[1]),
+		watch.New(b.store, watchPace, both{mirrors[2], layouts}),
+		watch.New(b.store, watchPace, retiring.handler()),
+	}
+	listener, err := listen(s.PeerAddress())
+	if err != nil {
+		return err
+	}
+	b.serveMetrics()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		return peerlink.Serve(listener, map[string]any{
+			replica.ServiceName: replica.NewService(store),
+			mirror.ServiceName:  mirror.NewService(mirrors...),
+		})
+	})
+	group.Go(func() error {
+		<-ctx.Done()
+		_ = listener.Close()
+		return ctx.Err()
+	})
+	group.Go(func() error { return controller.Run(ctx) })
+	for _, w := range watchers {
+		group.Go(func() error { return w.WithWait(storeWait).Run(ctx) })
+	}
+	return group.Wait()
+}
+
+// both passes a prefix's changes to two handlers.
+type both struct{ first, second watch.Handler }
+
+func (h both) Prefix() string { return h.first.Prefix() }
+
+func (h both) Reset(objects []objectapi.Object, version uint64) {
+	h.first.Reset(objects, version)
+	h.second.Reset(objects, version)
+}
+
+func (h both) Change(event objectapi.Event) {
+	h.first.Change(event)
+	h.second.Change(event)
+}
+
+func (h both) Confirm(version uint64) {
+	h.first.Confirm(version)
+	h.second.Confirm(version)
+}
+
+func (h both) Lost() {
+	h.first.Lost()
+	h.second.Lost()
+}
+
+// retirements implements replica.Retirements from the platform's objects.
+type retirements struct {
+	platform *platform.Store
+	log      logrus.FieldLogger
+
+	mu    sync.Mutex
+	nodes map[string]bool
+}
+
+func (r *retirements) handler() watch.Handler {
+	set := func(key string, retiring bool) {
+		node := platform.RetiringNode(key)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.nodes[node] == retiring {
+			return
+		}
+		if retiring {
+			r.nodes[node] = true
+		} else {
+			delete(r.nodes, node)
+		}
+		r.log.WithFields(logrus.Fields{"event": "retirement-asked", "node": node, "retiring": retiring}).Info("retirement changed")
+	}
+	return &handler{
+		prefix: platform.RetirementsPrefix,
+		apply:  func(o objectapi.Object) { set(o.Key, true) },
+		remove: func(key string) { set(key, false) },
+	}
+}
+
+// Retiring implements replica.Retirements.
+func (r *retirements) Retiring(node string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.nodes[node]
+}
+
+// Report implements replica.Retirements.
+func (r *retirements) Report(ctx context.Context, node string, done bool) error {
+	return r.platform.MarkRetirement(ctx, platform.RetirementsPrefix+node, done)
+}
--- a/internal/policy/place.go
+++ b/internal/policy/place.go
@@ -37,7 +37,7 @@
 		if engine.Excluded || engine.InFlight >= engine.Capacity {
 			continue
 		}
-		cost := expected(engine, promptTokens, costs)
+		cost := Expected(engine, promptTokens, costs)
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
@@ -45,7 +45,8 @@
 	return best
 }
 
-func expected(engine Engine, promptTokens int64, costs Costs) float64 {
+// Expected returns the time in seconds that a call of promptTokens is expected to take on an engine.
+func Expected(engine Engine, promptTokens int64, costs Costs) float64 {
 	uncached := max(0, promptTokens-engine.CachedTokens)
 	cost := float64(uncached+1) * costs.PrefillPerToken * (1 + costs.SlowdownPerCall*float64(engine.InFlight))
 	// Beyond prefill, each running call slows this one's decoding.
--- /dev/null
+++ b/internal/replica/controller.go
@@ -0,0 +1,319 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/rookpass/rookpass/internal/layout"
+	"github.com/rookpass/rookpass/internal/objectapi"
+	"github.com/rookpass/rookpass/internal/peerlink"
+	"github.com/rookpass/rookpass/internal/wait"
+)
+
+const (
+	// stepPause is the time between two looks at the layout.
+	stepPause = 200 * time.Millisecond
+	// formSettle is how long no further disk must have come before the first layout is closed. VMs start
+	// within 0.3 s of each other.
+	formSettle = 1500 * time.Millisecond
+	// formTurn keeps the disks from closing the layout at the same moment.
+	formTurn = 400 * time.Millisecond
+	// goneAfter is how long a disk's daemon must not have answered before a spare disk takes its slot: longer
+	// than a restart, shorter than the time in which a lost disk has to be replaced.
+	goneAfter = 2 * time.Second
+	// pingTimeout bounds a ping; a slowed VM still answers within it.
+	pingTimeout = 600 * time.Millisecond
+	// cleanPause is the time between two removals of what has outlived its retention.
+	cleanPause = 5 * time.Second
+	// fullShare of the disk makes the oldest file be copied forward, so that it can be removed.
+	fullShare = 0.7
+)
+
+// Retirements tells which VMs' disks are to be emptied, and takes word of it.
+type Retirements interface {
+	// Retiring tells whether a VM's disk is to be emptied.
+	Retiring(node string) bool
+	// Report says that a VM's disk is being emptied, or is empty.
+	Report(ctx context.Context, node string, done bool) error
+}
+
+// Controller keeps a disk's place in the layout. Use NewController, then Run.
+type Controller struct {
+	store       *Store
+	api         objectapi.API
+	links       *peerlink.Set
+	retirements Retirements
+	log         logrus.FieldLogger
+	key         string
+	firstStart  bool
+	tolerance   int
+	diskBytes   int64
+
+	mu      sync.Mutex
+	version uint64
+	changed time.Time
+
+	silentSince map[string]time.Time
+	reported    string
+	cleaned     time.Time
+}
+
+// Options are what a controller needs.
+type Options struct {
+	Store       *Store
+	API         objectapi.API
+	Links       *peerlink.Set
+	Retirements Retirements
+	Log         logrus.FieldLogger
+	// Key is the layout's object.
+	Key string
+	// FirstStart tells that the system starts with empty disks.
+	FirstStart bool
+	// Tolerance is how many disks may be lost at one time.
+	Tolerance int
+	// DiskBytes is the size of the disk.
+	DiskBytes int64
+}
+
+// NewController returns the controller of a store.
+func NewController(o Options) *Controller {
+	return &Controller{store: o.Store, api: o.API, links: o.Links, retirements: o.Retirements, log: o.Log, key: o.Key,
+		firstStart: o.FirstStart, tolerance: o.Tolerance, diskBytes: o.DiskBytes, silentSince: map[string]time.Time{}}
+}
+
+// Observe takes the layout's object over from a watch.
+func (c *Controller) Observe(object objectapi.Object) {
+	l, err := layout.Decode(object.Value)
+	if err != nil {
+		c.log.WithFields(logrus.Fields{"event": "layout-malformed", "version": object.Version, "error": err}).Error("layout not read")
+		return
+	}
+	c.mu.Lock()
+	if object.Version > c.version {
+		c.version, c.changed = object.Version, time.Now()
+	}
+	c.mu.Unlock()
+	c.store.Learn(l)
+}
+
+// Run keeps the disk's place until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := c.step(ctx); err != nil && ctx.Err() == nil {
+			c.log.WithFields(logrus.Fields{"event": "layout-step", "error": err}).Warn("layout step failed; tried again")
+		}
+		c.clean(time.Now())
+		_ = wait.For(ctx, stepPause)
+	}
+	return ctx.Err()
+}
+
+func (c *Controller) step(ctx context.Context) error {
+	l := c.store.Layout()
+	if l == nil || !l.Formed {
+		return c.form(ctx, l)
+	}
+	self := c.store.Self()
+	if err := c.reportRetirement(ctx, l); err != nil {
+		return err
+	}
+	if l.SlotOf(self.ID) >= 0 {
+		return nil
+	}
+	if slot := l.SlotJoined(self.ID); slot >= 0 {
+		return c.takeOver(ctx, l, slot)
+	}
+	if c.retirements.Retiring(self.Node) {
+		return nil
+	}
+	slot := c.vacant(ctx, l)
+	if slot < 0 {
+		return nil
+	}
+	next := l.Clone()
+	next.Slots[slot].Joining = &self
+	c.log.WithFields(logrus.Fields{"event": "slot-join", "slot": slot, "from_node": l.Slots[slot].Disk.Node,
+		"retiring": c.retirements.Retiring(l.Slots[slot].Disk.Node), "epoch": next.Epoch}).Info("taking a slot over")
+	return c.put(ctx, next)
+}
+
+// form gathers the first disks.
+func (c *Controller) form(ctx context.Context, l *layout.Layout) error {
+	self := c.store.Self()
+	mine := layout.Slot{DataCentre: self.DataCentre, Disk: self}
+	switch {
+	case l == nil && c.firstStart:
+		return c.put(ctx, &layout.Layout{Epoch: 1, Tolerance: c.tolerance, Slots: []layout.Slot{mine}})
+	case l == nil:
+		return nil
+	}
+	place := l.SlotOf(self.ID)
+	if place < 0 {
+		if !c.firstStart {
+			return nil
+		}
+		next := l.Clone()
+		next.Slots = append(next.Slots, mine)
+		return c.put(ctx, next)
+	}
+	c.mu.Lock()
+	quiet := time.Since(c.changed)
+	c.mu.Unlock()
+	if quiet < formSettle+time.Duration(place)*formTurn {
+		return nil
+	}
+	next := l.Clone()
+	next.Formed = true
+	return c.put(ctx, next)
+}
+
+// put replaces the layout if it is still the one that this disk knows.
+func (c *Controller) put(ctx context.Context, next *layout.Layout) error {
+	value, err := next.Encode()
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	version := c.version
+	c.mu.Unlock()
+	object, err := c.api.Put(ctx, c.key, value, version)
+	if err == nil {
+		c.Observe(object)
+		return nil
+	}
+	// A conflict or a lost answer: what stands there now decides the next step.
+	current, readErr := c.api.Get(ctx, c.key)
+	if readErr == nil {
+		c.Observe(current)
+	}
+	if errors.Is(err, objectapi.ErrConflict) {
+		return nil
+	}
+	return errors.Join(err, readErr)
+}
+
+// vacant returns a slot that this disk may take over, or -1: the one that this VM's lost disk held, one that
+// is to be emptied, or one whose daemon has not answered for long.
+func (c *Controller) vacant(ctx context.Context, l *layout.Layout) int {
+	node := c.store.Self().Node
+	for i, slot := range l.Slots {
+		if slot.Disk.Node == node || slot.Joining != nil && slot.Joining.Node == node {
+			return i
+		}
+	}
+	for i, slot := range l.Slots {
+		if slot.Joining == nil && c.retirements.Retiring(slot.Disk.Node) {
+			return i
+		}
+	}
+	silent := c.ping(ctx, l)
+	if len(silent) > l.Tolerance {
+		return -1 // more are silent than may be lost: more likely it is this VM that is cut off
+	}
+	for _, i := range silent {
+		if joining := l.Slots[i].Joining; joining == nil || c.silent(*joining) {
+			return i
+		}
+	}
+	return -1
+}
+
+// ping asks every disk that holds or joins a slot, and returns the slots whose holder has been silent for
+// long.
+func (c *Controller) ping(ctx context.Context, l *layout.Layout) []int {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	now := time.Now()
+	ask := func(disk layout.Disk) {
+		defer wg.Done()
+		ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+		defer cancel()
+		var reply PingReply
+		err := c.links.To(disk.Address).Call(ctx, ServiceName+".Ping", &PingArgs{Disk: disk.ID}, &reply)
+		mu.Lock()
+		defer mu.Unlock()
+		if err == nil && reply.Header.Status == OK {
+			delete(c.silentSince, disk.ID)
+		} else if _, known := c.silentSince[disk.ID]; !known {
+			c.silentSince[disk.ID] = now
+		}
+	}
+	for _, slot := range l.Slots {
+		wg.Add(1)
+		go ask(slot.Disk)
+		if slot.Joining != nil {
+			wg.Add(1)
+			go ask(*slot.Joining)
+		}
+	}
+	wg.Wait()
+	var silent []int
+	for i, slot := range l.Slots {
+		if c.silent(slot.Disk) {
+			silent = append(silent, i)
+		}
+	}
+	return silent
+}
+
+func (c *Controller) silent(disk layout.Disk) bool {
+	since, known := c.silentSince[disk.ID]
+	return known && time.Since(since) >= goneAfter
+}
+
+// reportRetirement tells how far the emptying of this VM's disk has come, once for each change.
+func (c *Controller) reportRetirement(ctx context.Context, l *layout.Layout) error {
+	self := c.store.Self()
+	if !c.retirements.Retiring(self.Node) {
+		c.reported = ""
+		return nil
+	}
+	done := l.SlotOf(self.ID) < 0 && l.SlotJoined(self.ID) < 0
+	state := "running"
+	if done {
+		state = "done"
+	}
+	if c.reported == state {
+		return nil
+	}
+	if err := c.retirements.Report(ctx, self.Node, done); err != nil {
+		return err
+	}
+	c.reported = state
+	c.log.WithFields(logrus.Fields{"event": "retirement", "state": state, "epoch": l.Epoch}).Info("retirement reported")
+	return nil
+}
+
+// clean removes what has outlived its retention, and copies the oldest file forward on a disk that fills.
+func (c *Controller) clean(now time.Time) {
+	if now.Sub(c.cleaned) < cleanPause {
+		return
+	}
+	c.cleaned = now
+	s := c.store
+	for _, segment := range s.index.expire(now, s.files.Active()) {
+		if err := s.files.Remove(segment); err != nil {
+			c.log.WithFields(logrus.Fields{"event": "clean-failed", "error": err}).Warn("turn file not removed")
+		}
+	}
+	if c.diskBytes == 0 || float64(s.files.Bytes()) < fullShare*float64(c.diskBytes) {
+		return
+	}
+	for _, position := range s.index.oldest(s.files.Active()) {
+		record, err := s.files.Read(position)
+		if err != nil {
+			c.log.WithFields(logrus.Fields{"event": "read-failed", "error": err}).Error("disk read failed")
+			return
+		}
+		ticket := s.files.Append(&record)
+		if err := ticket.Wait(); err != nil {
+			c.log.WithFields(logrus.Fields{"event": "write-failed", "error": err}).Error("disk write failed")
+			return
+		}
+		s.index.moved(record.ID, position, ticket.Position)
+	}
+}
--- /dev/null
+++ b/internal/replica/index.go
@@ -0,0 +1,203 @@
+package replica
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rookpass/rookpass/internal/turn"
+	"github.com/rookpass/rookpass/internal/turnlog"
+)
+
+// keepMargin is how much longer than its retention a program is kept: answers reach callers late, and
+// copying to another disk takes its time.
+const keepMargin = 30 * time.Second
+
+// entry is one turn. Its record lies in the log.
+type entry struct {
+	id       string
+	previous string
+	state    turn.State
+	tokens   int64
+	position turnlog.Position
+	// sequence orders entries by their last change, for exports.
+	sequence uint64
+	program  *program
+}
+
+type program struct {
+	name      string
+	turns     []*entry
+	touched   time.Time
+	retention time.Duration
+}
+
+// index finds records by program and by turn. Its methods are safe for concurrent use.
+type index struct {
+	mu       sync.Mutex
+	programs map[string]*program
+	turns    map[string]*entry
+	sequence uint64
+	// live counts the records of each file that are still in the index.
+	live map[uint32]int
+}
+
+func newIndex() *index {
+	return &index{programs: map[string]*program{}, turns: map[string]*entry{}, live: map[uint32]int{}}
+}
+
+// has tells whether a record of at least the state is there.
+func (x *index) has(id string, state turn.State) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	e := x.turns[id]
+	return e != nil && e.state >= state
+}
+
+// add enters a record, unless a later state of the turn is there. It reports whether it was entered.
+func (x *index) add(r *turn.Record, position turnlog.Position, now time.Time) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	p := x.programs[r.Program]
+	if p == nil {
+		p = &program{name: r.Program}
+		x.programs[r.Program] = p
+	}
+	p.touched = now
+	p.retention = max(p.retention, r.Retention)
+	e := x.turns[r.ID]
+	if e == nil {
+		e = &entry{id: r.ID, program: p}
+		x.turns[r.ID] = e
+		p.turns = append(p.turns, e)
+	} else if e.state >= r.State {
+		return false
+	} else {
+		x.live[e.position.Segment]--
+	}
+	x.sequence++
+	e.state, e.tokens, e.previous, e.position, e.sequence = r.State, r.Tokens, r.Previous, position, x.sequence
+	x.live[position.Segment]++
+	return true
+}
+
+// entries returns a program's turns.
+func (x *index) entries(name string) []Entry {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	p := x.programs[name]
+	if p == nil {
+		return nil
+	}
+	list := make([]Entry, len(p.turns))
+	for i, e := range p.turns {
+		list[i] = Entry{ID: e.id, State: e.state, Tokens: e.tokens}
+	}
+	return list
+}
+
+// chain returns where the finished turns lie from id backwards, and the first that is missing.
+func (x *index) chain(id string, now time.Time) ([]turnlog.Position, string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var positions []turnlog.Position
+	for id != "" {
+		e := x.turns[id]
+		if e == nil || e.state != turn.Finished {
+			return positions, id
+		}
+		e.program.touched = now
+		positions = append(positions, e.position)
+		id = e.previous
+	}
+	return positions, ""
+}
+
+// located is a record to export.
+type located struct {
+	position turnlog.Position
+	sequence uint64
+}
+
+// after returns, in order, up to limit records that were entered after a place and whose program is wanted.
+func (x *index) after(sequence uint64, limit int, wanted func(program string) bool) []located {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var found []located
+	for _, p := range x.programs {
+		if !wanted(p.name) {
+			continue
+		}
+		for _, e := range p.turns {
+			if e.sequence > sequence {
+				found = append(found, located{e.position, e.sequence})
+			}
+		}
+	}
+	slices.SortFunc(found, func(a, b located) int { return int(a.sequence) - int(b.sequence) })
+	return found[:min(limit, len(found))]
+}
+
+// expire forgets programs whose retention has passed, and returns the files in which nothing is left.
+func (x *index) expire(now time.Time, active uint32) []uint32 {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for name, p := range x.programs {
+		if now.Sub(p.touched) <= p.retention+keepMargin {
+			continue
+		}
+		for _, e := range p.turns {
+			delete(x.turns, e.id)
+			x.live[e.position.Segment]--
+		}
+		delete(x.programs, name)
+	}
+	var empty []uint32
+	for segment, count := range x.live {
+		if count == 0 && segment != active {
+			empty = append(empty, segment)
+			delete(x.live, segment)
+		}
+	}
+	return empty
+}
+
+// oldest returns the records of the file with the lowest number, but for the active one.
+func (x *index) oldest(active uint32) []turnlog.Position {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	lowest := active
+	for segment := range x.live {
+		lowest = min(lowest, segment)
+	}
+	if lowest == active {
+		return nil
+	}
+	var positions []turnlog.Position
+	for _, e := range x.turns {
+		if e.position.Segment == lowest {
+			positions = append(positions, e.position)
+		}
+	}
+	return positions
+}
+
+// moved notes that a record was copied to another place.
+func (x *index) moved(id string, from, to turnlog.Position) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	e := x.turns[id]
+	if e == nil || e.position != from {
+		return
+	}
+	x.live[from.Segment]--
+	e.position = to
+	x.live[to.Segment]++
+}
+
+// size returns the number of turns.
+func (x *index) size() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return len(x.turns)
+}
--- /dev/null
+++ b/internal/replica/messages.go
@@ -0,0 +1,99 @@
+// Package replica is the daemon of a VM with a disk: it keeps turn records for other daemons, and takes over
+// the slots of disks that are gone.
+package replica
+
+import (
+	"github.com/rookpass/rookpass/internal/layout"
+	"github.com/rookpass/rookpass/internal/turn"
+)
+
+// ServiceName is the net/rpc name of the service.
+const ServiceName = "Replica"
+
+// Status says whether a disk may count the request.
+type Status uint8
+
+// The statuses of an answer.
+const (
+	// OK means done.
+	OK Status = iota + 1
+	// StaleLayout means that the asker's layout is older than the disk may serve; Layout holds a newer one.
+	StaleLayout
+	// WrongDisk means that another disk, or another life of it, answers at the address.
+	WrongDisk
+	// Failed means that the disk can't write.
+	Failed
+)
+
+// Target tells which disk a request means, under which layout.
+type Target struct {
+	Disk  string
+	Epoch uint64
+}
+
+// Header is common to all answers.
+type Header struct {
+	Status Status
+	// Complete tells that the disk holds all that its slot must hold, so that it may say what is not there.
+	Complete bool
+	Layout   *layout.Layout
+}
+
+// Entry is one turn of a program as the budget sees it.
+type Entry struct {
+	ID     string
+	State  turn.State
+	Tokens int64
+}
+
+// WriteArgs ask to keep a record.
+type WriteArgs struct {
+	Target Target
+	Record turn.Record
+	// Entries asks for the program's other turns.
+	Entries bool
+}
+
+// WriteReply tells that the record is on the disk.
+type WriteReply struct {
+	Header  Header
+	Entries []Entry
+}
+
+// FetchArgs ask for a finished turn and those before it.
+type FetchArgs struct {
+	Target Target
+	ID     string
+}
+
+// FetchReply holds the turns from the one asked for backwards. Missing names the first that the disk does
+// not hold; empty when the line's start was reached.
+type FetchReply struct {
+	Header  Header
+	Chain   []turn.Record
+	Missing string
+}
+
+// ExportArgs ask for a page of the records that a slot must hold. Layout is the one under which the slot is
+// being taken over: the disk then serves no older one.
+type ExportArgs struct {
+	Layout layout.Layout
+	Slot   int
+	// From is the disk that is asked; After the last record of the page before.
+	From  string
+	After uint64
+}
+
+// ExportReply is a page. Last is the place to go on from; Done tells that nothing is left.
+type ExportReply struct {
+	Header  Header
+	Records []turn.Record
+	Last    uint64
+	Done    bool
+}
+
+// PingArgs ask whether a disk's daemon answers.
+type PingArgs struct{ Disk string }
+
+// PingReply answers a ping.
+type PingReply struct{ Header Header }
--- /dev/null
+++ b/internal/replica/service.go
@@ -0,0 +1,225 @@
+package replica
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/zeebo/errs"
+
+	"github.com/rookpass/rookpass/internal/layout"
+	"github.com/rookpass/rookpass/internal/turn"
+	"github.com/rookpass/rookpass/internal/turnlog"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("replica")
+
+const (
+	// exportRecords and exportBytes bound a page: it should take a few milliseconds of the link.
+	exportRecords = 2000
+	exportBytes   = 512 << 10
+)
+
+// Store is one disk's records and what it believes of the layout.
+type Store struct {
+	log  logrus.FieldLogger
+	dir  string
+	self layout.Disk
+
+	index *index
+	files *turnlog.Log
+
+	mu sync.Mutex
+	id identity
+}
+
+// OpenStore reads the disk at dir. self tells where its daemon answers; its disk ID is filled in.
+func OpenStore(dir string, self layout.Disk, log logrus.FieldLogger) (*Store, error) {
+	id, err := loadIdentity(dir)
+	if err != nil {
+		return nil, err
+	}
+	self.ID = id.Disk
+	s := &Store{log: log, dir: dir, self: self, index: newIndex(), id: id}
+	now := time.Now()
+	s.files, err = turnlog.Open(dir, func(r turn.Record, p turnlog.Position) { s.index.add(&r, p, now) })
+	if err != nil {
+		return nil, err
+	}
+	log.WithFields(logrus.Fields{"event": "disk-open", "disk": id.Disk, "turns": s.index.size(),
+		"complete": id.complete(), "fence": id.Fence}).Info("disk read")
+	return s, nil
+}
+
+// Self returns the disk.
+func (s *Store) Self() layout.Disk { return s.self }
+
+// Layout returns the newest layout seen, or nil.
+func (s *Store) Layout() *layout.Layout {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.id.Layout
+}
+
+// Learn takes a layout over if it is newer than the one known. It reports whether it was.
+func (s *Store) Learn(l *layout.Layout) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.learn(l)
+}
+
+func (s *Store) learn(l *layout.Layout) bool {
+	if s.id.Layout != nil && s.id.Layout.Epoch >= l.Epoch {
+		return false
+	}
+	id := s.id
+	id.Layout = l
+	if err := saveIdentity(s.dir, id); err != nil {
+		s.log.WithFields(logrus.Fields{"event": "identity-failed", "error": err}).Error("layout not saved")
+		return false
+	}
+	s.id = id
+	s.log.WithFields(logrus.Fields{"event": "layout", "epoch": l.Epoch, "formed": l.Formed,
+		"slot": l.SlotOf(s.self.ID), "joining": l.SlotJoined(s.self.ID)}).Info("layout in force")
+	return true
+}
+
+// check compares what a request means with what the disk is.
+func (s *Store) check(target Target) Header {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := Header{Status: OK, Complete: s.id.complete()}
+	switch {
+	case target.Disk != s.self.ID:
+		h.Status = WrongDisk
+		h.Layout = s.id.Layout
+	case target.Epoch < s.id.Fence:
+		h.Status = StaleLayout
+		h.Layout = s.id.Layout
+	case s.id.Layout != nil && target.Epoch < s.id.Layout.Epoch:
+		h.Layout = s.id.Layout
+	}
+	return h
+}
+
+// write makes a record durable, unless it is already there.
+func (s *Store) write(r *turn.Record) error {
+	if s.index.has(r.ID, r.State) {
+		return nil
+	}
+	ticket := s.files.Append(r)
+	if err := ticket.Wait(); err != nil {
+		return err
+	}
+	s.index.add(r, ticket.Position, time.Now())
+	return nil
+}
+
+// Service answers daemons. Its exported methods are net/rpc methods.
+type Service struct{ store *Store }
+
+// NewService returns the service of a store.
+func NewService(store *Store) *Service { return &Service{store: store} }
+
+// Write keeps a record.
+func (v *Service) Write(args *WriteArgs, reply *WriteReply) error {
+	s := v.store
+	reply.Header = s.check(args.Target)
+	if reply.Header.Status != OK {
+		return nil
+	}
+	if err := s.write(&args.Record); err != nil {
+		s.log.WithFields(logrus.Fields{"event": "write-failed", "turn": args.Record.ID, "error": err}).Error("disk write failed")
+		reply.Header.Status = Failed
+		return nil
+	}
+	// A take-over may have raised the fence while the disk wrote: its export may lack this record.
+	if after := s.check(args.Target); after.Status != OK {
+		reply.Header = after
+		return nil
+	}
+	if args.Entries {
+		reply.Entries = s.index.entries(args.Record.Program)
+	}
+	return nil
+}
+
+// Fetch returns a turn and those before it.
+func (v *Service) Fetch(args *FetchArgs, reply *FetchReply) error {
+	s := v.store
+	reply.Header = s.check(args.Target)
+	if reply.Header.Status != OK {
+		return nil
+	}
+	positions, missing := s.index.chain(args.ID, time.Now())
+	reply.Missing = missing
+	for _, position := range positions {
+		record, err := s.files.Read(position)
+		if err != nil {
+			s.log.WithFields(logrus.Fields{"event": "read-failed", "turn": args.ID, "error": err}).Error("disk read failed")
+			reply.Header.Status = Failed
+			return nil
+		}
+		reply.Chain = append(reply.Chain, record)
+	}
+	return nil
+}
+
+// Export returns a page of what a slot must hold, and from then on serves no layout from before its
+// take-over: a record that is acknowledged later went to the new disk as well.
+func (v *Service) Export(args *ExportArgs, reply *ExportReply) error {
+	s := v.store
+	s.mu.Lock()
+	s.learn(&args.Layout)
+	if s.id.Fence < args.Layout.Epoch {
+		id := s.id
+		id.Fence = args.Layout.Epoch
+		if err := saveIdentity(s.dir, id); err != nil {
+			s.mu.Unlock()
+			reply.Header.Status = Failed
+			return nil
+		}
+		s.id = id
+	}
+	s.mu.Unlock()
+	reply.Header = s.check(Target{Disk: args.From, Epoch: args.Layout.Epoch})
+	if reply.Header.Status != OK {
+		return nil
+	}
+	groups := map[string]bool{}
+	found := s.index.after(args.After, exportRecords, func(program string) bool {
+		wanted, known := groups[program]
+		if !known {
+			for _, slot := range args.Layout.Group(program) {
+				wanted = wanted || slot == args.Slot
+			}
+			groups[program] = wanted
+		}
+		return wanted
+	})
+	size := 0
+	reply.Last = args.After
+	for _, l := range found {
+		record, err := s.files.Read(l.position)
+		if err != nil {
+			s.log.WithFields(logrus.Fields{"event": "read-failed", "error": err}).Error("disk read failed")
+			reply.Header.Status = Failed
+			return nil
+		}
+		reply.Records = append(reply.Records, record)
+		reply.Last = l.sequence
+		size += len(record.Input) + len(record.Output)
+		if size > exportBytes {
+			return nil
+		}
+	}
+	reply.Done = len(found) < exportRecords
+	return nil
+}
+
+// Ping tells whether the disk is the one that is meant.
+func (v *Service) Ping(args *PingArgs, reply *PingReply) error {
+	reply.Header = v.store.check(Target{Disk: args.Disk, Epoch: 1 << 62})
+	return nil
+}
--- /dev/null
+++ b/internal/turn/turn.go
@@ -0,0 +1,141 @@
+// Package turn holds the records of agent turns that rookpass keeps: what was reserved of a program's token
+// budget, and what was said.
+package turn
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("turn")
+
+// State is how far a turn has come. A record of a higher state replaces one of a lower state.
+type State uint8
+
+// The states.
+const (
+	// Reserved turns may be running; they count at the most that they may generate.
+	Reserved State = iota + 1
+	// Void turns never reached a server and never will; they count nothing.
+	Void
+	// Finished turns were answered whole; they count what they generated.
+	Finished
+)
+
+// String returns the state's name for logs.
+func (s State) String() string {
+	switch s {
+	case Reserved:
+		return "reserved"
+	case Void:
+		return "void"
+	case Finished:
+		return "finished"
+	default:
+		return "unknown"
+	}
+}
+
+// Record is one state of one turn. Records never change once written.
+type Record struct {
+	State   State
+	ID      string
+	Program string
+	// Previous is the turn of the same program that this one goes on from; empty at the start of a line.
+	Previous string
+	// Tokens is what the turn counts against the budget.
+	Tokens int64
+	// Retention is how long the program is kept after its last turn.
+	Retention time.Duration
+	// Input is what the caller sent and Output the data of each event with a line feed behind; both only
+	// for Finished turns.
+	Input  []byte
+	Output []byte
+	// Server is the incarnation that ran the turn and so holds its prompt in cache.
+	Server string
+}
+
+// Counts returns what the record counts against the program's budget.
+func (r *Record) Counts() int64 {
+	if r.State == Void {
+		return 0
+	}
+	return r.Tokens
+}
+
+// Append appends the record's encoding to b: the state, numbers as varints, texts with their length before
+// them.
+func (r *Record) Append(b []byte) []byte {
+	b = append(b, byte(r.State))
+	b = binary.AppendVarint(b, r.Tokens)
+	b = binary.AppendVarint(b, int64(r.Retention))
+	b = appendBytes(b, r.ID)
+	b = appendBytes(b, r.Program)
+	b = appendBytes(b, r.Previous)
+	b = appendBytes(b, r.Server)
+	b = appendBytes(b, r.Input)
+	return appendBytes(b, r.Output)
+}
+
+// Decode returns the record that b encodes.
+func Decode(b []byte) (Record, error) {
+	d := decoder{rest: b}
+	r := Record{State: State(d.byte())}
+	r.Tokens = d.varint()
+	r.Retention = time.Duration(d.varint())
+	r.ID = string(d.bytes())
+	r.Program = string(d.bytes())
+	r.Previous = string(d.bytes())
+	r.Server = string(d.bytes())
+	r.Input = d.bytes()
+	r.Output = d.bytes()
+	if d.bad || len(d.rest) > 0 || r.State < Reserved || r.State > Finished {
+		return Record{}, Error.New("malformed record of %d bytes", len(b))
+	}
+	return r, nil
+}
+
+func appendBytes[T string | []byte](b []byte, text T) []byte {
+	b = binary.AppendUvarint(b, uint64(len(text)))
+	return append(b, text...)
+}
+
+// decoder reads fields one after the other; the first malformed one sets bad.
+type decoder struct {
+	rest []byte
+	bad  bool
+}
+
+func (d *decoder) byte() byte {
+	if len(d.rest) == 0 {
+		d.bad = true
+		return 0
+	}
+	b := d.rest[0]
+	d.rest = d.rest[1:]
+	return b
+}
+
+func (d *decoder) varint() int64 {
+	n, size := binary.Varint(d.rest)
+	if size <= 0 {
+		d.bad = true
+		return 0
+	}
+	d.rest = d.rest[size:]
+	return n
+}
+
+func (d *decoder) bytes() []byte {
+	n, size := binary.Uvarint(d.rest)
+	if size <= 0 || n > uint64(len(d.rest)-size) {
+		d.bad = true
+		return nil
+	}
+	text := d.rest[size : size+int(n)]
+	d.rest = d.rest[size+int(n):]
+	return text
+}
--- /dev/null
+++ b/internal/turnlog/turnlog.go
@@ -0,0 +1,323 @@
+// Package turnlog keeps turn records in files on a disk. Appends that come together share one sync.
+//
+// A file is a row of frames: length and CRC-32 of the record as little-endian words, then the record. What
+// follows the first frame that does not check out was never acknowledged, and is passed over.
+package turnlog
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+
+	"github.com/zeebo/errs"
+
+	"github.com/rookpass/rookpass/internal/turn"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("turnlog")
+
+// ErrClosed means that the log was closed.
+var ErrClosed = errors.New("turn log closed")
+
+const (
+	headerBytes = 8
+	// maxRecordBytes bounds a frame: a larger length is a torn write.
+	maxRecordBytes = 64 << 20
+	// segmentBytes is when a new file begins, so that old ones can be removed whole.
+	segmentBytes = 8 << 20
+	suffix       = ".turns"
+)
+
+// Position is where a record lies.
+type Position struct {
+	Segment uint32
+	Offset  int64
+	Length  int
+}
+
+// Log is a set of files in one folder. Use Open.
+type Log struct {
+	dir string
+
+	mu      sync.Mutex
+	files   map[uint32]*os.File
+	active  uint32
+	size    int64
+	pending *batch
+	wake    chan struct{}
+	failed  error
+	closed  bool
+	bytes   int64
+	done    chan struct{}
+}
+
+// batch is the appends that wait for one sync.
+type batch struct {
+	data  []byte
+	ready chan struct{}
+	err   error
+}
+
+func newBatch() *batch { return &batch{ready: make(chan struct{})} }
+
+// Open reads the records of a folder, in the order of their writing, and begins a new file behind them.
+func Open(dir string, replay func(turn.Record, Position)) (*Log, error) {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	l := &Log{dir: dir, files: map[uint32]*os.File{}, pending: newBatch(), wake: make(chan struct{}, 1), done: make(chan struct{})}
+	numbers, err := segments(dir)
+	if err != nil {
+		return nil, err
+	}
+	for _, number := range numbers {
+		if err := l.load(number, replay); err != nil {
+			return nil, err
+		}
+		l.active = number
+	}
+	if err := l.begin(l.active + 1); err != nil {
+		return nil, err
+	}
+	go l.commit()
+	return l, nil
+}
+
+func segments(dir string) ([]uint32, error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	var numbers []uint32
+	for _, entry := range entries {
+		var number uint32
+		if filepath.Ext(entry.Name()) != suffix {
+			continue
+		}
+		if _, err := fmt.Sscanf(entry.Name(), "%08x", &number); err != nil {
+			return nil, Error.New("%s: not a name of a turn file", entry.Name())
+		}
+		numbers = append(numbers, number)
+	}
+	slices.Sort(numbers)
+	return numbers, nil
+}
+
+func (l *Log) path(segment uint32) string {
+	return filepath.Join(l.dir, fmt.Sprintf("%08x%s", segment, suffix))
+}
+
+func (l *Log) load(segment uint32, replay func(turn.Record, Position)) error {
+	file, err := os.Open(l.path(segment))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	data, err := io.ReadAll(file)
+	if err != nil {
+		return Error.Wrap(errors.Join(err, file.Close()))
+	}
+	l.files[segment] = file
+	l.bytes += int64(len(data))
+	for offset := 0; ; {
+		record, length, ok := frameAt(data[offset:])
+		if !ok {
+			return nil
+		}
+		replay(record, Position{Segment: segment, Offset: int64(offset + headerBytes), Length: length})
+		offset += headerBytes + length
+	}
+}
+
+// frameAt decodes the frame at the start of data.
+func frameAt(data []byte) (turn.Record, int, bool) {
+	if len(data) < headerBytes {
+		return turn.Record{}, 0, false
+	}
+	length := int(binary.LittleEndian.Uint32(data))
+	if length == 0 || length > maxRecordBytes || length > len(data)-headerBytes {
+		return turn.Record{}, 0, false
+	}
+	body := data[headerBytes : headerBytes+length]
+	if crc32.ChecksumIEEE(body) != binary.LittleEndian.Uint32(data[4:]) {
+		return turn.Record{}, 0, false
+	}
+	record, err := turn.Decode(body)
+	return record, length, err == nil
+}
+
+// begin starts a new file. Its name lasts once the folder is synced.
+func (l *Log) begin(segment uint32) error {
+	file, err := os.OpenFile(l.path(segment), os.O_CREATE|os.O_RDWR|os.O_EXCL, 0o644)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	if err := file.Sync(); err != nil {
+		return Error.Wrap(err)
+	}
+	if err := SyncFolder(l.dir); err != nil {
+		return err
+	}
+	l.files[segment] = file
+	l.active, l.size = segment, 0
+	return nil
+}
+
+// SyncFolder makes the names in a folder last.
+func SyncFolder(path string) error {
+	dir, err := os.Open(path)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	return Error.Wrap(errors.Join(dir.Sync(), dir.Close()))
+}
+
+// Ticket is an append that has its place and waits for the disk.
+type Ticket struct {
+	Position Position
+	batch    *batch
+}
+
+// Wait returns once the record is on the disk.
+func (t Ticket) Wait() error {
+	<-t.batch.ready
+	return t.batch.err
+}
+
+// Append gives a record its place. It is durable once the ticket's Wait returns nil.
+func (l *Log) Append(record *turn.Record) Ticket {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.pending
+	if l.closed {
+		return Ticket{batch: b}
+	}
+	start := len(b.data)
+	b.data = append(b.data, make([]byte, headerBytes)...)
+	b.data = record.Append(b.data)
+	body := b.data[start+headerBytes:]
+	binary.LittleEndian.PutUint32(b.data[start:], uint32(len(body)))
+	binary.LittleEndian.PutUint32(b.data[start+4:], crc32.ChecksumIEEE(body))
+	position := Position{Segment: l.active, Offset: l.size + int64(start) + headerBytes, Length: len(body)}
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+	return Ticket{Position: position, batch: b}
+}
+
+// commit writes what is pending, again and again.
+func (l *Log) commit() {
+	defer close(l.done)
+	for range l.wake {
+		l.mu.Lock()
+		b, file, offset := l.pending, l.files[l.active], l.size
+		l.pending = newBatch()
+		// Appends from here on lie behind this batch.
+		l.size += int64(len(b.data))
+		l.bytes += int64(len(b.data))
+		failed := l.failed
+		l.mu.Unlock()
+		b.err = failed
+		if failed == nil && len(b.data) > 0 {
+			b.err = write(file, b.data, offset)
+		}
+		l.settle(b)
+	}
+	l.mu.Lock()
+	l.pending.err = ErrClosed
+	close(l.pending.ready)
+	l.mu.Unlock()
+}
+
+func write(file *os.File, data []byte, offset int64) error {
+	if _, err := file.WriteAt(data, offset); err != nil {
+		return Error.Wrap(err)
+	}
+	return Error.Wrap(file.Sync())
+}
+
+// settle tells the waiters and begins a new file where the old one is full. After a failure nothing more is
+// taken: what the disk holds is then unknown until the next start.
+func (l *Log) settle(b *batch) {
+	close(b.ready)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if b.err != nil {
+		l.failed = b.err
+		return
+	}
+	if l.size < segmentBytes || len(l.pending.data) > 0 {
+		return
+	}
+	if err := l.begin(l.active + 1); err != nil {
+		l.failed = err
+	}
+}
+
+// Read returns the record at a position.
+func (l *Log) Read(p Position) (turn.Record, error) {
+	l.mu.Lock()
+	file := l.files[p.Segment]
+	l.mu.Unlock()
+	if file == nil {
+		return turn.Record{}, Error.New("no file %d", p.Segment)
+	}
+	body := make([]byte, p.Length)
+	if _, err := file.ReadAt(body, p.Offset); err != nil {
+		return turn.Record{}, Error.Wrap(err)
+	}
+	return turn.Decode(body)
+}
+
+// Bytes returns the size of all files.
+func (l *Log) Bytes() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.bytes
+}
+
+// Active returns the file that appends go to.
+func (l *Log) Active() uint32 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.active
+}
+
+// Remove deletes a file that is not the active one.
+func (l *Log) Remove(segment uint32) error {
+	l.mu.Lock()
+	file := l.files[segment]
+	if file == nil || segment == l.active {
+		l.mu.Unlock()
+		return Error.New("file %d can't be removed", segment)
+	}
+	delete(l.files, segment)
+	if info, err := file.Stat(); err == nil {
+		l.bytes -= info.Size()
+	}
+	l.mu.Unlock()
+	return Error.Wrap(errors.Join(file.Close(), os.Remove(l.path(segment))))
+}
+
+// Close ends the log. Appends that still wait fail.
+func (l *Log) Close() error {
+	l.mu.Lock()
+	l.closed = true
+	close(l.wake)
+	l.mu.Unlock()
+	<-l.done
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var group errs.Group
+	for _, file := range l.files {
+		group.Add(file.Close())
+	}
+	return Error.Wrap(group.Err())
+}
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,185 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rookpass/rookpass/internal/call"
+	"github.com/rookpass/rookpass/internal/network"
+	"github.com/rookpass/rookpass/internal/verdict"
+)
+
+const (
+	// defaultKeep is how long an idle connection is trusted to a server that does not say how long it keeps
+	// them.
+	defaultKeep = 4 * time.Second
+	// keepMargin is subtracted from what the server says: a request must not cross its close.
+	keepMargin = 700 * time.Millisecond
+	// maxIdle bounds the idle connections to one server.
+	maxIdle = 16
+)
+
+// Pool keeps connections to servers, by address.
+type Pool struct {
+	dial    network.DialContext
+	dialect call.Dialect
+
+	mu    sync.Mutex
+	hosts map[string]*host
+
+	opened atomic.Int64
+	reused atomic.Int64
+}
+
+// host is one server's connections; guarded by Pool.mu.
+type host struct {
+	idle []*conn
+	open int
+}
+
+// NewPool returns an empty pool.
+func NewPool(dial network.DialContext, dialect call.Dialect) *Pool {
+	return &Pool{dial: dial, dialect: dialect, hosts: map[string]*host{}}
+}
+
+// Opened returns how many connections were opened, Reused how many requests went over kept ones.
+func (p *Pool) Opened() int64 { return p.opened.Load() }
+
+// Reused returns how many requests went over kept connections.
+func (p *Pool) Reused() int64 { return p.reused.Load() }
+
+// Do sends a request to an address and returns the head of its answer. limit bounds the connections to it;
+// 0 means none.
+func (p *Pool) Do(ctx context.Context, address string, limit int, r *Request) (*Answer, *Failure) {
+	c, failure := p.take(ctx, address, limit)
+	if failure != nil {
+		return nil, failure
+	}
+	answer, failure := exchange(ctx, c, r, p.dialect)
+	if failure != nil {
+		p.drop(address)
+		return nil, failure
+	}
+	finish := answer.close
+	answer.close = func(whole bool) {
+		finish(whole)
+		if answer.conn == nil {
+			p.drop(address)
+			return
+		}
+		p.put(address, c, answer.Reply.KeepAlive)
+	}
+	return answer, nil
+}
+
+// take returns an idle connection that is still open, or a new one.
+func (p *Pool) take(ctx context.Context, address string, limit int) (*conn, *Failure) {
+	for {
+		c := p.pop(address)
+		if c == nil {
+			break
+		}
+		if time.Now().Before(c.expires) && network.IsOpen(c.Conn) {
+			p.reused.Add(1)
+			return c, nil
+		}
+		_ = c.Close()
+		p.drop(address)
+	}
+	p.mu.Lock()
+	h := p.host(address)
+	if limit > 0 && h.open >= limit {
+		p.mu.Unlock()
+		return nil, &Failure{Verdict: verdict.NotRun, Reason: ReasonNoConns, err: Error.New("all %d connections to %s are busy", limit, address)}
+	}
+	h.open++
+	p.mu.Unlock()
+	p.opened.Add(1)
+	c, err := p.dial(ctx, "tcp", address)
+	if err != nil {
+		p.drop(address)
+		return nil, &Failure{Verdict: verdict.NotRun, Reason: ReasonDial, err: err}
+	}
+	return newConn(c), nil
+}
+
+func (p *Pool) host(address string) *host {
+	h := p.hosts[address]
+	if h == nil {
+		h = &host{}
+		p.hosts[address] = h
+	}
+	return h
+}
+
+func (p *Pool) pop(address string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.host(address)
+	if len(h.idle) == 0 {
+		return nil
+	}
+	c := h.idle[len(h.idle)-1]
+	h.idle = h.idle[:len(h.idle)-1]
+	return c
+}
+
+func (p *Pool) put(address string, c *conn, keep time.Duration) {
+	if keep == 0 {
+		keep = defaultKeep
+	}
+	keep -= keepMargin
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.host(address)
+	if keep <= 0 || len(h.idle) >= maxIdle {
+		_ = c.Close()
+		h.open--
+		return
+	}
+	c.expires = time.Now().Add(keep)
+	h.idle = append(h.idle, c)
+}
+
+// drop counts a connection as closed.
+func (p *Pool) drop(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.host(address)
+	h.open--
+	if h.open <= 0 && len(h.idle) == 0 {
+		delete(p.hosts, address)
+	}
+}
+
+// CloseIdle closes connections that have expired, and all idle ones to addresses that are not wanted.
+func (p *Pool) CloseIdle(wanted func(address string) bool) {
+	now := time.Now()
+	var closing []net.Conn
+	p.mu.Lock()
+	for address, h := range p.hosts {
+		kept := h.idle[:0]
+		for _, c := range h.idle {
+			if now.Before(c.expires) && wanted(address) {
+				kept = append(kept, c)
+				continue
+			}
+			closing = append(closing, c)
+			h.open--
+		}
+		h.idle = kept
+		if h.open <= 0 && len(h.idle) == 0 {
+			delete(p.hosts, address)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range closing {
+		_ = c.Close()
+	}
+}
+
+func appendInt(b []byte, n int) []byte { return strconv.AppendInt(b, int64(n), 10) }
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -28,7 +28,14 @@
 	Lost()
 }
 
-// waitTime is how long one call waits for a change. It bounds how late a lost connection is noticed.
+// Source answers lists and watches: the object API, or what stands in for it.
+type Source interface {
+	List(ctx context.Context, prefix string) (objectapi.Snapshot, error)
+	Wait(ctx context.Context, prefixes []string, after uint64, wait time.Duration) (objectapi.Batch, error)
+}
+
+// waitTime is how long one call waits for a change, unless WithWait says otherwise. It bounds how late a
+// lost connection is noticed.
 const waitTime = 5 * time.Second
 
 // answerMargin is how much longer than waitTime an answer may take.
@@ -42,17 +49,24 @@
 
 // Watcher feeds handlers. Use New, then Run.
 type Watcher struct {
-	api      objectapi.API
+	api      Source
 	handlers []Handler
 	pace     time.Duration
+	waitTime time.Duration
 	version  uint64
 	calls    atomic.Int64
 }
 
 // New returns a watcher of the handlers' prefixes. pace is the least time between two calls to the API: the
 // first change after a quiet time is seen at once, while a stream of changes costs one call for each pace.
-func New(api objectapi.API, pace time.Duration, handlers ...Handler) *Watcher {
-	return &Watcher{api: api, pace: pace, handlers: handlers}
+func New(api Source, pace time.Duration, handlers ...Handler) *Watcher {
+	return &Watcher{api: api, pace: pace, waitTime: waitTime, handlers: handlers}
+}
+
+// WithWait sets how long one call waits for a change, and returns the watcher.
+func (w *Watcher) WithWait(d time.Duration) *Watcher {
+	w.waitTime = d
+	return w
 }
 
 // Calls returns how many calls to the API the watcher has made.
@@ -92,7 +106,7 @@
 // list reads every prefix. The watch goes on from the oldest of the lists, so nothing between them is
 // missed; handlers see some changes twice.
 func (w *Watcher) list(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, waitTime)
+	ctx, cancel := context.WithTimeout(ctx, w.waitTime)
 	defer cancel()
 	snapshots := make([]objectapi.Snapshot, len(w.handlers))
 	for i, handler := range w.handlers {
@@ -118,10 +132,10 @@
 	for i, handler := range w.handlers {
 		prefixes[i] = handler.Prefix()
 	}
-	ctx, cancel := context.WithTimeout(ctx, waitTime+answerMargin)
+	ctx, cancel := context.WithTimeout(ctx, w.waitTime+answerMargin)
 	defer cancel()
 	w.calls.Add(1)
-	batch, err := w.api.Wait(ctx, prefixes, w.version, waitTime)
+	batch, err := w.api.Wait(ctx, prefixes, w.version, w.waitTime)
 	if err != nil {
 		return err
 	}
