Tests of the kept turns: log, layout, disks and ledger in virtual time

The race detector then showed a real fault: a net/rpc answer that came after its call's timeout was decoded into memory that another goroutine copied. Change: peerlink.Call returns an answer of its own; tests for codec, torn tails, quorums (rapid), fences, wiped, replaced, behind and retired disks, power loss, parallel budgets. Shown able to fail: a quorum of one, absence by one disk, no copying, no fence, 'complete' always and another disk's answer each turn a test red.

--- a/internal/ledger/chain.go
+++ b/internal/ledger/chain.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rookpass/rookpass/internal/layout"
+	"github.com/rookpass/rookpass/internal/peerlink"
 	"github.com/rookpass/rookpass/internal/replica"
 	"github.com/rookpass/rookpass/internal/turn"
 )
@@ -42,7 +43,7 @@
 // part is one disk's answer to a fetch.
 type part struct {
 	slot  int
-	reply replica.FetchReply
+	reply *replica.FetchReply
 	err   error
 }
 
@@ -62,7 +63,7 @@
 		args := &replica.FetchArgs{Target: replica.Target{Disk: disk.ID, Epoch: current.Epoch}, ID: id}
 		go func() {
 			p := part{slot: slot}
-			p.err = l.links.To(disk.Address).Call(ctx, replica.ServiceName+".Fetch", args, &p.reply)
+			p.reply, p.err = peerlink.Call[replica.FetchReply](ctx, l.links.To(disk.Address), replica.ServiceName+".Fetch", args)
 			answers <- p
 		}()
 	}
@@ -83,7 +84,9 @@
 			askRest()
 		case p := <-answers:
 			answered++
-			if err := l.judge(p.reply.Header, p.err); err != nil {
+			if p.err != nil {
+				problem = p.err
+			} else if err := l.judge(p.reply.Header); err != nil {
 				problem = err
 			} else if len(p.reply.Chain) > 0 {
 				return p.reply.Chain, nil
--- /dev/null
+++ b/internal/ledger/cluster_test.go
@@ -0,0 +1,236 @@
+package ledger_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/rookpass/rookpass/internal/layout"
+	"github.com/rookpass/rookpass/internal/ledger"
+	"github.com/rookpass/rookpass/internal/network"
+	"github.com/rookpass/rookpass/internal/network/memnet"
+	"github.com/rookpass/rookpass/internal/objectapi"
+	"github.com/rookpass/rookpass/internal/objectapi/apitest"
+	"github.com/rookpass/rookpass/internal/objectapi/memapi"
+	"github.com/rookpass/rookpass/internal/peerlink"
+	"github.com/rookpass/rookpass/internal/replica"
+	"github.com/rookpass/rookpass/internal/testbubble"
+	"github.com/rookpass/rookpass/internal/turn"
+	"github.com/rookpass/rookpass/internal/watch"
+)
+
+func TestMain(m *testing.M) {
+	testbubble.Prepare()
+	os.Exit(m.Run())
+}
+
+const layoutKey = "rookpass-layout/main"
+
+// cluster is a set of store daemons in virtual time, over one object API.
+type cluster struct {
+	t         *testing.T
+	fabric    *memnet.Fabric
+	api       *apitest.API
+	log       logrus.FieldLogger
+	tolerance int
+	dir       string
+	nodes     map[string]*daemon
+
+	mu       sync.Mutex
+	retiring map[string]bool
+	reported map[string]string
+}
+
+// daemon is one running store daemon.
+type daemon struct {
+	stop  context.CancelFunc
+	store *replica.Store
+	ended chan struct{}
+}
+
+func newCluster(t *testing.T, disks, tolerance int) *cluster {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	if os.Getenv("ROOKPASS_TEST_LOG") != "" {
+		log.SetOutput(os.Stderr)
+	}
+	c := &cluster{t: t, fabric: memnet.New(), api: apitest.New(memapi.New()), log: log, tolerance: tolerance,
+		dir: t.TempDir(), nodes: map[string]*daemon{}, retiring: map[string]bool{}, reported: map[string]string{}}
+	t.Cleanup(func() {
+		for name := range c.nodes {
+			c.kill(name)
+		}
+	})
+	for i := range disks {
+		c.start(node(i), true)
+	}
+	c.eventually(func() bool { l := c.current(); return l != nil && l.Formed })
+	return c
+}
+
+func node(i int) string { return fmt.Sprintf("store-%d", i) }
+
+func (c *cluster) folder(name string) string { return filepath.Join(c.dir, name) }
+
+// start runs a store daemon on what its folder holds.
+func (c *cluster) start(name string, first bool) {
+	c.fabric.Revive(name)
+	dial := dialFrom(c.fabric, name)
+	store, err := replica.OpenStore(c.folder(name), layout.Disk{Node: name, Address: name + ":1", DataCentre: name}, c.log.WithField("node", name))
+	assert.NilError(c.t, err)
+	controller := replica.NewController(replica.Options{Store: store, API: c.api, Links: peerlink.NewSet(dial), Retirements: retirements{c},
+		Log: c.log.WithField("node", name), Key: layoutKey, FirstStart: first, Tolerance: c.tolerance})
+	listener, err := c.fabric.Listen(name, name+":1")
+	assert.NilError(c.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &daemon{stop: cancel, store: store, ended: make(chan struct{})}
+	c.nodes[name] = d
+	go func() {
+		_ = peerlink.Serve(listener, map[string]any{replica.ServiceName: replica.NewService(store)})
+	}()
+	go func() { _ = watch.New(c.api, 0, observer{controller}).WithWait(time.Second).Run(ctx) }()
+	go func() {
+		defer close(d.ended)
+		_ = controller.Run(ctx)
+	}()
+}
+
+// kill ends a daemon's process; its folder stays.
+func (c *cluster) kill(name string) {
+	d := c.nodes[name]
+	delete(c.nodes, name)
+	d.stop()
+	c.fabric.Kill(name)
+	<-d.ended
+	assert.NilError(c.t, d.store.Close())
+}
+
+// wipe kills a daemon and empties its folder.
+func (c *cluster) wipe(name string) {
+	c.kill(name)
+	assert.NilError(c.t, os.RemoveAll(c.folder(name)))
+}
+
+func (c *cluster) current() *layout.Layout {
+	object, err := c.api.Get(context.Background(), layoutKey)
+	if err != nil {
+		return nil
+	}
+	l, err := layout.Decode(object.Value)
+	assert.NilError(c.t, err)
+	return l
+}
+
+// holders returns the nodes that hold slots.
+func (c *cluster) holders() map[string]bool {
+	nodes := map[string]bool{}
+	for _, slot := range c.current().Slots {
+		if slot.Joining == nil {
+			nodes[slot.Disk.Node] = true
+		}
+	}
+	return nodes
+}
+
+// settled waits until every slot is held by a disk that runs.
+func (c *cluster) settled() {
+	c.eventually(func() bool {
+		for _, slot := range c.current().Slots {
+			d := c.nodes[slot.Disk.Node]
+			if slot.Joining != nil || d == nil || d.store.Self().ID != slot.Disk.ID {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (c *cluster) eventually(holds func() bool) {
+	c.t.Helper()
+	for range 600 {
+		if holds() {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	c.t.Fatal("not reached within 30 s")
+}
+
+// ledger returns a ledger on a host of its own that knows the layout in force.
+func (c *cluster) ledger(host string) *ledger.Ledger {
+	l := ledger.New(peerlink.NewSet(dialFrom(c.fabric, host)), host, 1, c.log)
+	l.Learn(c.current())
+	c.t.Cleanup(l.Flush)
+	return l
+}
+
+func dialFrom(fabric *memnet.Fabric, host string) network.DialContext {
+	return func(ctx context.Context, _, address string) (net.Conn, error) { return fabric.Dial(ctx, host, address) }
+}
+
+// observer hands the layout to a controller.
+type observer struct{ controller *replica.Controller }
+
+func (o observer) Prefix() string { return "rookpass-layout/" }
+func (o observer) Reset(objects []objectapi.Object, _ uint64) {
+	for _, object := range objects {
+		o.controller.Observe(object)
+	}
+}
+func (o observer) Change(event objectapi.Event) { o.controller.Observe(event.Object) }
+func (o observer) Confirm(uint64)               {}
+func (o observer) Lost()                        {}
+
+// retirements implements replica.Retirements by the cluster's maps.
+type retirements struct{ c *cluster }
+
+func (r retirements) Retiring(node string) bool {
+	r.c.mu.Lock()
+	defer r.c.mu.Unlock()
+	return r.c.retiring[node]
+}
+
+func (r retirements) Report(_ context.Context, node string, done bool) error {
+	r.c.mu.Lock()
+	defer r.c.mu.Unlock()
+	r.c.reported[node] = map[bool]string{false: "running", true: "done"}[done]
+	return nil
+}
+
+func finished(program, id, previous, text string) *turn.Record {
+	return &turn.Record{State: turn.Finished, ID: id, Program: program, Previous: previous, Tokens: 10,
+		Retention: time.Minute, Input: []byte("in " + text), Output: []byte("out " + text + "\n")}
+}
+
+func reserved(program, id string, tokens int64) *turn.Record {
+	return &turn.Record{State: turn.Reserved, ID: id, Program: program, Tokens: tokens, Retention: time.Minute}
+}
+
+// retire asks for a node's disk to be emptied.
+func (c *cluster) retire(node string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.retiring[node] = true
+}
+
+// told returns what was reported of a node's retirement.
+func (c *cluster) told(node string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reported[node]
+}
+
+func within(t *testing.T, d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -145,7 +145,7 @@
 // ack is one disk's answer to a write.
 type ack struct {
 	slot  int
-	reply replica.WriteReply
+	reply *replica.WriteReply
 	err   error
 }
 
@@ -163,7 +163,7 @@
 			callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 			defer cancel()
 			a := ack{slot: slot}
-			a.err = l.links.To(disk.Address).Call(callCtx, replica.ServiceName+".Write", args, &a.reply)
+			a.reply, a.err = peerlink.Call[replica.WriteReply](callCtx, l.links.To(disk.Address), replica.ServiceName+".Write", args)
 			answers <- a
 		})
 	}
@@ -179,7 +179,11 @@
 	for range sent {
 		select {
 		case a := <-answers:
-			if err := l.judge(a.reply.Header, a.err); err != nil {
+			if a.err != nil {
+				problem = a.err
+				continue
+			}
+			if err := l.judge(a.reply.Header); err != nil {
 				problem = err
 				continue
 			}
@@ -199,10 +203,7 @@
 }
 
 // judge turns a disk's answer into an error, and learns the layout that it brings.
-func (l *Ledger) judge(header replica.Header, err error) error {
-	if err != nil {
-		return err
-	}
+func (l *Ledger) judge(header replica.Header) error {
 	if header.Layout != nil {
 		l.Learn(header.Layout)
 	}
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,263 @@
+package ledger_test
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/rookpass/rookpass/internal/ledger"
+	"github.com/rookpass/rookpass/internal/testbubble"
+)
+
+// texts returns a chain's inputs and outputs as one text.
+func texts(t *testing.T, l *ledger.Ledger, program, id string) string {
+	t.Helper()
+	chain, err := l.Chain(within(t, 5*time.Second), program, id)
+	assert.NilError(t, err)
+	text := ""
+	for _, record := range chain {
+		text += string(record.Input) + "|" + string(record.Output)
+	}
+	return text
+}
+
+func keep(t *testing.T, l *ledger.Ledger, n int) {
+	t.Helper()
+	for i := range n {
+		program := fmt.Sprintf("p%d", i)
+		assert.NilError(t, l.Finish(within(t, 5*time.Second), finished(program, program+"-a", "", program+" a")))
+		assert.NilError(t, l.Finish(within(t, 5*time.Second), finished(program, program+"-b", program+"-a", program+" b")))
+	}
+}
+
+func check(t *testing.T, l *ledger.Ledger, n int) {
+	t.Helper()
+	for i := range n {
+		p := fmt.Sprintf("p%d", i)
+		assert.Equal(t, texts(t, l, p, p+"-b"), fmt.Sprintf("in %s a|out %s a\nin %s b|out %s b\n", p, p, p, p))
+	}
+}
+
+const programs = 12
+
+func TestTurnsAreReadByAnyDaemon(t *testing.T) {
+	for _, size := range []struct{ disks, tolerance int }{{1, 0}, {2, 1}, {3, 1}, {4, 1}, {8, 2}} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			testbubble.Run(t, func(t *testing.T) {
+				c := newCluster(t, size.disks, size.tolerance)
+				keep(t, c.ledger("front-1"), programs)
+				check(t, c.ledger("front-2"), programs)
+				_, err := c.ledger("front-3").Chain(within(t, time.Second), "p1", "nowhere")
+				assert.ErrorIs(t, err, ledger.ErrNoTurn)
+			})
+		})
+	}
+}
+
+func TestTurnOfAnotherProgramIsFound(t *testing.T) {
+	testbubble.Run(t, func(t *testing.T) {
+		c := newCluster(t, 4, 1)
+		keep(t, c.ledger("front-1"), programs)
+		for i := range programs {
+			other := fmt.Sprintf("other%d", i)
+			assert.Equal(t, texts(t, c.ledger("front-2"), other, "p1-a"), "in p1 a|out p1 a\n")
+		}
+	})
+}
+
+func TestAbsenceIsOnlyToldWhenSure(t *testing.T) {
+	testbubble.Run(t, func(t *testing.T) {
+		c := newCluster(t, 3, 1)
+		l := c.ledger("front-1")
+		c.kill(node(0))
+		_, err := l.Chain(within(t, 3*time.Second), "p", "nowhere")
+		assert.ErrorIs(t, err, ledger.ErrNoTurn)
+		c.kill(node(1))
+		_, err = l.Chain(within(t, 3*time.Second), "p", "nowhere")
+		assert.ErrorIs(t, err, ledger.ErrUnsure)
+		assert.Assert(t, !errors.Is(err, ledger.ErrNoTurn))
+	})
+}
+
+// TestMinorityThatMissedATurn: one disk misses the turn, another loses it, the third is dark. Until it is
+// back nobody may say that the turn does not exist.
+func TestMinorityThatMissedATurn(t *testing.T) {
+	testbubble.Run(t, func(t *testing.T) {
+		c := newCluster(t, 3, 1)
+		c.fabric.Cut("front-1", node(2))
+		keep(t, c.ledger("front-1"), programs)
+		c.fabric.Heal("front-1", node(2))
+		c.wipe(node(0))
+		c.kill(node(1))
+		c.start(node(0), false)
+		time.Sleep(4 * time.Second)
+		for i := range programs {
+			p := fmt.Sprintf("p%d", i)
+			_, err := c.ledger("front-2").Chain(within(t, time.Second), p, p+"-a")
+			assert.ErrorIs(t, err, ledger.ErrUnsure)
+		}
+		c.start(node(1), false)
+		check(t, c.ledger("front-2"), programs)
+		c.settled()
+		c.kill(node(1))
+		check(t, c.ledger("front-2"), programs)
+	})
+}
+
+func TestDisksReplacedOneAfterAnother(t *testing.T) {
+	testbubble.Run(t, func(t *testing.T) {
+		c := newCluster(t, 3, 1)
+		keep(t, c.ledger("front-1"), programs)
+		for i := range 3 {
+			c.wipe(node(i))
+			c.start(node(i), false)
+			began := time.Now()
+			c.settled()
+			assert.Assert(t, time.Since(began) < 3*time.Second, "a lost disk was refilled after %v", time.Since(began))
+		}
+		check(t, c.ledger("front-2"), programs)
+	})
+}
+
+func TestSpareTakesOverADiskThatIsGone(t *testing.T) {
+	testbubble.Run(t, func(t *testing.T) {
+		c := newCluster(t, 4, 1)
+		old := c.ledger("front-old")
+		keep(t, old, programs)
+		c.start("spare", false)
+		c.wipe(node(1))
+		c.settled()
+		assert.Assert(t, c.holders()["spare"])
+		c.kill(node(2))
+		check(t, c.ledger("front-2"), programs)
+		// A daemon that still has the old layout learns the new one from the disks.
+		assert.NilError(t, old.Finish(within(t, 5*time.Second), finished("p0", "p0-c", "p0-b", "late")))
+		assert.Equal(t, old.Layout().Epoch, c.current().Epoch)
+	})
+}
+
+func TestBriefStopsMoveNoSlot(t *testing.T) {
+	testbubble.Run(t, func(t *testing.T) {
+		c := newCluster(t, 3, 1)
+		c.start("spare", false)
+		epoch := c.current().Epoch
+		c.kill(node(1))
+		time.Sleep(1500 * time.Millisecond)
+		c.start(node(1), false)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, c.current().Epoch, epoch)
+	})
+}
+
+func TestRetirementMovesTheSlotToASpare(t *testing.T) {
+	testbubble.Run(t, func(t *testing.T) {
+		c := newCluster(t, 3, 1)
+		keep(t, c.ledger("front-1"), programs)
+		c.retire(node(1))
+		time.Sleep(time.Second)
+		assert.Equal(t, c.told(node(1)), "running")
+		c.start("spare", false)
+		c.eventually(func() bool { return c.told(node(1)) == "done" })
+		assert.Assert(t, !c.holders()[node(1)])
+		c.wipe(node(1))
+		c.wipe(node(0))
+		check(t, c.ledger("front-2"), programs)
+	})
+}
+
+func TestAllDisksLosePower(t *testing.T) {
+	testbubble.Run(t, func(t *testing.T) {
+		c := newCluster(t, 4, 1)
+		keep(t, c.ledger("front-1"), programs)
+		for i := range 4 {
+			c.kill(node(i))
+		}
+		assert.NilError(t, os.RemoveAll(c.folder(node(3))))
+		for i := range 4 {
+			c.start(node(i), false)
+		}
+		c.settled()
+		check(t, c.ledger("front-2"), programs)
+	})
+}
+
+// TestBudgetHoldsOverParallelTurns: however many daemons reserve at once, what fits into the budget is never
+// exceeded.
+func TestBudgetHoldsOverParallelTurns(t *testing.T) {
+	testbubble.Run(t, func(t *testing.T) {
+		c := newCluster(t, 4, 1)
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		granted := 0
+		for i := range 30 {
+			l := c.ledger(fmt.Sprintf("front-%d", i%5))
+			wg.Go(func() {
+				_, err := l.Reserve(within(t, 5*time.Second), reserved("p", fmt.Sprintf("t%d", i), 100), 1000)
+				if errors.Is(err, ledger.ErrBudget) {
+					return
+				}
+				assert.Check(t, err)
+				mu.Lock()
+				granted++
+				mu.Unlock()
+			})
+		}
+		wg.Wait()
+		assert.Assert(t, granted <= 10, "%d turns of 100 tokens were let into a budget of 1000", granted)
+	})
+}
+
+func TestFinishedTurnsCountWhatTheyGenerated(t *testing.T) {
+	testbubble.Run(t, func(t *testing.T) {
+		c := newCluster(t, 3, 1)
+		l := c.ledger("front-1")
+		for i := range 9 {
+			id := fmt.Sprintf("t%d", i)
+			_, err := l.Reserve(within(t, time.Second), reserved("p", id, 20), 100)
+			assert.NilError(t, err)
+			assert.NilError(t, l.Finish(within(t, time.Second), finished("p", id, "", id)))
+		}
+		spent, err := c.ledger("front-2").Reserve(within(t, time.Second), reserved("p", "last", 20), 100)
+		assert.ErrorIs(t, err, ledger.ErrBudget)
+		assert.Equal(t, spent, int64(90))
+	})
+}
+
+func TestVoidTurnsCountNothing(t *testing.T) {
+	testbubble.Run(t, func(t *testing.T) {
+		c := newCluster(t, 3, 1)
+		l := c.ledger("front-1")
+		record := reserved("p", "t1", 100)
+		_, err := l.Reserve(within(t, time.Second), record, 100)
+		assert.NilError(t, err)
+		l.Void(record)
+		l.Flush()
+		_, err = c.ledger("front-2").Reserve(within(t, time.Second), reserved("p", "t2", 100), 100)
+		assert.NilError(t, err)
+	})
+}
+
+// TestReservationsOutliveTheirDaemons: a budget counts what was reserved before every process was killed and
+// one disk was lost.
+func TestReservationsOutliveTheirDaemons(t *testing.T) {
+	testbubble.Run(t, func(t *testing.T) {
+		c := newCluster(t, 3, 1)
+		_, err := c.ledger("front-1").Reserve(within(t, time.Second), reserved("p", "t1", 100), 150)
+		assert.NilError(t, err)
+		c.kill(node(0))
+		c.kill(node(2))
+		c.wipe(node(1))
+		for i := range 3 {
+			c.start(node(i), false)
+		}
+		c.settled()
+		c.kill(node(2))
+		_, err = c.ledger("front-2").Reserve(within(t, 3*time.Second), reserved("p", "t2", 100), 150)
+		assert.ErrorIs(t, err, ledger.ErrBudget)
+	})
+}
--- a/internal/mirror/rpc.go
+++ b/internal/mirror/rpc.go
@@ -117,8 +117,8 @@
 func (c *Client) List(ctx context.Context, prefix string) (objectapi.Snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, answerMargin)
 	defer cancel()
-	var reply ListReply
-	if err := c.link.Call(ctx, ServiceName+".List", &ListArgs{Prefix: prefix}, &reply); err != nil {
+	reply, err := peerlink.Call[ListReply](ctx, c.link, ServiceName+".List", &ListArgs{Prefix: prefix})
+	if err != nil {
 		return objectapi.Snapshot{}, errors.Join(objectapi.ErrUnavailable, err)
 	}
 	return reply.Snapshot, reply.Outcome.err()
@@ -128,9 +128,9 @@
 func (c *Client) Wait(ctx context.Context, prefix string, after uint64, wait time.Duration) (objectapi.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+answerMargin)
 	defer cancel()
-	var reply WaitReply
 	args := &WaitArgs{Prefix: prefix, After: after, Wait: wait}
-	if err := c.link.Call(ctx, ServiceName+".Wait", args, &reply); err != nil {
+	reply, err := peerlink.Call[WaitReply](ctx, c.link, ServiceName+".Wait", args)
+	if err != nil {
 		return objectapi.Batch{}, errors.Join(objectapi.ErrUnavailable, err)
 	}
 	return reply.Batch, reply.Outcome.err()
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -40,9 +40,19 @@
 	return &Link{address: address, dial: dial}
 }
 
-// Call calls a method and waits for its answer until ctx ends. A call without an answer may have been
-// carried out. The connection is given up when a call times out, since an answer may never come on it.
-func (l *Link) Call(ctx context.Context, method string, args, reply any) error {
+// Call calls a method and returns its answer. The answer is a value of its own, so that one that comes after
+// ctx has ended writes into memory that nobody reads.
+func Call[Reply any](ctx context.Context, l *Link, method string, args any) (*Reply, error) {
+	reply := new(Reply)
+	if err := l.call(ctx, method, args, reply); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+// call waits for the answer until ctx ends. A call without an answer may have been carried out. The
+// connection is given up when a call times out, since an answer may never come on it.
+func (l *Link) call(ctx context.Context, method string, args, reply any) error {
 	client, err := l.connect(ctx)
 	if err != nil {
 		return fmt.Errorf("%w: %s: %w", ErrUnreachable, l.address, err)
--- a/internal/replica/controller.go
+++ b/internal/replica/controller.go
@@ -232,8 +232,7 @@
 		defer wg.Done()
 		ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 		defer cancel()
-		var reply PingReply
-		err := c.links.To(disk.Address).Call(ctx, ServiceName+".Ping", &PingArgs{Disk: disk.ID}, &reply)
+		reply, err := peerlink.Call[PingReply](ctx, c.links.To(disk.Address), ServiceName+".Ping", &PingArgs{Disk: disk.ID})
 		mu.Lock()
 		defer mu.Unlock()
 		if err == nil && reply.Header.Status == OK {
--- a/internal/replica/fill.go
+++ b/internal/replica/fill.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/rookpass/rookpass/internal/layout"
+	"github.com/rookpass/rookpass/internal/peerlink"
 	"github.com/rookpass/rookpass/internal/turnlog"
 )
 
@@ -57,9 +58,8 @@
 	args := ExportArgs{Layout: *l, Slot: slot, From: from.ID}
 	copied := 0
 	for {
-		var reply ExportReply
 		pageCtx, cancel := context.WithTimeout(ctx, pageTimeout)
-		err := c.links.To(from.Address).Call(pageCtx, ServiceName+".Export", &args, &reply)
+		reply, err := peerlink.Call[ExportReply](pageCtx, c.links.To(from.Address), ServiceName+".Export", &args)
 		cancel()
 		if err != nil {
 			return copied, err
@@ -67,7 +67,7 @@
 		if reply.Header.Status != OK || !reply.Header.Complete {
 			return copied, Error.New("%s answered with status %d, complete=%t", from.Node, reply.Header.Status, reply.Header.Complete)
 		}
-		n, err := c.store.writeAll(&reply)
+		n, err := c.store.writeAll(reply)
 		if err != nil {
 			return copied, err
 		}
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"os"
 	"sync"
 	"time"
 
@@ -36,6 +37,9 @@
 
 // OpenStore reads the disk at dir. self tells where its daemon answers; its disk ID is filled in.
 func OpenStore(dir string, self layout.Disk, log logrus.FieldLogger) (*Store, error) {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, Error.Wrap(err)
+	}
 	id, err := loadIdentity(dir)
 	if err != nil {
 		return nil, err
@@ -223,3 +227,6 @@
 	reply.Header = v.store.check(Target{Disk: args.Disk, Epoch: 1 << 62})
 	return nil
 }
+
+// Close ends the store; records that are not yet durable are refused.
+func (s *Store) Close() error { return s.files.Close() }
--- /dev/null
+++ b/internal/replica/service_test.go
@@ -0,0 +1,167 @@
+package replica
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/rookpass/rookpass/internal/layout"
+	"github.com/rookpass/rookpass/internal/turn"
+	"github.com/rookpass/rookpass/internal/turnlog"
+)
+
+func openStore(t *testing.T, dir string) *Store {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s, err := OpenStore(dir, layout.Disk{Node: "n", Address: "n:1", DataCentre: "a"}, log)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = s.Close() })
+	return s
+}
+
+// formed returns a layout of one epoch in which the disks hold the slots.
+func formed(epoch uint64, disks ...layout.Disk) *layout.Layout {
+	l := &layout.Layout{Epoch: epoch, Formed: true, Tolerance: 1}
+	for _, d := range disks {
+		l.Slots = append(l.Slots, layout.Slot{DataCentre: d.DataCentre, Disk: d})
+	}
+	return l
+}
+
+func others() []layout.Disk {
+	return []layout.Disk{{ID: "b", Node: "b", DataCentre: "b"}, {ID: "c", Node: "c", DataCentre: "c"}}
+}
+
+func write(t *testing.T, s *Store, disk string, epoch uint64, r turn.Record) *WriteReply {
+	t.Helper()
+	var reply WriteReply
+	assert.NilError(t, NewService(s).Write(&WriteArgs{Target: Target{Disk: disk, Epoch: epoch}, Record: r, Entries: true}, &reply))
+	return &reply
+}
+
+func turnRecord(id, previous string) turn.Record {
+	return turn.Record{State: turn.Finished, ID: id, Program: "p", Previous: previous, Tokens: 3, Retention: time.Minute,
+		Input: []byte("in"), Output: []byte("out\n")}
+}
+
+// TestFenceOutlivesRestart: after a take-over has begun to copy, writes under the older layout are refused,
+// by the next process too: the copy may lack them.
+func TestFenceOutlivesRestart(t *testing.T) {
+	dir := t.TempDir()
+	s := openStore(t, dir)
+	self := s.Self()
+	s.Learn(formed(4, append(others(), self)...))
+	assert.Equal(t, write(t, s, self.ID, 4, turnRecord("t1", "")).Header.Status, OK)
+	next := formed(5, append(others(), self)...)
+	next.Slots[0].Joining = &layout.Disk{ID: "d", Node: "d"}
+	var page ExportReply
+	assert.NilError(t, NewService(s).Export(&ExportArgs{Layout: *next, Slot: 0, From: self.ID}, &page))
+	assert.Equal(t, page.Header.Status, OK)
+	assert.Equal(t, len(page.Records), 1)
+	assert.Assert(t, page.Done)
+	refused := write(t, s, self.ID, 4, turnRecord("t2", "t1"))
+	assert.Equal(t, refused.Header.Status, StaleLayout)
+	assert.Equal(t, refused.Header.Layout.Epoch, uint64(5))
+	assert.NilError(t, s.Close())
+	s = openStore(t, dir)
+	assert.Equal(t, write(t, s, self.ID, 4, turnRecord("t3", "t1")).Header.Status, StaleLayout)
+	assert.Equal(t, write(t, s, self.ID, 5, turnRecord("t3", "t1")).Header.Status, OK)
+}
+
+func TestEmptyDiskIsAnotherDisk(t *testing.T) {
+	dir := t.TempDir()
+	s := openStore(t, dir)
+	first := s.Self()
+	assert.NilError(t, s.Close())
+	assert.NilError(t, os.RemoveAll(dir))
+	s = openStore(t, dir)
+	assert.Assert(t, s.Self().ID != first.ID)
+	assert.Equal(t, write(t, s, first.ID, 1, turnRecord("t1", "")).Header.Status, WrongDisk)
+}
+
+// TestOnlyHoldersAreComplete: a disk that holds no slot may lack records, and so may not say what is absent.
+func TestOnlyHoldersAreComplete(t *testing.T) {
+	s := openStore(t, t.TempDir())
+	self := s.Self()
+	complete := func(l *layout.Layout) bool {
+		s.Learn(l)
+		var reply FetchReply
+		assert.NilError(t, NewService(s).Fetch(&FetchArgs{Target: Target{Disk: self.ID, Epoch: l.Epoch}, ID: "none"}, &reply))
+		assert.Equal(t, reply.Missing, "none")
+		return reply.Header.Complete
+	}
+	joining := formed(1, others()...)
+	joining.Slots[0].Joining = &self
+	assert.Assert(t, !complete(joining))
+	assert.Assert(t, complete(formed(2, append(others(), self)...)))
+	assert.Assert(t, !complete(formed(3, others()...)))
+	gathering := formed(4, append(others(), self)...)
+	gathering.Formed = false
+	assert.Assert(t, !complete(gathering))
+}
+
+func TestWritesAreIdempotentAndStatesOnlyRise(t *testing.T) {
+	s := openStore(t, t.TempDir())
+	self := s.Self()
+	s.Learn(formed(1, append(others(), self)...))
+	reservation := turn.Record{State: turn.Reserved, ID: "t", Program: "p", Tokens: 50, Retention: time.Minute}
+	write(t, s, self.ID, 1, reservation)
+	write(t, s, self.ID, 1, turnRecord("t", ""))
+	write(t, s, self.ID, 1, reservation)
+	reply := write(t, s, self.ID, 1, turnRecord("t", ""))
+	assert.DeepEqual(t, reply.Entries, []Entry{{ID: "t", State: turn.Finished, Tokens: 3}})
+}
+
+func TestExportOnlyHoldsTheSlotsPrograms(t *testing.T) {
+	s := openStore(t, t.TempDir())
+	self := s.Self()
+	disks := append(others(), self, layout.Disk{ID: "e", Node: "e", DataCentre: "e"})
+	l := formed(1, disks...)
+	s.Learn(l)
+	wanted := 0
+	for i := range 40 {
+		r := turnRecord(string(rune('A'+i)), "")
+		r.Program = "program-" + r.ID
+		write(t, s, self.ID, 1, r)
+		for _, slot := range l.Group(r.Program) {
+			if slot == 0 {
+				wanted++
+			}
+		}
+	}
+	var page ExportReply
+	assert.NilError(t, NewService(s).Export(&ExportArgs{Layout: *l, Slot: 0, From: self.ID}, &page))
+	assert.Equal(t, len(page.Records), wanted)
+	assert.Assert(t, wanted > 20 && wanted < 40, "%d of 40 programs belong to a slot of four, three of which hold each", wanted)
+}
+
+func TestExpiryRemovesFilesAndKeepsWhatIsUsed(t *testing.T) {
+	x := newIndex()
+	now := time.Now()
+	old, used := turnRecord("old", ""), turnRecord("used", "")
+	old.Program, used.Program = "old", "used"
+	x.add(&old, position(1), now)
+	x.add(&used, position(2), now)
+	later := now.Add(old.Retention + keepMargin - time.Second)
+	assert.Equal(t, len(x.expire(later, 3)), 0)
+	_, missing := x.chain("used", later)
+	assert.Equal(t, missing, "")
+	assert.DeepEqual(t, x.expire(now.Add(old.Retention+keepMargin+time.Second), 3), []uint32{1})
+	_, missing = x.chain("old", later)
+	assert.Equal(t, missing, "old")
+}
+
+func TestMalformedIdentityIsAnErrorNotANewDisk(t *testing.T) {
+	dir := t.TempDir()
+	assert.NilError(t, os.WriteFile(filepath.Join(dir, identityFile), []byte("{"), 0o644))
+	_, err := loadIdentity(dir)
+	assert.ErrorContains(t, err, identityFile)
+}
+
+func position(segment uint32) turnlog.Position { return turnlog.Position{Segment: segment} }
--- /dev/null
+++ b/internal/turn/turn_test.go
@@ -0,0 +1,47 @@
+package turn_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/rookpass/rookpass/internal/turn"
+)
+
+func TestCodecKeepsEveryField(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.SliceOfN(rapid.Byte(), 0, 300)
+		r := turn.Record{
+			State: turn.State(rapid.IntRange(1, 3).Draw(t, "state")), ID: rapid.String().Draw(t, "id"),
+			Program: rapid.String().Draw(t, "program"), Previous: rapid.String().Draw(t, "previous"),
+			Tokens: rapid.Int64().Draw(t, "tokens"), Retention: time.Duration(rapid.Int64().Draw(t, "retention")),
+			Server: rapid.String().Draw(t, "server"), Input: text.Draw(t, "input"), Output: text.Draw(t, "output"),
+		}
+		back, err := turn.Decode(r.Append(nil))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, back, r)
+	})
+}
+
+func TestOnlyVoidTurnsCountNothing(t *testing.T) {
+	for state, counts := range map[turn.State]int64{turn.Reserved: 5, turn.Void: 0, turn.Finished: 5} {
+		r := turn.Record{State: state, Tokens: 5}
+		assert.Equal(t, r.Counts(), counts, "%s", state)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	r := turn.Record{State: turn.Finished, ID: "id", Program: "p", Tokens: 3, Input: []byte("in"), Output: []byte("out")}
+	f.Add(r.Append(nil))
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r, err := turn.Decode(b)
+		if err == nil {
+			again, err := turn.Decode(r.Append(nil))
+			assert.NilError(t, err)
+			assert.DeepEqual(t, again, r)
+		}
+	})
+}
--- a/internal/turnlog/turnlog.go
+++ b/internal/turnlog/turnlog.go
@@ -306,9 +306,13 @@
 	return Error.Wrap(errors.Join(file.Close(), os.Remove(l.path(segment))))
 }
 
-// Close ends the log. Appends that still wait fail.
+// Close ends the log. Appends that still wait fail. Closing again does nothing.
 func (l *Log) Close() error {
 	l.mu.Lock()
+	if l.closed {
+		l.mu.Unlock()
+		return nil
+	}
 	l.closed = true
 	close(l.wake)
 	l.mu.Unlock()
--- /dev/null
+++ b/internal/turnlog/turnlog_test.go
@@ -0,0 +1,109 @@
+package turnlog_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/rookpass/rookpass/internal/turn"
+	"github.com/rookpass/rookpass/internal/turnlog"
+)
+
+func record(id string) turn.Record {
+	return turn.Record{State: turn.Finished, ID: id, Program: "p", Previous: "before", Tokens: 7, Retention: time.Minute,
+		Input: []byte("input " + id), Output: []byte("output " + id + "\n"), Server: "s"}
+}
+
+func open(t *testing.T, dir string) (*turnlog.Log, []turn.Record) {
+	t.Helper()
+	var found []turn.Record
+	l, err := turnlog.Open(dir, func(r turn.Record, _ turnlog.Position) { found = append(found, r) })
+	assert.NilError(t, err)
+	return l, found
+}
+
+func TestRecordsOutliveTheProcess(t *testing.T) {
+	dir := t.TempDir()
+	l, _ := open(t, dir)
+	var wg sync.WaitGroup
+	for i := range 50 {
+		wg.Go(func() {
+			r := record(fmt.Sprint(i))
+			ticket := l.Append(&r)
+			assert.Check(t, ticket.Wait())
+			back, err := l.Read(ticket.Position)
+			assert.Check(t, err)
+			assert.Check(t, string(back.Input) == string(r.Input))
+		})
+	}
+	wg.Wait()
+	assert.NilError(t, l.Close())
+	l, found := open(t, dir)
+	defer func() { assert.NilError(t, l.Close()) }()
+	assert.Equal(t, len(found), 50)
+}
+
+// TestTornTailIsPassedOver cuts and spoils the file at every byte of its last record: the records before it
+// stay, and what is appended later is found behind.
+func TestTornTailIsPassedOver(t *testing.T) {
+	source := t.TempDir()
+	l, _ := open(t, source)
+	for _, id := range []string{"one", "two"} {
+		r := record(id)
+		assert.NilError(t, l.Append(&r).Wait())
+	}
+	assert.NilError(t, l.Close())
+	files, err := filepath.Glob(filepath.Join(source, "*.turns"))
+	assert.NilError(t, err)
+	whole, err := os.ReadFile(files[0])
+	assert.NilError(t, err)
+	for cut := len(whole) / 2; cut < len(whole); cut++ {
+		for _, spoil := range []bool{false, true} {
+			dir := t.TempDir()
+			torn := append([]byte(nil), whole...)
+			if spoil {
+				torn[cut] ^= 0x40
+			} else {
+				torn = torn[:cut]
+			}
+			assert.NilError(t, os.WriteFile(filepath.Join(dir, filepath.Base(files[0])), torn, 0o644))
+			l, found := open(t, dir)
+			assert.Equal(t, len(found), 1, "cut at %d, spoilt %t", cut, spoil)
+			r := record("three")
+			assert.NilError(t, l.Append(&r).Wait())
+			assert.NilError(t, l.Close())
+			l, found = open(t, dir)
+			assert.Equal(t, len(found), 2)
+			assert.Equal(t, found[1].ID, "three")
+			assert.NilError(t, l.Close())
+		}
+	}
+}
+
+func TestFilesRotateAndGo(t *testing.T) {
+	dir := t.TempDir()
+	l, _ := open(t, dir)
+	big := record("big")
+	big.Input = make([]byte, 3<<20)
+	for range 4 {
+		assert.NilError(t, l.Append(&big).Wait())
+	}
+	first, active := uint32(1), l.Active()
+	assert.Assert(t, active > first)
+	assert.NilError(t, l.Remove(first))
+	assert.ErrorContains(t, l.Remove(active), "can't be removed")
+	assert.Assert(t, l.Bytes() < 8<<20)
+	assert.NilError(t, l.Close())
+}
+
+func TestClosedLogTakesNothing(t *testing.T) {
+	l, _ := open(t, t.TempDir())
+	assert.NilError(t, l.Close())
+	r := record("late")
+	assert.ErrorIs(t, l.Append(&r).Wait(), turnlog.ErrClosed)
+}
