Tests of the request's path: connections, gateway, catalog, mirrors, choice of servers

Change: tests only. Broken, late, surplus, early and unframed answers; true refusals; exact history of turns; callers that leave; configurations that never go back; lapsed entries; sources that are behind.

--- /dev/null
+++ b/internal/balance/balance_test.go
@@ -0,0 +1,123 @@
+package balance_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/rookpass/rookpass/internal/balance"
+	"github.com/rookpass/rookpass/internal/catalog"
+)
+
+func servers(n int) []catalog.Server {
+	var list []catalog.Server
+	for i := range n {
+		list = append(list, catalog.Server{ID: fmt.Sprint(i), Service: "svc", DataCentre: "here", Slots: 6})
+	}
+	return list
+}
+
+func pick(t *testing.T, b *balance.Balancer, ask balance.Ask) *balance.Choice {
+	t.Helper()
+	choice, found := b.Pick(&ask)
+	assert.Assert(t, found)
+	return choice
+}
+
+func TestLoadIsSpread(t *testing.T) {
+	b := balance.New("here")
+	counts := map[string]int{}
+	for range 40 {
+		counts[pick(t, b, balance.Ask{Servers: servers(4)}).Server.ID]++
+	}
+	for id, n := range counts {
+		assert.Equal(t, n, 10, "server %s", id)
+	}
+}
+
+func TestNeverADrainingOrTriedServer(t *testing.T) {
+	b := balance.New("here")
+	list := servers(3)
+	list[0].Draining = true
+	for range 20 {
+		choice := pick(t, b, balance.Ask{Servers: list, Tried: map[string]bool{"1": true}})
+		assert.Equal(t, choice.Server.ID, "2")
+	}
+	_, found := b.Pick(&balance.Ask{Servers: list, Tried: map[string]bool{"1": true, "2": true}})
+	assert.Assert(t, !found)
+}
+
+func TestFailingServerIsPassedOverForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := balance.New("here")
+		fail := func() {
+			choice := pick(t, b, balance.Ask{Servers: servers(1)})
+			choice.Done(balance.Failed)
+		}
+		fail()
+		fail()
+		for range 20 {
+			choice := pick(t, b, balance.Ask{Servers: servers(2)})
+			assert.Equal(t, choice.Server.ID, "1")
+			choice.Done(balance.Answered)
+		}
+		// Rather a server that seems to fail than none.
+		assert.Equal(t, pick(t, b, balance.Ask{Servers: servers(1)}).Server.ID, "0")
+		time.Sleep(time.Second)
+		seen := map[string]bool{}
+		for range 20 {
+			seen[pick(t, b, balance.Ask{Servers: servers(2)}).Server.ID] = true
+		}
+		assert.Assert(t, seen["0"])
+	})
+}
+
+func TestCallersThatLeaveTellNothing(t *testing.T) {
+	b := balance.New("here")
+	for range 10 {
+		pick(t, b, balance.Ask{Servers: servers(1)}).Done(balance.Abandoned)
+	}
+	seen := map[string]bool{}
+	for range 10 {
+		seen[pick(t, b, balance.Ask{Servers: servers(2)}).Server.ID] = true
+	}
+	assert.Equal(t, len(seen), 2)
+}
+
+// TestTurnsGoWhereTheirPromptIs: unless that server is far busier.
+func TestTurnsGoWhereTheirPromptIs(t *testing.T) {
+	b := balance.New("here")
+	ask := balance.Ask{Servers: servers(4), PromptTokens: 4000, Holder: "2", Cached: 3800}
+	for range 4 {
+		assert.Equal(t, pick(t, b, ask).Server.ID, "2")
+	}
+	for range 30 {
+		pick(t, b, ask)
+	}
+	counts := map[string]int{}
+	for range 20 {
+		counts[pick(t, b, ask).Server.ID]++
+	}
+	assert.Assert(t, counts["2"] < 20, "all of 20 turns went to a server with over 30 in flight")
+}
+
+func TestSharedPartsAreRemembered(t *testing.T) {
+	b := balance.New("here")
+	ask := balance.Ask{Servers: servers(6), PromptTokens: 3000, Parts: []string{"shared", "own"}, Sizes: []int64{2500, 500}}
+	first := pick(t, b, ask)
+	first.Done(balance.Answered)
+	ask.Parts = []string{"shared", "another"}
+	assert.Equal(t, pick(t, b, ask).Server.ID, first.Server.ID)
+}
+
+func TestForgetsServersThatAreGone(t *testing.T) {
+	b := balance.New("here")
+	choice := pick(t, b, balance.Ask{Servers: servers(1)})
+	b.Forget(func(string) bool { return false })
+	choice.Done(balance.Failed)
+	b.Forget(func(string) bool { return false })
+	assert.Equal(t, pick(t, b, balance.Ask{Servers: servers(1)}).InFlight, 0)
+}
--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,138 @@
+package catalog_test
+
+import (
+	"io"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/rookpass/rookpass/internal/catalog"
+	"github.com/rookpass/rookpass/internal/objectapi"
+)
+
+func quiet() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+func TestLongestPrefixWins(t *testing.T) {
+	table := catalog.NewTable(catalog.Config{Routes: []catalog.Route{
+		{Name: "a", Host: "h", Prefix: "/a/"}, {Name: "ab", Host: "h", Prefix: "/a/b/"}, {Name: "root", Host: "other", Prefix: "/"},
+	}})
+	for path, want := range map[string]string{"/a/x": "a", "/a/b/x": "ab", "/a/b": "a", "/a/bc/": "a", "/a/": "a", "/a": "", "/b/": "", "": "", "*": ""} {
+		route := table.Route("h", path)
+		name := ""
+		if route != nil {
+			name = route.Name
+		}
+		assert.Equal(t, name, want, "path %q", path)
+	}
+	assert.Equal(t, table.Route("other", "/any/x").Name, "root")
+	assert.Assert(t, table.Route("unknown", "/a/x") == nil)
+}
+
+func TestTargetsShareByWeight(t *testing.T) {
+	route := catalog.Route{Targets: []catalog.Target{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c", Weight: 0}}}
+	counts := map[string]int{}
+	for i := range 1000 {
+		counts[route.Pick(float64(i)/1000)]++
+	}
+	assert.DeepEqual(t, counts, map[string]int{"a": 900, "b": 100})
+	assert.Equal(t, (&catalog.Route{}).Pick(0.5), "")
+}
+
+// TestConfigurationsNeverGoBack: an older version is not put in force, however it comes.
+func TestConfigurationsNeverGoBack(t *testing.T) {
+	c := catalog.New()
+	decode := func(o objectapi.Object) (catalog.Config, bool, error) {
+		version, err := strconv.ParseInt(string(o.Value), 10, 64)
+		return catalog.Config{Version: version}, o.Key == "c/main", err
+	}
+	h := catalog.NewConfigHandler(c, "c/", decode, quiet())
+	object := func(key, value string) objectapi.Object { return objectapi.Object{Key: key, Value: []byte(value)} }
+	assert.Assert(t, c.Table() == nil)
+	h.Reset([]objectapi.Object{object("c/other", "99"), object("c/main", "5")}, 1)
+	assert.Equal(t, c.Table().Config.Version, int64(5))
+	h.Change(objectapi.Event{Object: object("c/main", "4")})
+	h.Change(objectapi.Event{Object: object("c/main", "malformed")})
+	h.Change(objectapi.Event{Object: object("c/main", "9"), Deleted: true})
+	assert.Equal(t, c.Table().Config.Version, int64(5))
+	h.Change(objectapi.Event{Object: object("c/main", "7")})
+	h.Reset([]objectapi.Object{object("c/main", "6")}, 9)
+	assert.Equal(t, c.Table().Config.Version, int64(7))
+}
+
+// entries is a handler of servers written as id=service@address.
+func entries(c *catalog.Catalog) *catalog.ServersHandler {
+	return catalog.NewServersHandler(c, "s/", func(o objectapi.Object) (catalog.Server, error) {
+		service, address, _ := strings.Cut(string(o.Value), "@")
+		return catalog.Server{ID: o.Key[2:], Service: service, Address: address}, nil
+	}, quiet())
+}
+
+func entry(id string) objectapi.Object {
+	return objectapi.Object{Key: "s/" + id, Value: []byte("svc@" + id)}
+}
+
+func gone(id string) objectapi.Event {
+	return objectapi.Event{Object: objectapi.Object{Key: "s/" + id}, Deleted: true}
+}
+
+func TestServersFollowTheirEntries(t *testing.T) {
+	c := catalog.New()
+	h := entries(c)
+	h.Reset([]objectapi.Object{entry("a"), entry("b")}, 1)
+	h.Change(objectapi.Event{Object: entry("c")})
+	h.Change(gone("a"))
+	assert.Equal(t, len(c.Servers().Of("svc")), 2)
+	assert.Assert(t, !c.Servers().Has("a"))
+	assert.DeepEqual(t, c.Servers().Addresses(), map[string]bool{"b": true, "c": true})
+	h.Reset([]objectapi.Object{entry("c")}, 5)
+	assert.Equal(t, c.Servers().Len(), 1)
+}
+
+// TestLapsedEntriesAreHeldAfterAnOutage: an entry that is gone when the store is back stays for as long as a
+// live server needs to renew it, and no longer.
+func TestLapsedEntriesAreHeldAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := catalog.New()
+		h := entries(c)
+		h.Reset([]objectapi.Object{entry("back"), entry("dead")}, 1)
+		h.Lost()
+		time.Sleep(3 * time.Second)
+		h.Lost()
+		assert.Equal(t, c.Servers().Len(), 2, "while nothing is known, the last list holds")
+		h.Change(gone("back"))
+		h.Change(gone("dead"))
+		h.Confirm(5)
+		assert.Equal(t, c.Servers().Len(), 2)
+		time.Sleep(2 * time.Second)
+		h.Change(objectapi.Event{Object: entry("back")})
+		h.Confirm(6)
+		assert.Equal(t, c.Servers().Len(), 2)
+		time.Sleep(300 * time.Millisecond)
+		h.Confirm(7)
+		assert.Assert(t, c.Servers().Has("back"))
+		assert.Assert(t, !c.Servers().Has("dead"))
+		h.Change(gone("back"))
+		assert.Equal(t, c.Servers().Len(), 0, "without an outage an entry that is gone is gone at once")
+	})
+}
+
+func TestShortGapHoldsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := catalog.New()
+		h := entries(c)
+		h.Reset([]objectapi.Object{entry("a")}, 1)
+		h.Lost()
+		time.Sleep(500 * time.Millisecond)
+		h.Reset(nil, 2)
+		assert.Equal(t, c.Servers().Len(), 0)
+	})
+}
--- /dev/null
+++ b/internal/feed/feed_test.go
@@ -0,0 +1,91 @@
+package feed_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/rookpass/rookpass/internal/feed"
+	"github.com/rookpass/rookpass/internal/objectapi"
+)
+
+// source answers with a version, or fails.
+type source struct {
+	version uint64
+	err     error
+	asked   int
+}
+
+func (s *source) List(context.Context, string) (objectapi.Snapshot, error) {
+	s.asked++
+	return objectapi.Snapshot{Version: s.version}, s.err
+}
+
+func (s *source) Wait(_ context.Context, _ string, _ uint64, _ time.Duration) (objectapi.Batch, error) {
+	s.asked++
+	return objectapi.Batch{Version: s.version}, s.err
+}
+
+func newFeed(direct *source, mirrors ...*source) *feed.Feed {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	list := func() []feed.Named {
+		var named []feed.Named
+		for i, m := range mirrors {
+			named = append(named, feed.Named{Name: string(rune('a' + i)), Source: m})
+		}
+		return named
+	}
+	return feed.New(list, feed.Named{Name: "direct", Source: direct}, log)
+}
+
+func TestMirrorsComeFirstAndTheStoreLast(t *testing.T) {
+	direct, a, b := &source{version: 9}, &source{version: 5}, &source{version: 6}
+	f := newFeed(direct, a, b)
+	snapshot, err := f.List(context.Background(), "k/")
+	assert.NilError(t, err)
+	assert.Equal(t, snapshot.Version, uint64(5))
+	a.err = objectapi.ErrUnavailable
+	batch, err := f.Wait(context.Background(), []string{"k/"}, 5, time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, batch.Version, uint64(6))
+	// It stays with the one that answered.
+	a.err, a.asked = nil, 0
+	_, err = f.Wait(context.Background(), []string{"k/"}, 6, time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, a.asked, 0)
+	a.err, b.err = objectapi.ErrUnavailable, objectapi.ErrUnavailable
+	batch, err = f.Wait(context.Background(), []string{"k/"}, 6, time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, batch.Version, uint64(9))
+	direct.err = objectapi.ErrUnavailable
+	_, err = f.Wait(context.Background(), []string{"k/"}, 6, time.Second)
+	assert.ErrorIs(t, err, objectapi.ErrUnavailable)
+}
+
+// TestListsNeverGoBack: a mirror that is behind what was seen before is passed over.
+func TestListsNeverGoBack(t *testing.T) {
+	direct, a := &source{version: 9}, &source{version: 8}
+	f := newFeed(direct, a)
+	a.err = objectapi.ErrUnavailable
+	_, err := f.List(context.Background(), "k/")
+	assert.NilError(t, err)
+	a.err = nil
+	snapshot, err := f.List(context.Background(), "k/")
+	assert.NilError(t, err)
+	assert.Equal(t, snapshot.Version, uint64(9))
+	_, err = f.List(context.Background(), "other/")
+	assert.NilError(t, err)
+}
+
+func TestHistoryThatIsGoneIsAnAnswer(t *testing.T) {
+	direct, a := &source{version: 9}, &source{err: objectapi.ErrGone}
+	_, err := newFeed(direct, a).Wait(context.Background(), []string{"k/"}, 1, time.Second)
+	assert.Assert(t, errors.Is(err, objectapi.ErrGone))
+	assert.Equal(t, direct.asked, 0)
+}
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,433 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/rookpass/rookpass/internal/balance"
+	"github.com/rookpass/rookpass/internal/call"
+	"github.com/rookpass/rookpass/internal/catalog"
+	"github.com/rookpass/rookpass/internal/gateway"
+	"github.com/rookpass/rookpass/internal/ledger"
+	"github.com/rookpass/rookpass/internal/metrics"
+	"github.com/rookpass/rookpass/internal/objectapi"
+	"github.com/rookpass/rookpass/internal/turn"
+	"github.com/rookpass/rookpass/internal/upstream"
+	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/platform"
+)
+
+// dialect uses short names of headers.
+type dialect struct{}
+
+func (dialect) Info(h http.Header) (call.Info, error) {
+	info := call.Info{ID: h.Get("Id"), Program: h.Get("Program"), PreviousTurn: h.Get("Previous"), MaxOutputTokens: 100}
+	if h.Get("Budget") != "" {
+		info.HasBudget = true
+		_, err := fmt.Sscan(h.Get("Budget"), &info.TokenBudget)
+		return info, err
+	}
+	if h.Get("Deadline") != "" {
+		d, err := time.ParseDuration(h.Get("Deadline"))
+		info.Deadline = d
+		return info, err
+	}
+	return info, nil
+}
+func (dialect) Outgoing(h http.Header) http.Header { return platform.Headers{}.Outgoing(h) }
+func (dialect) Address(h http.Header, left time.Duration, server string) {
+	h.Set("Left", left.String())
+	h.Set("Server", server)
+}
+func (dialect) Reply(h http.Header, status int) call.Reply {
+	return call.Reply{ID: h.Get("Id"), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "" || status == 421}
+}
+func (dialect) Echo(h http.Header, id string) { h.Set("Id", id) }
+
+// books is a ledger in memory.
+type books struct {
+	mu     sync.Mutex
+	turns  map[string]*turn.Record
+	spent  int64
+	voided []string
+	// fail is returned by the method that it names.
+	fail map[string]error
+}
+
+func (b *books) Ready() bool { return true }
+
+func (b *books) Chain(_ context.Context, _, id string) ([]*turn.Record, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if err := b.fail["chain"]; err != nil {
+		return nil, err
+	}
+	var chain []*turn.Record
+	for id != "" {
+		r := b.turns[id]
+		if r == nil {
+			return nil, ledger.ErrNoTurn
+		}
+		chain = append([]*turn.Record{r}, chain...)
+		id = r.Previous
+	}
+	return chain, nil
+}
+
+func (b *books) Reserve(_ context.Context, r *turn.Record, budget int64) (int64, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if err := b.fail["reserve"]; err != nil {
+		return 0, err
+	}
+	if b.spent+r.Tokens > budget {
+		return b.spent, ledger.ErrBudget
+	}
+	return b.spent, nil
+}
+
+func (b *books) Finish(_ context.Context, r *turn.Record) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if err := b.fail["finish"]; err != nil {
+		return err
+	}
+	b.turns[r.ID] = r
+	b.spent += r.Tokens
+	return nil
+}
+
+func (b *books) Void(r *turn.Record) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.voided = append(b.voided, r.ID)
+}
+
+// rig is a gateway before backend servers, each a handler.
+type rig struct {
+	t       *testing.T
+	books   *books
+	catalog *catalog.Catalog
+	url     string
+}
+
+func newRig(t *testing.T, servers ...http.HandlerFunc) *rig {
+	r := &rig{t: t, books: &books{turns: map[string]*turn.Record{}, fail: map[string]error{}}, catalog: catalog.New()}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	var objects []objectapi.Object
+	for i, h := range servers {
+		s := httptest.NewServer(h)
+		t.Cleanup(s.Close)
+		objects = append(objects, objectapi.Object{Key: fmt.Sprintf("s/%d", i), Value: []byte(s.Listener.Addr().String())})
+	}
+	catalog.NewServersHandler(r.catalog, "s/", func(o objectapi.Object) (catalog.Server, error) {
+		return catalog.Server{ID: o.Key[2:], Service: "svc", Address: string(o.Value), Slots: 4}, nil
+	}, log).Reset(objects, 1)
+	r.configure(log)
+	dial := (&net.Dialer{}).DialContext
+	g := gateway.New(gateway.Options{Catalog: r.catalog, Balancer: balance.New("here"), Sender: upstream.NewPool(dial, dialect{}),
+		Ledger: r.books, Dialect: dialect{}, Log: log, Stats: gateway.NewStats(metrics.New())})
+	front := httptest.NewServer(g)
+	t.Cleanup(front.Close)
+	r.url = front.URL
+	return r
+}
+
+func (r *rig) configure(log logrus.FieldLogger) {
+	route := func(prefix string, kind catalog.Kind, attempts int) catalog.Route {
+		return catalog.Route{Name: prefix, Host: "127.0.0.1", Prefix: prefix, Kind: kind, MaxAttempts: attempts,
+			Targets: []catalog.Target{{Service: "svc", Weight: 1}}, Timeout: 3 * time.Second}
+	}
+	config := catalog.Config{Version: 1, Services: []catalog.Service{{Name: "svc", TokensPerEvent: 3}},
+		Limits: catalog.Limits{MaxBodyBytes: 1000},
+		Routes: []catalog.Route{route("/twice/", catalog.Idempotent, 3), route("/once/", catalog.AtMostOnce, 3), route("/turn/", catalog.Stream, 2)}}
+	config.Routes[2].Kept, config.Routes[2].Retention = true, time.Minute
+	handler := catalog.NewConfigHandler(r.catalog, "c/", func(objectapi.Object) (catalog.Config, bool, error) { return config, true, nil }, log)
+	handler.Reset([]objectapi.Object{{Key: "c/main"}}, 1)
+}
+
+// reply is what a caller gets.
+type reply struct {
+	status int
+	body   string
+	header http.Header
+	broken bool
+}
+
+func (r *rig) send(path, body string, headers ...string) reply {
+	r.t.Helper()
+	req, err := http.NewRequest(http.MethodPost, r.url+path, strings.NewReader(body))
+	assert.NilError(r.t, err)
+	req.Header.Set("Id", "id-"+body)
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return reply{broken: true}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	got, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, body: string(got), header: resp.Header, broken: err != nil}
+}
+
+// echo answers with the request's body, signed.
+func echo(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	w.Header().Set("Id", r.Header.Get("Id"))
+	w.Header().Set("Seal", "s")
+	_, _ = w.Write(body)
+}
+
+func shed(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Id", r.Header.Get("Id"))
+	w.Header().Set("Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func hangUp(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func counted(n *atomic.Int64, h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		n.Add(1)
+		h(w, r)
+	}
+}
+
+func TestPlainRequests(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		path   string
+		server http.HandlerFunc
+		status int
+		// sent is how many servers of three must have got the request.
+		sent int
+	}{
+		{"answered", "/twice/x", echo, 200, 1},
+		{"answered once", "/once/x", echo, 200, 1},
+		{"full everywhere", "/twice/x", shed, 503, 3},
+		{"full everywhere, once", "/once/x", shed, 503, 3},
+		{"broken everywhere", "/twice/x", hangUp, 502, 3},
+		{"broken, once", "/once/x", hangUp, 502, 1},
+		{"unsigned success", "/once/x", func(w http.ResponseWriter, r *http.Request) { w.Header().Set("Id", r.Header.Get("Id")) }, 502, 1},
+		{"no route", "/none/x", echo, 404, 0},
+		{"body above the limit", "/twice/big", echo, 413, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var sent atomic.Int64
+			h := counted(&sent, c.server)
+			r := newRig(t, h, h, h)
+			body := "hello"
+			if strings.HasSuffix(c.path, "big") {
+				body = strings.Repeat("x", 1001)
+			}
+			got := r.send(c.path, body)
+			assert.Equal(t, got.status, c.status)
+			assert.Equal(t, int(sent.Load()), c.sent)
+			if c.status == 503 {
+				assert.Assert(t, got.header.Get("Retry-After") != "")
+			}
+			if c.status == 200 {
+				assert.Equal(t, got.body, body)
+			}
+		})
+	}
+}
+
+func TestIdempotentRequestsGoOnToAnotherServer(t *testing.T) {
+	r := newRig(t, hangUp, hangUp, echo)
+	for range 5 {
+		assert.Equal(t, r.send("/twice/x", "hello").status, 200)
+	}
+}
+
+func TestServersFailureIsPassedOnUnchanged(t *testing.T) {
+	h := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Seal", "of the server")
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = w.Write([]byte("why"))
+	}
+	got := newRig(t, h).send("/once/x", "hello")
+	assert.Equal(t, got.status, 500)
+	assert.Equal(t, got.body, "why")
+	assert.Equal(t, got.header.Get("Seal"), "of the server")
+}
+
+func TestRouteTimeoutGetsAFinalAnswer(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	r := newRig(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-release
+	})
+	got := r.send("/once/x", "hello", "Deadline", "50ms")
+	assert.Equal(t, got.status, http.StatusGatewayTimeout)
+}
+
+// stream answers with events that hold the request's body, one for each word.
+func stream(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	w.Header().Set("Id", r.Header.Get("Id"))
+	w.Header().Set("Seal", "s")
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i, word := range strings.Fields(string(body)) {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: <%s>\n\n", i+1, word)
+		w.(http.Flusher).Flush()
+	}
+}
+
+func TestTurnsGetTheirHistory(t *testing.T) {
+	var bodies []string
+	r := newRig(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		bodies = append(bodies, string(body))
+		r.Body = io.NopCloser(strings.NewReader("a b"))
+		stream(w, r)
+	})
+	first := r.send("/turn/x", "one", "Id", "t1", "Program", "p")
+	assert.Equal(t, first.body, "id: 1\ndata: <a>\n\nid: 2\ndata: <b>\n\n")
+	r.send("/turn/x", "two", "Id", "t2", "Program", "p", "Previous", "t1")
+	r.send("/turn/x", "fork", "Id", "t3", "Program", "p", "Previous", "t1")
+	r.send("/turn/x", "three", "Id", "t4", "Program", "p", "Previous", "t2")
+	// A new program that goes on from another's turn, and one turn more.
+	r.send("/turn/x", "new", "Id", "n1", "Program", "q", "Previous", "t2")
+	r.send("/turn/x", "next", "Id", "n2", "Program", "q", "Previous", "n1")
+	assert.DeepEqual(t, bodies, []string{
+		"one",
+		"one<a>\n<b>\ntwo",
+		"one<a>\n<b>\nfork",
+		"one<a>\n<b>\ntwo<a>\n<b>\nthree",
+		"one<a>\n<b>\ntwo<a>\n<b>\nnew",
+		"one<a>\n<b>\ntwo<a>\n<b>\nnew<a>\n<b>\nnext",
+	})
+	assert.Equal(t, r.books.turns["n1"].Previous, "", "a program's records must not depend on another program's")
+	assert.Equal(t, r.books.turns["t1"].Tokens, int64(6), "two events of three tokens")
+}
+
+func TestTurnRefusals(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		prepare func(*books)
+		server  http.HandlerFunc
+		headers []string
+		status  int
+		voided  bool
+	}{
+		{"no such turn", func(*books) {}, stream, []string{"Previous", "none"}, 404, true},
+		{"history unsure", func(b *books) { b.fail["chain"] = ledger.ErrUnsure }, stream, []string{"Previous", "t"}, 503, true},
+		{"budget spent", func(b *books) { b.spent = 950 }, stream, nil, 402, true},
+		{"budget unsure", func(b *books) { b.fail["reserve"] = ledger.ErrUnsure }, stream, nil, 503, true},
+		{"servers full", func(*books) {}, shed, nil, 503, true},
+		{"broken at the start", func(*books) {}, hangUp, nil, 502, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var sent atomic.Int64
+			r := newRig(t, counted(&sent, c.server))
+			c.prepare(r.books)
+			got := r.send("/turn/x", "one", append([]string{"Program", "p", "Budget", "1000"}, c.headers...)...)
+			assert.Equal(t, got.status, c.status)
+			assert.Equal(t, len(r.books.voided) == 1, c.voided)
+			if c.status == 402 || c.status == 404 {
+				assert.Equal(t, int(sent.Load()), 0)
+			}
+		})
+	}
+}
+
+// TestTurnThatIsNotKeptDoesNotEnd: a caller must not take a turn for whole that could be lost.
+func TestTurnThatIsNotKeptDoesNotEnd(t *testing.T) {
+	r := newRig(t, stream)
+	r.books.fail["finish"] = errors.New("disks away")
+	got := r.send("/turn/x", "one", "Program", "p")
+	assert.Assert(t, got.broken)
+	assert.Equal(t, len(r.books.turns), 0)
+}
+
+// TestBrokenStreamDoesNotEnd: the server breaks off in the middle; the caller sees that, and nothing is kept.
+func TestBrokenStreamDoesNotEnd(t *testing.T) {
+	r := newRig(t, func(w http.ResponseWriter, r *http.Request) {
+		stream(w, r)
+		panic(http.ErrAbortHandler)
+	})
+	got := r.send("/turn/x", "one two", "Program", "p", "Budget", "1000")
+	assert.Assert(t, got.broken)
+	assert.Equal(t, len(r.books.turns), 0)
+	assert.Equal(t, len(r.books.voided), 0, "what was handed out counts")
+}
+
+// TestCallerThatLeavesStopsTheServer: the server's connection closes when the caller's does.
+func TestCallerThatLeavesStopsTheServer(t *testing.T) {
+	for _, path := range []string{"/once/x", "/twice/x", "/turn/x"} {
+		t.Run(path, func(t *testing.T) {
+			began, stopped := make(chan struct{}), make(chan struct{})
+			r := newRig(t, func(_ http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				close(began)
+				<-r.Context().Done()
+				close(stopped)
+			})
+			ctx, cancel := context.WithCancel(context.Background())
+			req, err := http.NewRequestWithContext(ctx, http.MethodPost, r.url+path, strings.NewReader("x"))
+			assert.NilError(t, err)
+			req.Header.Set("Id", "1")
+			go func() {
+				<-began
+				cancel()
+			}()
+			_, err = http.DefaultTransport.RoundTrip(req)
+			assert.ErrorIs(t, err, context.Canceled)
+			<-stopped
+		})
+	}
+}
+
+// TestSmuggledRequestStaysABody: what looks like a request inside a body reaches no server as one.
+func TestSmuggledRequestStaysABody(t *testing.T) {
+	var seen []string
+	r := newRig(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		seen = append(seen, r.Method+" "+r.RequestURI+" "+string(body))
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Seal", "s")
+	})
+	conn, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	inner := "GET /once/inner HTTP/1.1\r\nHost: 127.0.0.1\r\nId: 2\r\n\r\n"
+	_, err = fmt.Fprintf(conn, "POST /once/outer HTTP/1.1\r\nHost: 127.0.0.1\r\nId: 1\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", len(inner), inner)
+	assert.NilError(t, err)
+	_, err = http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, seen, []string{"POST /once/outer " + inner})
+}
+
+// TestRefusalsPromiseOnlyWhatHolds: over all ways in which a server may fail a request that must not run
+// twice, the answer says "not run" only if no server may have begun on it.
+func TestRefusalsPromiseOnlyWhatHolds(t *testing.T) {
+	for _, v := range []verdict.Verdict{verdict.NotRun, verdict.MayHaveRun} {
+		for _, path := range []string{"/once/x", "/turn/x"} {
+			h := hangUp
+			if v == verdict.NotRun {
+				h = shed
+			}
+			got := newRig(t, h, h, h).send(path, "x", "Program", "p")
+			assert.Equal(t, got.status == 503, v == verdict.NotRun, "%s %s: %d", path, v, got.status)
+		}
+	}
+}
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,291 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/rookpass/rookpass/internal/call"
+	"github.com/rookpass/rookpass/internal/network"
+	"github.com/rookpass/rookpass/internal/upstream"
+	"github.com/rookpass/rookpass/internal/verdict"
+)
+
+// dialect is the least that a pool needs: the header Id names the request.
+type dialect struct{ call.Dialect }
+
+func (dialect) Reply(h http.Header, _ int) call.Reply {
+	return call.Reply{ID: h.Get("Id"), Sealed: h.Get("Seal") != ""}
+}
+
+// server runs a script for each connection.
+func server(t *testing.T, script func(conn net.Conn, r *bufio.Reader)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				script(conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// read reads one request and returns its ID and body.
+func read(r *bufio.Reader) (string, string, error) {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return "", "", err
+	}
+	body, err := io.ReadAll(req.Body)
+	return req.Header.Get("Id"), string(body), err
+}
+
+func answer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func newPool() *upstream.Pool {
+	return upstream.NewPool(network.NewDialer(time.Second, time.Second), dialect{})
+}
+
+func request(id string) *upstream.Request {
+	return &upstream.Request{Method: "POST", URI: "/p/x?q=1", Host: "h", Header: http.Header{"Id": {id}},
+		Body: [][]byte{[]byte("a"), []byte("b")}, ID: id}
+}
+
+// ask sends a request and returns the answer's body, or how it failed.
+func ask(ctx context.Context, p *upstream.Pool, address, id string) (string, *upstream.Failure) {
+	a, failure := p.Do(ctx, address, 0, request(id))
+	if failure != nil {
+		return "", failure
+	}
+	defer a.Close()
+	body, err := io.ReadAll(a.Body)
+	if err != nil {
+		return string(body), upstream.NewFailure(verdict.MayHaveRun, "body", err)
+	}
+	return string(body), nil
+}
+
+func background(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func TestConnectionsAreKept(t *testing.T) {
+	address := server(t, func(conn net.Conn, r *bufio.Reader) {
+		for {
+			id, body, err := read(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, answer(id, id+body))
+		}
+	})
+	p := newPool()
+	for i := range 5 {
+		body, failure := ask(background(t), p, address, fmt.Sprint(i))
+		assert.Assert(t, failure == nil, "%v", failure)
+		assert.Equal(t, body, fmt.Sprint(i)+"ab")
+	}
+	assert.Equal(t, p.Opened(), int64(1))
+	assert.Equal(t, p.Reused(), int64(4))
+}
+
+// faults are answers of which no byte may reach a caller as whole.
+var faults = map[string]func(conn net.Conn, id string){
+	"cut short":          func(c net.Conn, id string) { _, _ = io.WriteString(c, strings.TrimSuffix(answer(id, "whole"), "ole")) },
+	"no answer":          func(net.Conn, string) {},
+	"bytes, no protocol": func(c net.Conn, _ string) { _, _ = io.WriteString(c, "\x00\x01garbage\r\n\r\n") },
+	"no request id":      func(c net.Conn, _ string) { _, _ = io.WriteString(c, answer("", "whole")) },
+	"chunk cut off": func(c net.Conn, id string) {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n", id)
+	},
+	"unframed, reset": func(c net.Conn, id string) {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\n\r\nwhole", id)
+		_ = c.(*net.TCPConn).SetLinger(0)
+	},
+}
+
+func TestBrokenAnswersAreNeverWhole(t *testing.T) {
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			address := server(t, func(conn net.Conn, r *bufio.Reader) {
+				id, _, err := read(r)
+				if err == nil {
+					fault(conn, id)
+				}
+			})
+			_, failure := ask(background(t), newPool(), address, "1")
+			assert.Assert(t, failure != nil)
+			assert.Equal(t, failure.Verdict, verdict.MayHaveRun)
+		})
+	}
+}
+
+func TestUnframedAnswerEndsWithItsConnection(t *testing.T) {
+	address := server(t, func(conn net.Conn, r *bufio.Reader) {
+		id, _, _ := read(r)
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\n\r\nwhole", id)
+	})
+	p := newPool()
+	for range 2 {
+		body, failure := ask(background(t), p, address, "1")
+		assert.Assert(t, failure == nil, "%v", failure)
+		assert.Equal(t, body, "whole")
+	}
+	assert.Equal(t, p.Opened(), int64(2))
+}
+
+// TestLateSurplusAnswerIsPassedOver: a second answer of the request before comes in the place of the next.
+func TestLateSurplusAnswerIsPassedOver(t *testing.T) {
+	address := server(t, func(conn net.Conn, r *bufio.Reader) {
+		first, _, _ := read(r)
+		_, _ = io.WriteString(conn, answer(first, "first"))
+		second, _, err := read(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, answer(first, "surplus")+answer(second, "second"))
+	})
+	p := newPool()
+	_, failure := ask(background(t), p, address, "1")
+	assert.Assert(t, failure == nil, "%v", failure)
+	body, failure := ask(background(t), p, address, "2")
+	assert.Assert(t, failure == nil, "%v", failure)
+	assert.Equal(t, body, "second")
+	assert.Equal(t, p.Opened(), int64(1))
+}
+
+// TestSurplusBytesEndTheConnection: bytes that follow a whole answer at once belong to no request.
+func TestSurplusBytesEndTheConnection(t *testing.T) {
+	address := server(t, func(conn net.Conn, r *bufio.Reader) {
+		id, _, _ := read(r)
+		_, _ = io.WriteString(conn, answer(id, "whole")+answer(id, "again"))
+		_, _ = r.ReadByte()
+	})
+	p := newPool()
+	for i := range 3 {
+		body, failure := ask(background(t), p, address, fmt.Sprint(i))
+		assert.Assert(t, failure == nil, "%v", failure)
+		assert.Equal(t, body, "whole")
+	}
+	assert.Equal(t, p.Opened(), int64(3))
+}
+
+// TestEarlyAnswerEndsTheConnection: a server answers before it has read a long body, then reads on. What it
+// reads must never be another request.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	rest := make(chan int64, 2)
+	address := server(t, func(conn net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, answer(req.Header.Get("Id"), "early"))
+		n, _ := io.Copy(io.Discard, r)
+		rest <- n
+	})
+	p := newPool()
+	const size = 32 << 20
+	for i := range 2 {
+		r := request(fmt.Sprint(i))
+		r.Body = [][]byte{make([]byte, size)}
+		a, failure := p.Do(background(t), address, 0, r)
+		assert.Assert(t, failure == nil, "%v", failure)
+		body, err := io.ReadAll(a.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, string(body), "early")
+		a.Close()
+		assert.Assert(t, <-rest <= size)
+	}
+	assert.Equal(t, p.Opened(), int64(2))
+}
+
+func TestNothingListensMeansNotRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := listener.Addr().String()
+	assert.NilError(t, listener.Close())
+	_, failure := ask(background(t), newPool(), address, "1")
+	assert.Assert(t, failure != nil)
+	assert.Equal(t, failure.Verdict, verdict.NotRun)
+	assert.Equal(t, failure.Reason, upstream.ReasonDial)
+}
+
+// TestClosedIdleConnectionIsNotUsed: the server closes after its answer without saying so.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	closed := make(chan struct{}, 3)
+	address := server(t, func(conn net.Conn, r *bufio.Reader) {
+		id, _, _ := read(r)
+		_, _ = io.WriteString(conn, answer(id, "whole"))
+		_ = conn.Close()
+		closed <- struct{}{}
+	})
+	p := newPool()
+	for i := range 3 {
+		_, failure := ask(background(t), p, address, fmt.Sprint(i))
+		assert.Assert(t, failure == nil, "%v", failure)
+		<-closed
+	}
+}
+
+// TestServerLearnsThatTheCallerLeft: the connection closes as soon as the caller's context ends.
+func TestServerLearnsThatTheCallerLeft(t *testing.T) {
+	began, left := make(chan struct{}), make(chan error, 1)
+	address := server(t, func(_ net.Conn, r *bufio.Reader) {
+		_, _, _ = read(r)
+		close(began)
+		_, err := r.ReadByte()
+		left <- err
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-began
+		cancel()
+	}()
+	_, failure := ask(ctx, newPool(), address, "1")
+	assert.Equal(t, failure.Reason, upstream.ReasonCanceled)
+	assert.Equal(t, failure.Verdict, verdict.MayHaveRun)
+	assert.Assert(t, <-left != nil)
+}
+
+func TestLimitOfConnections(t *testing.T) {
+	release, began := make(chan struct{}), make(chan struct{})
+	address := server(t, func(conn net.Conn, r *bufio.Reader) {
+		id, _, _ := read(r)
+		close(began)
+		<-release
+		_, _ = io.WriteString(conn, answer(id, "whole"))
+	})
+	p := newPool()
+	done := make(chan *upstream.Failure, 1)
+	go func() {
+		_, failure := ask(background(t), p, address, "1")
+		done <- failure
+	}()
+	<-began
+	_, failure := p.Do(background(t), address, 1, request("2"))
+	assert.Equal(t, failure.Reason, upstream.ReasonNoConns)
+	assert.Equal(t, failure.Verdict, verdict.NotRun)
+	close(release)
+	assert.Assert(t, <-done == nil)
+}
