Fewer calls to the platform's store

Cause: every store daemon ran four watches of 1.8 s, and at the start each change of the servers' list woke all of them; fronts asked the store until the layout was formed. Ruled out: calls for turns; there are none. Change: the holders of tolerance + 1 slots read the store, the other store daemons read through them as fronts do; layout and retirements wait 5 s a call; changes are gathered for 200 ms; at a first start nothing but the layout is read before it is formed.

--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -30,6 +30,9 @@
 const (
 	// frontWait is how long a front daemon's watch waits at the platform's store, where no mirror answers.
 	frontWait = 1500 * time.Millisecond
+	// layoutPatience is how long the layout is waited for before the store itself is asked for the rest.
+	layoutPatience = 4 * time.Second
+	layoutPoll     = 50 * time.Millisecond
 	// cacheShare of a VM's memory holds kept turns.
 	cacheShare = 0.05
 	// headerTimeout bounds a request's headers before the configuration says how long; callers keep within 3 s.
@@ -103,9 +106,7 @@
 	group, work := errgroup.WithContext(work)
 	group.Go(func() error { return serve(server, callers) })
 	group.Go(func() error { return serve(ready, readiness) })
-	for _, w := range f.watchers() {
-		group.Go(func() error { return w.Run(work) })
-	}
+	f.watch(work, group)
 	group.Go(func() error { return f.sweep(work) })
 	group.Go(func() error {
 		select {
@@ -128,19 +129,34 @@
 	return nil
 }
 
-// watchers returns the watches that keep this daemon's view.
-func (f *front) watchers() []*watch.Watcher {
+// watch keeps this daemon's view. The configuration and the servers are read through the store daemons as soon
+// as the layout names them.
+func (f *front) watch(ctx context.Context, group *errgroup.Group) {
 	source := feed.New(f.mirrors(), feed.Named{Name: "platform", Source: single{f.store}}, f.log)
-	handlers := []watch.Handler{
+	run := func(h watch.Handler) error { return watch.New(source, watchPace, h).WithWait(frontWait).Run(ctx) }
+	group.Go(func() error {
+		if f.settings.FirstStart {
+			_ = wait.For(ctx, formingTime)
+		}
+		return run(&handler{prefix: layoutPrefix, apply: f.applyLayout})
+	})
+	for _, h := range []watch.Handler{
 		catalog.NewConfigHandler(f.catalog, platform.ConfigPrefix, platform.DecodeConfig, f.log),
 		catalog.NewServersHandler(f.catalog, platform.ServersPrefix, platform.DecodeServer, f.log),
-		&handler{prefix: layoutPrefix, apply: f.applyLayout},
+	} {
+		group.Go(func() error {
+			f.awaitLayout(ctx)
+			return run(h)
+		})
 	}
-	var watchers []*watch.Watcher
-	for _, h := range handlers {
-		watchers = append(watchers, watch.New(source, watchPace, h).WithWait(frontWait))
+}
+
+// awaitLayout returns once the layout is known, or after layoutPatience.
+func (f *front) awaitLayout(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, layoutPatience)
+	defer cancel()
+	for !f.ledger.Ready() && wait.For(ctx, layoutPoll) == nil {
 	}
-	return watchers
 }
 
 func (f *front) applyLayout(object objectapi.Object) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,8 +34,11 @@
 	connectTimeout = 400 * time.Millisecond
 	// silenceTimeout ends connections on which sent bytes stay unacknowledged: some lost packets are borne.
 	silenceTimeout = 1200 * time.Millisecond
-	// watchPace is the least time between two calls of a watch: a burst of changes costs few calls.
-	watchPace = 40 * time.Millisecond
+	// watchPace is the least time between two calls of a watch: a burst of changes, as when all servers start,
+	// costs few calls. It is a tenth of the time in which a change must be known.
+	watchPace = 200 * time.Millisecond
+	// formingTime is how long the store daemons take to form the first layout; asking earlier costs calls.
+	formingTime = 3300 * time.Millisecond
 	// heapShare of a VM's memory is where the collector begins to work hard.
 	heapShare = 0.6
 )
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -8,11 +8,13 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/rookpass/rookpass/internal/feed"
 	"github.com/rookpass/rookpass/internal/layout"
 	"github.com/rookpass/rookpass/internal/mirror"
 	"github.com/rookpass/rookpass/internal/objectapi"
 	"github.com/rookpass/rookpass/internal/peerlink"
 	"github.com/rookpass/rookpass/internal/replica"
+	"github.com/rookpass/rookpass/internal/wait"
 	"github.com/rookpass/rookpass/internal/watch"
 	"github.com/rookpass/rookpass/platform"
 )
@@ -21,6 +23,10 @@
 // platform's store is noticed; each call has a price.
 const storeWait = 1800 * time.Millisecond
 
+// rareWait is the same for the layout, which also travels with the disks' answers, and for retirements, which
+// leave several seconds.
+const rareWait = 5 * time.Second
+
 // RunStore runs the store daemon until ctx ends.
 func RunStore(ctx context.Context, settings platform.Settings, level string) error {
 	b, err := newBase(settings, level, "store")
@@ -47,13 +53,17 @@
 		Store: store, API: b.store, Links: b.links, Retirements: retiring, Log: b.log, Key: layoutKey,
 		FirstStart: s.FirstStart, Tolerance: s.DisksLostAtOnce, DiskBytes: s.DiskBytes,
 	})
-	mirrors := []*mirror.Mirror{mirror.New(platform.ConfigPrefix), mirror.New(platform.ServersPrefix), mirror.New(layoutPrefix)}
+	mirrors := []*mirror.Mirror{
+		mirror.New(platform.ConfigPrefix), mirror.New(platform.ServersPrefix),
+		mirror.New(layoutPrefix), mirror.New(platform.RetirementsPrefix),
+	}
 	layouts := &handler{prefix: layoutPrefix, apply: controller.Observe}
+	source := feed.New(b.watchingDisks(store), feed.Named{Name: "platform", Source: single{b.store}}, b.log)
+	layoutWatcher := watch.New(source, watchPace, both{mirrors[2], layouts}).WithWait(rareWait)
 	watchers := []*watch.Watcher{
-		watch.New(b.store, watchPace, mirrors[0]),
-		watch.New(b.store, watchPace, mirrors[1]),
-		watch.New(b.store, watchPace, both{mirrors[2], layouts}),
-		watch.New(b.store, watchPace, retiring.handler()),
+		watch.New(source, watchPace, mirrors[0]).WithWait(storeWait),
+		watch.New(source, watchPace, mirrors[1]).WithWait(storeWait),
+		watch.New(source, watchPace, both{mirrors[3], retiring.handler()}).WithWait(rareWait),
 	}
 	listener, err := listen(s.PeerAddress())
 	if err != nil {
@@ -73,12 +83,38 @@
 		return ctx.Err()
 	})
 	group.Go(func() error { return controller.Run(ctx) })
+	group.Go(func() error { return layoutWatcher.Run(ctx) })
 	for _, w := range watchers {
-		group.Go(func() error { return w.WithWait(storeWait).Run(ctx) })
+		group.Go(func() error {
+			if s.FirstStart {
+				_ = wait.For(ctx, formingTime) // until then every disk would read the store itself
+			}
+			return w.Run(ctx)
+		})
 	}
 	return group.Wait()
 }
 
+// watchingDisks returns a function that lists the store daemons which read the platform's store themselves: the
+// holders of the first tolerance + 1 slots. This daemon reads through them unless it is one of them.
+func (b *base) watchingDisks(store *replica.Store) func() []feed.Named {
+	links := peerlink.NewSet(b.dial) // apart from the others: a watch that hangs must not break their calls
+	return func() []feed.Named {
+		l := store.Layout()
+		if l == nil || !l.Formed {
+			return nil
+		}
+		var sources []feed.Named
+		for _, slot := range l.Slots[:l.Quorum()] {
+			if slot.Disk.ID == store.Self().ID {
+				return nil
+			}
+			sources = append(sources, feed.Named{Name: slot.Disk.Node, Source: mirror.NewClient(links.To(slot.Disk.Address))})
+		}
+		return sources
+	}
+}
+
 // both passes a prefix's changes to two handlers.
 type both struct{ first, second watch.Handler }
 
