Ask another server beside a silent one; send a silent server no more

Ruled out: load (a third of the places were taken), the turns' disks. Change: the balancer learns the time to the head of an answer by route; a server that keeps a request waiting for six times that gets no more; an idempotent request is sent to another server after four times that, and the first whole answer wins. Tests: TestSilentServerIsOvertaken and TestSilentServerGetsNoMore, red before.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -3,6 +3,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +24,17 @@
 	remotePenalty = 1.2
 	// latencyWeight is the weight of the newest answer in a server's mean time.
 	latencyWeight = 0.15
+	// headWeight is the weight of the newest answer in the means of a route or service, which has many servers.
+	headWeight = 0.02
+	// silentTimes is how many times the route's mean time to the head of an answer a server may be silent
+	// before no more is sent to it; at least silentLeast, which is above a busy VM's delays.
+	silentTimes = 6
+	silentLeast = 250 * time.Millisecond
+	// hedgeTimes is the same for asking another server too, where a request may run twice.
+	hedgeTimes = 4
+	hedgeLeast = 60 * time.Millisecond
+	// hedgeUnknown is used before a route's mean is known.
+	hedgeUnknown = 300 * time.Millisecond
 	// maxSlowness bounds how much worse a server counts for having been slow.
 	maxSlowness = 6.0
 )
@@ -39,9 +51,10 @@
 	busyUntil    time.Time
 	// mean is the moving mean of its answers' times, in seconds; 0 before the first.
 	mean float64
+	// waiting holds when the requests were sent whose answers have not begun, the oldest first.
+	waiting []time.Time
 	// parts are prompt parts that it has read.
 	parts *partSet
-	seen  time.Time
 }
 
 // Balancer keeps what was seen of servers. Use New.
@@ -51,15 +64,19 @@
 	states     map[string]*state
 	// means are the moving means of services' answers, in seconds.
 	means map[string]float64
+	// heads are the moving means of the time to the head of an answer, by route, in seconds.
+	heads map[string]float64
 }
 
 // New returns a balancer of a daemon in a data centre.
 func New(dataCentre string) *Balancer {
-	return &Balancer{dataCentre: dataCentre, states: map[string]*state{}, means: map[string]float64{}}
+	return &Balancer{dataCentre: dataCentre, states: map[string]*state{}, means: map[string]float64{}, heads: map[string]float64{}}
 }
 
 // Ask is what a choice depends on.
 type Ask struct {
+	// Route names requests of one kind, whose answers take like times.
+	Route   string
 	Servers []catalog.Server
 	// Tried servers are passed over.
 	Tried map[string]bool
@@ -81,10 +98,12 @@
 	// Candidates is how many servers could have been chosen.
 	Candidates int
 
-	balancer *Balancer
-	state    *state
-	began    time.Time
-	settled  bool
+	balancer  *Balancer
+	state     *state
+	route     string
+	began     time.Time
+	responded bool
+	settled   bool
 }
 
 // Pick chooses a server, or returns false when none may take the request.
@@ -102,9 +121,9 @@
 	}
 	server := ask.Servers[best]
 	s := b.state(server.ID)
-	c := &Choice{Server: server, InFlight: s.inFlight, Candidates: candidates, balancer: b, state: s, began: now}
+	c := &Choice{Server: server, InFlight: s.inFlight, Candidates: candidates, balancer: b, state: s, route: ask.Route, began: now}
 	s.inFlight++
-	s.seen = now
+	s.waiting = append(s.waiting, now)
 	if len(ask.Parts) > 0 {
 		s.read(ask.Parts)
 	}
@@ -120,7 +139,7 @@
 			continue
 		}
 		s := b.state(server.ID)
-		if !desperate && (now.Before(s.ejectedUntil) || now.Before(s.busyUntil)) {
+		if !desperate && (now.Before(s.ejectedUntil) || now.Before(s.busyUntil) || b.silent(ask.Route, s, now)) {
 			continue
 		}
 		candidates++
@@ -160,6 +179,26 @@
 	return min(max(1, s.mean/mean), maxSlowness)
 }
 
+// silent tells whether a server has kept a request waiting for much longer than is usual.
+func (b *Balancer) silent(route string, s *state, now time.Time) bool {
+	if len(s.waiting) == 0 {
+		return false
+	}
+	limit := max(silentLeast, time.Duration(silentTimes*b.heads[route]*float64(time.Second)))
+	return now.Sub(s.waiting[0]) > limit
+}
+
+// HedgeAfter returns how long to wait for the head of an answer before another server is asked too.
+func (b *Balancer) HedgeAfter(route string) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	mean := b.heads[route]
+	if mean == 0 {
+		return hedgeUnknown
+	}
+	return max(hedgeLeast, time.Duration(hedgeTimes*mean*float64(time.Second)))
+}
+
 func (b *Balancer) state(id string) *state {
 	s := b.states[id]
 	if s == nil {
@@ -182,8 +221,33 @@
 	Failed
 	// Abandoned requests were given up by their caller: they tell nothing of the server.
 	Abandoned
+	// Overtaken requests were given up since another server answered first.
+	Overtaken
 )
 
+// Responded tells that the head of the answer is there.
+func (c *Choice) Responded() {
+	b := c.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c.responded {
+		return
+	}
+	c.stopWaiting()
+	blend(b.heads, c.route, time.Since(c.began).Seconds(), headWeight)
+}
+
+// stopWaiting takes the request off those without an answer. It is called with the lock held.
+func (c *Choice) stopWaiting() {
+	if c.responded {
+		return
+	}
+	c.responded = true
+	if i := slices.Index(c.state.waiting, c.began); i >= 0 {
+		c.state.waiting = slices.Delete(c.state.waiting, i, i+1)
+	}
+}
+
 // Done tells how the request ended.
 func (c *Choice) Done(outcome Outcome) {
 	if c.settled {
@@ -196,6 +260,7 @@
 	now := time.Now()
 	s := c.state
 	s.inFlight--
+	c.stopWaiting()
 	switch outcome {
 	case Answered:
 		s.failures = 0
@@ -209,24 +274,28 @@
 			pause := min(ejectTime<<min(s.failures-ejectAfter, 4), maxEject)
 			s.ejectedUntil = now.Add(pause)
 		}
+	case Overtaken:
+		b.learn(c.Server.Service, s, now.Sub(c.began).Seconds())
 	case Abandoned:
 	}
 }
 
 func (b *Balancer) learn(service string, s *state, seconds float64) {
-	blend := func(mean float64) float64 {
-		if mean == 0 {
-			return seconds
-		}
-		return mean + latencyWeight*(seconds-mean)
+	if s.mean == 0 {
+		s.mean = seconds
 	}
-	s.mean = blend(s.mean)
-	// The service's mean moves as much slower as it has more servers' answers.
-	if b.means[service] == 0 {
-		b.means[service] = seconds
+	s.mean += latencyWeight * (seconds - s.mean)
+	blend(b.means, service, seconds, headWeight)
+}
+
+// blend moves a mean towards a new value; the first value is taken whole.
+func blend(means map[string]float64, name string, value, weight float64) {
+	mean, known := means[name]
+	if !known {
+		means[name] = value
 		return
 	}
-	b.means[service] += 0.02 * (seconds - b.means[service])
+	means[name] = mean + weight*(value-mean)
 }
 
 // Forget drops what is known of servers that no longer exist.
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -65,7 +65,9 @@
 			choice.Done(balance.Answered)
 		}
 		// Rather a server that seems to fail than none.
-		assert.Equal(t, pick(t, b, balance.Ask{Servers: servers(1)}).Server.ID, "0")
+		last := pick(t, b, balance.Ask{Servers: servers(1)})
+		assert.Equal(t, last.Server.ID, "0")
+		last.Done(balance.Abandoned) // a request that is left without an answer would count against it too
 		time.Sleep(time.Second)
 		seen := map[string]bool{}
 		for range 20 {
@@ -121,3 +123,41 @@
 	b.Forget(func(string) bool { return false })
 	assert.Equal(t, pick(t, b, balance.Ask{Servers: servers(1)}).InFlight, 0)
 }
+
+// TestSilentServerGetsNoMore: a server that keeps one request waiting for much longer than is usual is passed
+// over until it answers.
+func TestSilentServerGetsNoMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := balance.New("here")
+		ask := balance.Ask{Route: "r", Servers: servers(2)}
+		for range 20 {
+			choice := pick(t, b, ask)
+			time.Sleep(50 * time.Millisecond)
+			choice.Responded()
+			choice.Done(balance.Answered)
+		}
+		silent := pick(t, b, ask)
+		time.Sleep(310 * time.Millisecond)
+		for range 5 {
+			assert.Assert(t, pick(t, b, ask).Server.ID != silent.Server.ID)
+		}
+		silent.Responded()
+		assert.Equal(t, pick(t, b, ask).Server.ID, silent.Server.ID)
+	})
+}
+
+func TestHedgeFollowsTheRoutesTimes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := balance.New("here")
+		unknown := b.HedgeAfter("r")
+		for range 200 {
+			choice := pick(t, b, balance.Ask{Route: "r", Servers: servers(2)})
+			time.Sleep(40 * time.Millisecond)
+			choice.Responded()
+			choice.Done(balance.Answered)
+		}
+		assert.Assert(t, b.HedgeAfter("r") < unknown)
+		assert.Assert(t, b.HedgeAfter("r") > 100*time.Millisecond)
+		assert.Equal(t, b.HedgeAfter("other"), unknown)
+	})
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"maps"
@@ -39,7 +40,7 @@
 
 // try sends the request to one chosen server. It returns an answer that the server signed, or a failure.
 // NotRun answers are failures too.
-func (x *exchange) try(choice *balance.Choice, body [][]byte) (*upstream.Answer, *upstream.Failure) {
+func (x *exchange) try(ctx context.Context, choice *balance.Choice, body [][]byte) (*upstream.Answer, *upstream.Failure) {
 	header := maps.Clone(x.header)
 	x.g.dialect.Address(header, x.left(), choice.Server.ID)
 	request := &upstream.Request{
@@ -49,10 +50,11 @@
 	if service := x.table.Service(choice.Server.Service); service != nil {
 		limit = service.MaxConns
 	}
-	answer, failure := x.g.sender.Do(x.ctx, choice.Server.Address, limit, request)
+	answer, failure := x.g.sender.Do(ctx, choice.Server.Address, limit, request)
 	if failure != nil {
 		return nil, failure
 	}
+	choice.Responded()
 	switch {
 	case answer.Reply.NotRun:
 		_, _ = io.Copy(io.Discard, answer.Body) // so that the connection can be kept; the answer says all
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -431,3 +431,25 @@
 		}
 	}
 }
+
+// TestSilentServerIsOvertaken: a request that may run twice is asked of another server while the first is
+// silent; one that must not is not.
+func TestSilentServerIsOvertaken(t *testing.T) {
+	var sent atomic.Int64
+	release := make(chan struct{})
+	defer close(release)
+	first := func(w http.ResponseWriter, r *http.Request) {
+		if sent.Add(1) == 1 {
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-release
+			return
+		}
+		echo(w, r)
+	}
+	r := newRig(t, first, first)
+	assert.Equal(t, r.send("/twice/x", "hello").status, 200)
+	assert.Equal(t, sent.Load(), int64(2))
+	sent.Store(0)
+	assert.Equal(t, r.send("/once/x", "hello", "Deadline", "600ms").status, http.StatusGatewayTimeout)
+	assert.Equal(t, sent.Load(), int64(1))
+}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -21,42 +21,161 @@
 
 func random() float64 { return rand.Float64() }
 
-// servePlain sends a request to servers until one answers it, within the route's number of attempts.
+// servePlain sends a request to servers until one answers it, within the route's number of attempts. Where it
+// may run twice, another server is asked beside one that is silent for long.
 func (x *exchange) servePlain() *refusal {
-	servers := x.servers()
-	tried := map[string]bool{}
-	mayHaveRun := false
-	var last error
-	for sent := 0; sent < x.route.MaxAttempts; {
-		choice, found := x.g.balancer.Pick(&balance.Ask{Servers: servers, Tried: tried})
-		if !found {
-			break
+	c := &contest{x: x, ask: balance.Ask{Route: x.route.Name, Servers: x.servers(), Tried: map[string]bool{}},
+		ended: make(chan *try, x.route.MaxAttempts)}
+	defer c.abandon()
+	hedge := time.NewTimer(x.g.balancer.HedgeAfter(x.route.Name))
+	defer hedge.Stop()
+	for {
+		if c.running == 0 && !c.launch() {
+			return x.broken(c.mayHaveRun, c.last)
 		}
-		tried[choice.Server.ID] = true
-		began := time.Now()
-		answer, failure := x.try(choice, [][]byte{x.body})
-		if failure == nil {
-			failure = x.deliver(choice, began, answer, sent+1 < x.route.MaxAttempts)
-			if failure == nil {
-				return nil
+		select {
+		case t := <-c.ended:
+			c.running--
+			if t.failure == nil {
+				return x.pass(t)
+			}
+			if final := c.lost(t); final != nil {
+				return final
+			}
+		case <-hedge.C:
+			if x.route.Kind == catalog.Idempotent {
+				c.launch()
 			}
 		}
-		x.noteFailure(choice, began, failure)
-		last = failure
-		if x.ctx.Err() != nil || x.begun {
-			return x.broken(mayHaveRun || failure.Verdict != verdict.NotRun, last)
-		}
-		if failure.Reason != upstream.ReasonDial && failure.Reason != upstream.ReasonNoConns && failure.Reason != reasonGone {
-			sent++
-		}
-		if failure.Verdict != verdict.NotRun {
-			mayHaveRun = true
-			if x.route.Kind != catalog.Idempotent {
-				break
+	}
+}
+
+// contest is a request's tries at servers, of which the first whole answer wins.
+type contest struct {
+	x       *exchange
+	ask     balance.Ask
+	ended   chan *try
+	running int
+	// sent counts the tries that may have reached a server.
+	sent       int
+	mayHaveRun bool
+	last       error
+	cancels    []context.CancelFunc
+}
+
+// try is one try at one server. A whole answer's head is its first bufferBytes.
+type try struct {
+	choice  *balance.Choice
+	began   time.Time
+	answer  *upstream.Answer
+	head    []byte
+	more    bool
+	failure *upstream.Failure
+}
+
+// launch begins a try at another server, or returns false where no more are left.
+func (c *contest) launch() bool {
+	if c.sent >= c.x.route.MaxAttempts {
+		return false
+	}
+	choice, found := c.x.g.balancer.Pick(&c.ask)
+	if !found {
+		return false
+	}
+	c.ask.Tried[choice.Server.ID] = true
+	c.sent++
+	c.running++
+	ctx, cancel := context.WithCancel(c.x.ctx)
+	c.cancels = append(c.cancels, cancel)
+	replace := c.sent < c.x.route.MaxAttempts
+	go func() { c.ended <- c.x.fetch(ctx, choice, replace) }()
+	return true
+}
+
+// lost records a failed try, and returns the refusal where nothing more may be tried.
+func (c *contest) lost(t *try) *refusal {
+	c.x.noteFailure(t.choice, t.began, t.failure)
+	c.last = t.failure
+	switch t.failure.Reason {
+	case upstream.ReasonDial, upstream.ReasonNoConns, reasonGone:
+		c.sent-- // no server got it
+	}
+	if t.failure.Verdict != verdict.NotRun {
+		c.mayHaveRun = true
+	}
+	if c.x.ctx.Err() != nil || c.mayHaveRun && c.x.route.Kind != catalog.Idempotent {
+		return c.x.broken(c.mayHaveRun, c.last)
+	}
+	return nil
+}
+
+// abandon ends the tries that still run.
+func (c *contest) abandon() {
+	for _, cancel := range c.cancels {
+		cancel()
+	}
+	overtaken := balance.Overtaken
+	if c.x.r.Context().Err() != nil {
+		overtaken = balance.Abandoned
+	}
+	running, ended := c.running, c.ended
+	if running == 0 {
+		return
+	}
+	go func() {
+		for range running {
+			t := <-ended
+			if t.answer != nil {
+				t.answer.Close()
 			}
+			t.choice.Done(overtaken)
 		}
+	}()
+}
+
+// fetch sends the request to one server and reads its answer, or the first bufferBytes of it. replace tells
+// that another server could still be asked: then a failed answer to an idempotent request is a failure.
+func (x *exchange) fetch(ctx context.Context, choice *balance.Choice, replace bool) *try {
+	t := &try{choice: choice, began: time.Now()}
+	answer, failure := x.try(ctx, choice, [][]byte{x.body})
+	if failure != nil {
+		t.failure = failure
+		return t
+	}
+	if answer.Status >= 500 && replace && x.route.Kind == catalog.Idempotent {
+		answer.Close()
+		t.failure = upstream.NewFailure(verdict.MayHaveRun, "status-"+strconv.Itoa(answer.Status), Error.New("status %d", answer.Status))
+		return t
+	}
+	head, err := io.ReadAll(io.LimitReader(answer.Body, bufferBytes))
+	if err != nil {
+		answer.Close()
+		t.failure = upstream.NewFailure(verdict.MayHaveRun, upstream.ReasonGarbled, err)
+		return t
+	}
+	t.answer, t.head, t.more = answer, head, len(head) == bufferBytes
+	return t
+}
+
+// pass passes a server's answer on.
+func (x *exchange) pass(t *try) *refusal {
+	defer t.answer.Close()
+	x.begin(t.answer, len(t.head), t.more)
+	_, err := x.w.Write(t.head)
+	if err == nil && t.more {
+		_, err = io.Copy(x.w, t.answer.Body)
 	}
-	return x.broken(mayHaveRun, last)
+	if err != nil {
+		failure := upstream.NewFailure(verdict.MayHaveRun, upstream.ReasonRead, err)
+		x.noteFailure(t.choice, t.began, failure)
+		return x.broken(true, failure)
+	}
+	told := balance.Answered
+	if t.answer.Status >= 500 {
+		told = balance.Failed
+	}
+	x.note(t.choice, t.began, strconv.Itoa(t.answer.Status), told)
+	return nil
 }
 
 // broken returns the refusal of a request that got no answer. Only a request that provably did not run gets
@@ -79,34 +198,6 @@
 	return time.Duration(float64(d) * (0.67 + 0.66*rand.Float64()))
 }
 
-// deliver passes a signed answer on. replace tells that another server could still be asked: then an
-// idempotent request's failed answer is not passed on.
-func (x *exchange) deliver(choice *balance.Choice, began time.Time, answer *upstream.Answer, replace bool) *upstream.Failure {
-	defer answer.Close()
-	if answer.Status >= 500 && replace && x.route.Kind == catalog.Idempotent {
-		return upstream.NewFailure(verdict.MayHaveRun, "status-"+strconv.Itoa(answer.Status), Error.New("status %d", answer.Status))
-	}
-	head, err := io.ReadAll(io.LimitReader(answer.Body, bufferBytes))
-	if err != nil {
-		return upstream.NewFailure(verdict.MayHaveRun, upstream.ReasonGarbled, err)
-	}
-	rest := len(head) == bufferBytes
-	x.begin(answer, len(head), rest)
-	_, err = x.w.Write(head)
-	if err == nil && rest {
-		_, err = io.Copy(x.w, answer.Body)
-	}
-	if err != nil {
-		return upstream.NewFailure(verdict.MayHaveRun, upstream.ReasonRead, err)
-	}
-	told := balance.Answered
-	if answer.Status >= 500 {
-		told = balance.Failed
-	}
-	x.note(choice, began, strconv.Itoa(answer.Status), told)
-	return nil
-}
-
 // begin passes an answer's status and headers on. length is the body's, unless there is more than was read.
 func (x *exchange) begin(answer *upstream.Answer, length int, more bool) {
 	h := x.w.Header()
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -108,7 +108,7 @@
 // sendTurn sends the turn to servers until one takes it on. A turn that a server may have begun on is not
 // sent again.
 func (x *exchange) sendTurn(chain []*turn.Record) (*upstream.Answer, *balance.Choice, time.Time, *upstream.Failure) {
-	ask := &balance.Ask{Servers: x.servers(), Tried: map[string]bool{}, PromptTokens: max(1, x.info.PromptTokens)}
+	ask := &balance.Ask{Route: x.route.Name, Servers: x.servers(), Tried: map[string]bool{}, PromptTokens: max(1, x.info.PromptTokens)}
 	for _, part := range x.info.Parts {
 		ask.Parts = append(ask.Parts, part.ID)
 		ask.Sizes = append(ask.Sizes, part.Tokens)
@@ -126,7 +126,7 @@
 		}
 		ask.Tried[choice.Server.ID] = true
 		began := time.Now()
-		answer, failure := x.try(choice, body)
+		answer, failure := x.try(x.ctx, choice, body)
 		if failure == nil {
 			return answer, choice, began, nil
 		}
@@ -145,11 +145,14 @@
 // relayTurn passes the events on as they come. The end of the answer follows once the turn is kept.
 func (x *exchange) relayTurn(choice *balance.Choice, began time.Time, answer *upstream.Answer, chain []*turn.Record) *refusal {
 	if !isSuccess(answer.Status) {
-		if failure := x.deliver(choice, began, answer, false); failure != nil {
+		head, err := io.ReadAll(io.LimitReader(answer.Body, bufferBytes))
+		if err != nil {
+			answer.Close()
+			failure := upstream.NewFailure(verdict.MayHaveRun, upstream.ReasonGarbled, err)
 			x.noteFailure(choice, began, failure)
 			return x.broken(true, failure)
 		}
-		return nil
+		return x.pass(&try{choice: choice, began: began, answer: answer, head: head, more: len(head) == bufferBytes})
 	}
 	defer answer.Close()
 	x.begin(answer, 0, true)
