Old copies on the store VMs' disks serve daemons that know nothing; seeds; a failed store is left alone

Ruled out: the disks (all complete 0.3 s after their start). Change: store daemons keep the last configuration, servers and layout on their disks and hand them out as old; they serve the control address, so that the seeds lead to them; a front takes old content only if it has seen none; where mirrors ask too, a failed store is asked again only after 3 s. Tests: TestOldContentServesThoseWhoKnowNothing, TestFailedStoreIsLeftAlone.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -19,6 +20,15 @@
 	version uint64
 	err     error
 	asked   int
+	// old is the version of what it knew last; 0 where it knows nothing.
+	old uint64
+}
+
+func (s *source) Stale(context.Context, string) (objectapi.Snapshot, error) {
+	if s.old == 0 {
+		return objectapi.Snapshot{}, objectapi.ErrUnavailable
+	}
+	return objectapi.Snapshot{Version: s.old}, nil
 }
 
 func (s *source) List(context.Context, string) (objectapi.Snapshot, error) {
@@ -34,10 +44,10 @@
 func newFeed(direct *source, mirrors ...*source) *feed.Feed {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	list := func() []feed.Named {
-		var named []feed.Named
+	list := func() []feed.NamedMirror {
+		var named []feed.NamedMirror
 		for i, m := range mirrors {
-			named = append(named, feed.Named{Name: string(rune('a' + i)), Source: m})
+			named = append(named, feed.NamedMirror{Name: string(rune('a' + i)), Mirror: m})
 		}
 		return named
 	}
@@ -89,3 +99,29 @@
 	assert.Assert(t, errors.Is(err, objectapi.ErrGone))
 	assert.Equal(t, direct.asked, 0)
 }
+
+// TestOldContentServesThoseWhoKnowNothing: after a loss of power everywhere, with the store away.
+func TestOldContentServesThoseWhoKnowNothing(t *testing.T) {
+	direct, a, b := &source{err: objectapi.ErrUnavailable}, &source{err: objectapi.ErrUnavailable, old: 4}, &source{err: objectapi.ErrUnavailable, old: 6}
+	f := newFeed(direct, a, b)
+	snapshot, err := f.List(context.Background(), "k/")
+	assert.NilError(t, err)
+	assert.Equal(t, snapshot.Version, uint64(6))
+	_, err = f.List(context.Background(), "k/")
+	assert.ErrorIs(t, err, objectapi.ErrUnavailable)
+}
+
+// TestFailedStoreIsLeftAlone: mirrors ask it too, so each reader asks it only now and then.
+func TestFailedStoreIsLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		direct, a := &source{err: objectapi.ErrUnavailable}, &source{err: objectapi.ErrUnavailable}
+		f := newFeed(direct, a)
+		for range 60 {
+			_, err := f.List(context.Background(), "k/")
+			assert.ErrorIs(t, err, objectapi.ErrUnavailable)
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Equal(t, direct.asked, 2)
+		assert.Equal(t, a.asked, 60)
+	})
+}
--- /dev/null
+++ b/internal/mirror/file.go
@@ -0,0 +1,74 @@
+package mirror
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io/fs"
+	"os"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/zeebo/errs"
+
+	"github.com/rookpass/rookpass/internal/objectapi"
+	"github.com/rookpass/rookpass/internal/wait"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("mirror")
+
+// savePause is the least time between two writes of the copy to the disk.
+const savePause = time.Second
+
+// Load takes a copy over that Save wrote. It counts as stale: it serves only those who can learn nothing
+// newer. A file that is not there is no error.
+func (m *Mirror) Load(path string) error {
+	data, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	var snapshot objectapi.Snapshot
+	if err := json.Unmarshal(data, &snapshot); err != nil {
+		return Error.New("%s: %w", path, err)
+	}
+	m.Reset(snapshot.Objects, snapshot.Version)
+	return nil
+}
+
+// Save writes the copy to the disk whenever it has changed, until ctx ends.
+func (m *Mirror) Save(ctx context.Context, path string, log logrus.FieldLogger) error {
+	saved, _ := m.Stale()
+	for wait.For(ctx, savePause) == nil {
+		snapshot, known := m.Stale()
+		if !known || snapshot.Version == saved.Version {
+			continue
+		}
+		if err := write(path, snapshot); err != nil {
+			log.WithFields(logrus.Fields{"event": "mirror-save-failed", "file": path, "error": err}).Warn("copy not saved")
+			continue
+		}
+		saved = snapshot
+	}
+	return ctx.Err()
+}
+
+// write replaces the file in one step.
+func write(path string, snapshot objectapi.Snapshot) error {
+	data, err := json.Marshal(snapshot)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	file, err := os.Create(path + ".new")
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	_, err = file.Write(data)
+	if err := errors.Join(err, file.Sync(), file.Close()); err != nil {
+		return Error.Wrap(err)
+	}
+	return Error.Wrap(os.Rename(path+".new", path))
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -109,11 +109,22 @@
 	if !m.fresh {
 		return objectapi.Snapshot{}, objectapi.ErrUnavailable
 	}
+	return m.snapshot(), nil
+}
+
+// Stale returns the copy as it was when the API answered last, and whether there is one.
+func (m *Mirror) Stale() (objectapi.Snapshot, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.snapshot(), m.version > 0
+}
+
+func (m *Mirror) snapshot() objectapi.Snapshot {
 	snapshot := objectapi.Snapshot{Version: m.version}
 	for _, object := range m.objects {
 		snapshot.Objects = append(snapshot.Objects, object)
 	}
-	return snapshot, nil
+	return snapshot
 }
 
 // Wait returns the changes after a version as soon as there is one, or an empty batch once wait has passed.
--- a/internal/mirror/rpc.go
+++ b/internal/mirror/rpc.go
@@ -54,6 +54,8 @@
 type ListReply struct {
 	Outcome  outcome
 	Snapshot objectapi.Snapshot
+	// Stale tells, where the outcome is that nothing certain is known, that the snapshot is an old one.
+	Stale bool
 }
 
 // WaitArgs ask for the changes after a version.
@@ -91,6 +93,9 @@
 	var err error
 	reply.Snapshot, err = m.List()
 	reply.Outcome = outcomeOf(err)
+	if err != nil {
+		reply.Snapshot, reply.Stale = m.Stale()
+	}
 	return nil
 }
 
@@ -115,13 +120,33 @@
 
 // List returns the copy of a prefix.
 func (c *Client) List(ctx context.Context, prefix string) (objectapi.Snapshot, error) {
+	reply, err := c.list(ctx, prefix)
+	if err != nil {
+		return objectapi.Snapshot{}, err
+	}
+	return reply.Snapshot, reply.Outcome.err()
+}
+
+// Stale returns the copy of a prefix though it may be an old one; ErrUnavailable means that there is none.
+func (c *Client) Stale(ctx context.Context, prefix string) (objectapi.Snapshot, error) {
+	reply, err := c.list(ctx, prefix)
+	if err == nil && reply.Outcome != outcomeOK && !reply.Stale {
+		err = objectapi.ErrUnavailable
+	}
+	if err != nil {
+		return objectapi.Snapshot{}, err
+	}
+	return reply.Snapshot, nil
+}
+
+func (c *Client) list(ctx context.Context, prefix string) (*ListReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, answerMargin)
 	defer cancel()
 	reply, err := peerlink.Call[ListReply](ctx, c.link, ServiceName+".List", &ListArgs{Prefix: prefix})
 	if err != nil {
-		return objectapi.Snapshot{}, errors.Join(objectapi.ErrUnavailable, err)
+		return nil, errors.Join(objectapi.ErrUnavailable, err)
 	}
-	return reply.Snapshot, reply.Outcome.err()
+	return reply, nil
 }
 
 // Wait returns the changes of a prefix after a version.
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -168,17 +168,21 @@
 	f.ledger.Learn(l)
 }
 
-// mirrors returns a function that lists the store daemons, those of this data centre first.
-func (f *front) mirrors() func() []feed.Named {
+// mirrors returns a function that lists the store daemons, those of this data centre first. Before the layout
+// is known, the seeds stand in.
+func (f *front) mirrors() func() []feed.NamedMirror {
 	links := peerlink.NewSet(f.dial) // apart from the ledger's: a watch that hangs must not break its calls
-	return func() []feed.Named {
+	return func() []feed.NamedMirror {
+		var sources []feed.NamedMirror
 		l := f.ledger.Layout()
 		if l == nil {
-			return nil
+			for _, seed := range f.settings.Seeds {
+				sources = append(sources, feed.NamedMirror{Name: seed, Mirror: mirror.NewClient(links.To(seed))})
+			}
+			return sources
 		}
-		var sources []feed.Named
 		for _, slot := range l.Slots {
-			source := feed.Named{Name: slot.Disk.Node, Source: mirror.NewClient(links.To(slot.Disk.Address))}
+			source := feed.NamedMirror{Name: slot.Disk.Node, Mirror: mirror.NewClient(links.To(slot.Disk.Address))}
 			if slot.Disk.DataCentre == f.settings.DataCentre {
 				sources = slices.Insert(sources, 0, source)
 			} else {
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"path/filepath"
 	"sync"
 	"time"
 
@@ -65,23 +66,35 @@
 		watch.New(source, watchPace, mirrors[1]).WithWait(storeWait),
 		watch.New(source, watchPace, both{mirrors[3], retiring.handler()}).WithWait(rareWait),
 	}
-	listener, err := listen(s.PeerAddress())
-	if err != nil {
-		return err
-	}
 	b.serveMetrics()
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error {
-		return peerlink.Serve(listener, map[string]any{
-			replica.ServiceName: replica.NewService(store),
-			mirror.ServiceName:  mirror.NewService(mirrors...),
+	services := map[string]any{
+		replica.ServiceName: replica.NewService(store),
+		mirror.ServiceName:  mirror.NewService(mirrors...),
+	}
+	for _, address := range []string{s.PeerAddress(), s.ControlAddress} {
+		if address == "" {
+			continue
+		}
+		listener, err := listen(address)
+		if err != nil {
+			return err
+		}
+		group.Go(func() error { return peerlink.Serve(listener, services) })
+		group.Go(func() error {
+			<-ctx.Done()
+			_ = listener.Close()
+			return ctx.Err()
 		})
-	})
-	group.Go(func() error {
-		<-ctx.Done()
-		_ = listener.Close()
-		return ctx.Err()
-	})
+	}
+	for i, name := range []string{"configuration", "servers", "layout"} {
+		path := filepath.Join(s.DataDir, name+".json")
+		if err := mirrors[i].Load(path); err != nil {
+			// The copy only helps where the platform's store is away; the disk's turns matter more.
+			b.log.WithFields(logrus.Fields{"event": "mirror-load-failed", "file": path, "error": err}).Error("saved copy not read")
+		}
+		group.Go(func() error { return mirrors[i].Save(ctx, path, b.log) })
+	}
 	group.Go(func() error { return controller.Run(ctx) })
 	group.Go(func() error { return layoutWatcher.Run(ctx) })
 	for _, w := range watchers {
@@ -97,19 +110,19 @@
 
 // watchingDisks returns a function that lists the store daemons which read the platform's store themselves: the
 // holders of the first tolerance + 1 slots. This daemon reads through them unless it is one of them.
-func (b *base) watchingDisks(store *replica.Store) func() []feed.Named {
+func (b *base) watchingDisks(store *replica.Store) func() []feed.NamedMirror {
 	links := peerlink.NewSet(b.dial) // apart from the others: a watch that hangs must not break their calls
-	return func() []feed.Named {
+	return func() []feed.NamedMirror {
 		l := store.Layout()
 		if l == nil || !l.Formed {
 			return nil
 		}
-		var sources []feed.Named
+		var sources []feed.NamedMirror
 		for _, slot := range l.Slots[:l.Quorum()] {
 			if slot.Disk.ID == store.Self().ID {
 				return nil
 			}
-			sources = append(sources, feed.Named{Name: slot.Disk.Node, Source: mirror.NewClient(links.To(slot.Disk.Address))})
+			sources = append(sources, feed.NamedMirror{Name: slot.Disk.Node, Mirror: mirror.NewClient(links.To(slot.Disk.Address))})
 		}
 		return sources
 	}
