Detours over other fronts; fronts share which servers look dead

Ruled out: the platform's store (the mirrors were reached again over it), load. Change: fronts swap every 300 ms, at the first store daemon, their addresses and the servers that look dead to them. A call to a disk without an answer in 120 ms is sent over another front as well; after that the detour comes first for 2 s. A server that another front suspects gets nothing while others are left.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -35,6 +35,8 @@
 	hedgeLeast = 60 * time.Millisecond
 	// hedgeUnknown is used before a route's mean is known.
 	hedgeUnknown = 300 * time.Millisecond
+	// maxReportedShare of the servers may be shunned on other daemons' word.
+	maxReportedShare = 0.4
 	// maxSlowness bounds how much worse a server counts for having been slow.
 	maxSlowness = 6.0
 )
@@ -53,6 +55,8 @@
 	mean float64
 	// waiting holds when the requests were sent whose answers have not begun, the oldest first.
 	waiting []time.Time
+	// waitingRoute is the route of the newest of them.
+	waitingRoute string
 	// parts are prompt parts that it has read.
 	parts *partSet
 }
@@ -64,6 +68,8 @@
 	states     map[string]*state
 	// means are the moving means of services' answers, in seconds.
 	means map[string]float64
+	// reported tells how many other daemons suspect a server.
+	reported map[string]int
 	// heads are the moving means of the time to the head of an answer, by route, in seconds.
 	heads map[string]float64
 }
@@ -111,10 +117,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
-	best, candidates := b.choose(ask, now, false)
-	if best < 0 {
-		// Rather a server that seems to fail than none at all.
-		best, candidates = b.choose(ask, now, true)
+	best, candidates := -1, 0
+	// Rather a server that others suspect than one that fails here, and rather that one than none at all.
+	for trust := unsuspected; trust <= anyServer && best < 0; trust++ {
+		best, candidates = b.choose(ask, now, trust)
 	}
 	if best < 0 {
 		return nil, false
@@ -124,14 +130,29 @@
 	c := &Choice{Server: server, InFlight: s.inFlight, Candidates: candidates, balancer: b, state: s, route: ask.Route, began: now}
 	s.inFlight++
 	s.waiting = append(s.waiting, now)
+	s.waitingRoute = ask.Route
 	if len(ask.Parts) > 0 {
 		s.read(ask.Parts)
 	}
 	return c, true
 }
 
-func (b *Balancer) choose(ask *Ask, now time.Time, desperate bool) (best, candidates int) {
+// trust is which servers a choice may take.
+type trust int
+
+const (
+	// unsuspected servers look alive here and to the other daemons.
+	unsuspected trust = iota
+	// alive servers look alive here.
+	alive
+	// anyServer takes every server.
+	anyServer
+)
+
+// choose returns the place of the cheapest server, or -1, and how many there were to choose from.
+func (b *Balancer) choose(ask *Ask, now time.Time, trust trust) (best, candidates int) {
 	best = -1
+	ignoreReports := trust > unsuspected || b.tooManyReported(ask.Servers)
 	var bestCost float64
 	for i := range ask.Servers {
 		server := &ask.Servers[i]
@@ -139,7 +160,7 @@
 			continue
 		}
 		s := b.state(server.ID)
-		if !desperate && (now.Before(s.ejectedUntil) || now.Before(s.busyUntil) || b.silent(ask.Route, s, now)) {
+		if trust < anyServer && b.shunned(ask.Route, s, now) || !ignoreReports && b.reported[server.ID] > 0 {
 			continue
 		}
 		candidates++
@@ -179,6 +200,50 @@
 	return min(max(1, s.mean/mean), maxSlowness)
 }
 
+// shunned tells whether a server is to be left alone for now.
+func (b *Balancer) shunned(route string, s *state, now time.Time) bool {
+	return now.Before(s.ejectedUntil) || now.Before(s.busyUntil) || b.silent(route, s, now)
+}
+
+// tooManyReported tells whether others suspect so many servers that the rest could not bear the load.
+func (b *Balancer) tooManyReported(servers []catalog.Server) bool {
+	if len(b.reported) == 0 {
+		return false
+	}
+	n := 0
+	for i := range servers {
+		if b.reported[servers[i].ID] > 0 {
+			n++
+		}
+	}
+	return float64(n) > maxReportedShare*float64(len(servers))
+}
+
+// SetReported tells how many other daemons suspect each server.
+func (b *Balancer) SetReported(reported map[string]int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reported = reported
+}
+
+// Suspects returns the servers that look dead here: those that failed repeatedly or keep requests waiting. It
+// returns none where they are so many that this VM's own network is the likelier cause.
+func (b *Balancer) Suspects() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	var suspects []string
+	for id, s := range b.states {
+		if now.Before(s.ejectedUntil) || b.silent(s.waitingRoute, s, now) {
+			suspects = append(suspects, id)
+		}
+	}
+	if float64(len(suspects)) > maxReportedShare*float64(len(b.states)) {
+		return nil
+	}
+	return suspects
+}
+
 // silent tells whether a server has kept a request waiting for much longer than is usual.
 func (b *Balancer) silent(route string, s *state, now time.Time) bool {
 	if len(s.waiting) == 0 {
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -161,3 +161,38 @@
 		assert.Equal(t, b.HedgeAfter("other"), unknown)
 	})
 }
+
+// TestOthersWordCounts: a server that others suspect gets nothing, unless too many are suspected or no other
+// is left.
+func TestOthersWordCounts(t *testing.T) {
+	b := balance.New("here")
+	b.SetReported(map[string]int{"0": 1})
+	for range 20 {
+		assert.Assert(t, pick(t, b, balance.Ask{Servers: servers(4)}).Server.ID != "0")
+	}
+	assert.Equal(t, pick(t, b, balance.Ask{Servers: servers(1)}).Server.ID, "0")
+	b.SetReported(map[string]int{"0": 1, "1": 1, "2": 1})
+	seen := map[string]bool{}
+	for range 40 {
+		seen[pick(t, b, balance.Ask{Servers: servers(4)}).Server.ID] = true
+	}
+	assert.Equal(t, len(seen), 4)
+}
+
+// TestCutOffDaemonSuspectsNobody: where most servers seem dead, the daemon's own network is the likelier cause.
+func TestCutOffDaemonSuspectsNobody(t *testing.T) {
+	b := balance.New("here")
+	fail := func(id int) {
+		for range 2 {
+			pick(t, b, balance.Ask{Servers: servers(5)[id : id+1]}).Done(balance.Failed)
+		}
+	}
+	for i := range 5 {
+		pick(t, b, balance.Ask{Servers: servers(5)[i : i+1]}).Done(balance.Answered)
+	}
+	fail(3)
+	assert.DeepEqual(t, b.Suspects(), []string{"3"})
+	fail(1)
+	fail(2)
+	assert.Equal(t, len(b.Suspects()), 0)
+}
--- /dev/null
+++ b/internal/exchange/exchange.go
@@ -0,0 +1,84 @@
+// Package exchange lets front daemons learn of one another, and share which backend servers look dead, through
+// a store daemon.
+package exchange
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rookpass/rookpass/internal/peerlink"
+)
+
+// ServiceName is the net/rpc name of the service.
+const ServiceName = "Exchange"
+
+const (
+	// Pause is the time between two calls of a daemon: what one has seen helps the others soon after.
+	Pause = 300 * time.Millisecond
+	// memory is how long a daemon is remembered that no longer calls.
+	memory = 3 * time.Second
+	// callTimeout bounds one call.
+	callTimeout = 600 * time.Millisecond
+)
+
+// Args are what a daemon has seen.
+type Args struct {
+	// From is the address at which the daemon helps others.
+	From string
+	// Suspects are servers that look dead to it.
+	Suspects []string
+}
+
+// Reply is what the others have seen.
+type Reply struct {
+	// Peers are the other daemons' addresses.
+	Peers []string
+	// Suspects tells how many of them suspect a server.
+	Suspects map[string]int
+}
+
+// report is what one daemon said last.
+type report struct {
+	at       time.Time
+	suspects []string
+}
+
+// Service answers daemons. Its exported methods are net/rpc methods.
+type Service struct {
+	mu      sync.Mutex
+	reports map[string]report
+}
+
+// NewService returns a service that knows nobody.
+func NewService() *Service { return &Service{reports: map[string]report{}} }
+
+// Swap takes a daemon's report and answers with the others'.
+func (s *Service) Swap(args *Args, reply *Reply) error {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reports[args.From] = report{at: now, suspects: args.Suspects}
+	reply.Suspects = map[string]int{}
+	for from, r := range s.reports {
+		if now.Sub(r.at) > memory {
+			delete(s.reports, from)
+			continue
+		}
+		if from == args.From {
+			continue
+		}
+		reply.Peers = append(reply.Peers, from)
+		for _, id := range r.suspects {
+			reply.Suspects[id]++
+		}
+	}
+	return nil
+}
+
+// Swap calls a service over a link.
+func Swap(ctx context.Context, link *peerlink.Link, args *Args) (*Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return peerlink.Call[Reply](ctx, link, ServiceName+".Swap", args)
+}
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -14,6 +14,7 @@
 
 	"github.com/rookpass/rookpass/internal/balance"
 	"github.com/rookpass/rookpass/internal/catalog"
+	"github.com/rookpass/rookpass/internal/exchange"
 	"github.com/rookpass/rookpass/internal/feed"
 	"github.com/rookpass/rookpass/internal/gateway"
 	"github.com/rookpass/rookpass/internal/layout"
@@ -21,6 +22,7 @@
 	"github.com/rookpass/rookpass/internal/mirror"
 	"github.com/rookpass/rookpass/internal/objectapi"
 	"github.com/rookpass/rookpass/internal/peerlink"
+	"github.com/rookpass/rookpass/internal/tunnel"
 	"github.com/rookpass/rookpass/internal/upstream"
 	"github.com/rookpass/rookpass/internal/wait"
 	"github.com/rookpass/rookpass/internal/watch"
@@ -30,6 +32,12 @@
 const (
 	// frontWait is how long a front daemon's watch waits at the platform's store, where no mirror answers.
 	frontWait = 1500 * time.Millisecond
+	// diskPatience is when a call to a disk is sent over another front daemon as well: many times a usual answer.
+	diskPatience = 120 * time.Millisecond
+	// mirrorPatience is the same for watches, which wait up to a second for a change.
+	mirrorPatience = 1300 * time.Millisecond
+	// exchangeReturn is how long a daemon swaps at another place before it goes back to the first, where all meet.
+	exchangeReturn = 8 * time.Second
 	// layoutPatience is how long the layout is waited for before the store itself is asked for the rest.
 	layoutPatience = 4 * time.Second
 	layoutPoll     = 50 * time.Millisecond
@@ -60,6 +68,7 @@
 	pool     *upstream.Pool
 	ledger   *ledger.Ledger
 	gateway  *gateway.Gateway
+	detour   *tunnel.Dialer
 	stopping atomic.Bool
 }
 
@@ -77,6 +86,8 @@
 func newFront(b *base) *front {
 	f := &front{base: b, catalog: catalog.New(), balancer: balance.New(b.settings.DataCentre)}
 	f.pool = upstream.NewPool(b.dial, platform.Headers{})
+	f.detour = tunnel.NewDialer(b.dial, b.settings.PeerAddress())
+	b.links.WithDetour(f.detour.Dial, diskPatience)
 	f.ledger = ledger.New(b.links, b.settings.DataCentre, int(cacheShare*float64(b.settings.MemoryBytes)), b.log)
 	f.gateway = gateway.New(gateway.Options{
 		Catalog: f.catalog, Balancer: f.balancer, Sender: f.pool, Ledger: f.ledger, Dialect: platform.Headers{},
@@ -98,6 +109,10 @@
 	if err != nil {
 		return err
 	}
+	peers, err := listen(f.settings.PeerAddress())
+	if err != nil {
+		return err
+	}
 	f.serveMetrics()
 	server := &http.Server{Handler: f.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	ready := &http.Server{Handler: http.HandlerFunc(f.answerReady), ReadHeaderTimeout: headerTimeout}
@@ -106,7 +121,14 @@
 	group, work := errgroup.WithContext(work)
 	group.Go(func() error { return serve(server, callers) })
 	group.Go(func() error { return serve(ready, readiness) })
+	group.Go(func() error {
+		<-work.Done()
+		_ = peers.Close()
+		return work.Err()
+	})
+	group.Go(func() error { return tunnel.NewServer(f.dial, f.holdsSlot, f.log).Serve(peers) })
 	f.watch(work, group)
+	group.Go(func() error { return f.exchange(work) })
 	group.Go(func() error { return f.sweep(work) })
 	group.Go(func() error {
 		select {
@@ -171,7 +193,8 @@
 // mirrors returns a function that lists the store daemons, those of this data centre first. Before the layout
 // is known, the seeds stand in.
 func (f *front) mirrors() func() []feed.NamedMirror {
-	links := peerlink.NewSet(f.dial) // apart from the ledger's: a watch that hangs must not break its calls
+	// Apart from the ledger's: a watch that hangs must not break its calls.
+	links := peerlink.NewSet(f.dial).WithDetour(f.detour.Dial, mirrorPatience)
 	return func() []feed.NamedMirror {
 		var sources []feed.NamedMirror
 		l := f.ledger.Layout()
@@ -213,6 +236,40 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// holdsSlot tells whether a store daemon of the layout listens at an address.
+func (f *front) holdsSlot(address string) bool {
+	l := f.ledger.Layout()
+	return l != nil && slices.ContainsFunc(l.Slots, func(s layout.Slot) bool {
+		return s.Disk.Address == address || s.Joining != nil && s.Joining.Address == address
+	})
+}
+
+// exchange swaps what this daemon has seen for what the others have, at the first store daemon that answers.
+func (f *front) exchange(ctx context.Context) error {
+	place, moved := 0, time.Now()
+	for wait.For(ctx, exchange.Pause) == nil {
+		l := f.ledger.Layout()
+		if l == nil || !l.Formed {
+			continue
+		}
+		if time.Since(moved) > exchangeReturn {
+			place = 0
+		}
+		args := &exchange.Args{From: f.settings.PeerAddress(), Suspects: f.balancer.Suspects()}
+		reply, err := exchange.Swap(ctx, f.links.To(l.Slots[place%len(l.Slots)].Disk.Address), args)
+		if err != nil {
+			place++
+			moved = time.Now()
+			f.balancer.SetReported(nil)
+			f.log.WithFields(logrus.Fields{"event": "exchange-failed", "place": place, "error": err}).Info("asking another daemon")
+			continue
+		}
+		f.balancer.SetReported(reply.Suspects)
+		f.detour.SetHelpers(reply.Peers)
+	}
+	return ctx.Err()
+}
+
 // sweep closes connections that are no longer needed, again and again.
 func (f *front) sweep(ctx context.Context) error {
 	for wait.For(ctx, sweepPause) == nil {
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/rookpass/rookpass/internal/exchange"
 	"github.com/rookpass/rookpass/internal/feed"
 	"github.com/rookpass/rookpass/internal/layout"
 	"github.com/rookpass/rookpass/internal/mirror"
@@ -69,8 +70,9 @@
 	b.serveMetrics()
 	group, ctx := errgroup.WithContext(ctx)
 	services := map[string]any{
-		replica.ServiceName: replica.NewService(store),
-		mirror.ServiceName:  mirror.NewService(mirrors...),
+		replica.ServiceName:  replica.NewService(store),
+		mirror.ServiceName:   mirror.NewService(mirrors...),
+		exchange.ServiceName: exchange.NewService(),
 	}
 	for _, address := range []string{s.PeerAddress(), s.ControlAddress} {
 		if address == "" {
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -1,4 +1,5 @@
-// Package peerlink keeps one net/rpc connection to another daemon and bounds each call on it.
+// Package peerlink keeps net/rpc connections to other daemons and bounds each call on them. Where the direct
+// way to a daemon fails, calls take a detour if there is one.
 package peerlink
 
 import (
@@ -21,10 +22,137 @@
 	dialTimeout = 500 * time.Millisecond
 	// redialPause bounds how often a dead daemon is dialled.
 	redialPause = 100 * time.Millisecond
+	// detourTime is how long calls take the detour before the direct way is tried again.
+	detourTime = 2 * time.Second
 )
 
-// Link is a connection to one address, made when it is first needed and again after it broke.
+// Set keeps a link for each address.
+type Set struct {
+	dial network.DialContext
+	// detour connects to an address through another daemon; nil where there is none.
+	detour   network.DialContext
+	patience time.Duration
+
+	mu    sync.Mutex
+	links map[string]*Link
+}
+
+// NewSet returns an empty set.
+func NewSet(dial network.DialContext) *Set { return &Set{dial: dial, links: map[string]*Link{}} }
+
+// WithDetour makes calls that have no answer after patience be sent over a detour as well, and returns the
+// set. Every call must be idempotent.
+func (s *Set) WithDetour(detour network.DialContext, patience time.Duration) *Set {
+	s.detour, s.patience = detour, patience
+	return s
+}
+
+// To returns the link to an address.
+func (s *Set) To(address string) *Link {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	link := s.links[address]
+	if link == nil {
+		link = &Link{direct: newPath(address, s.dial), patience: s.patience}
+		if s.detour != nil {
+			link.detour = newPath(address, s.detour)
+		}
+		s.links[address] = link
+	}
+	return link
+}
+
+// Link is the way to one daemon.
 type Link struct {
+	direct, detour *path
+	patience       time.Duration
+
+	mu         sync.Mutex
+	detourTill time.Time
+}
+
+// outcome is how a call on one path ended.
+type outcome[Reply any] struct {
+	path  *path
+	reply *Reply
+	err   error
+}
+
+// Call calls a method and returns its answer. The answer is a value of its own, so that one that comes after
+// ctx has ended writes into memory that nobody reads. A call without an answer may have been carried out.
+func Call[Reply any](ctx context.Context, l *Link, method string, args any) (*Reply, error) {
+	first, second := l.order()
+	ended := make(chan outcome[Reply], 2)
+	ask := func(p *path) {
+		reply := new(Reply)
+		err := p.call(ctx, method, args, reply)
+		ended <- outcome[Reply]{p, reply, err}
+	}
+	if second == nil {
+		ask(first)
+		o := <-ended
+		return o.reply, o.err
+	}
+	go ask(first)
+	timer := time.NewTimer(l.patience)
+	defer timer.Stop()
+	var problem error
+	for running := 1; running > 0; {
+		select {
+		case o := <-ended:
+			running--
+			if o.err == nil || !errors.Is(o.err, ErrUnreachable) {
+				l.settle(o.path, problem != nil || second == nil)
+				return o.reply, o.err
+			}
+			problem = errors.Join(problem, o.err)
+			l.failed(o.path)
+		case <-timer.C:
+		}
+		if second != nil && ctx.Err() == nil {
+			go ask(second)
+			second = nil
+			running++
+		}
+	}
+	return nil, problem
+}
+
+// order returns the paths in the order in which they are to be tried.
+func (l *Link) order() (first, second *path) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.detour != nil && time.Now().Before(l.detourTill) {
+		return l.detour, l.direct
+	}
+	return l.direct, l.detour
+}
+
+// settle notes which path answered; contested tells that the other one was tried too.
+func (l *Link) settle(answered *path, contested bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case answered == l.direct:
+		l.detourTill = time.Time{}
+	case contested:
+		l.detourTill = time.Now().Add(detourTime)
+	}
+}
+
+// failed notes that a path gave no answer.
+func (l *Link) failed(p *path) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if p == l.direct && l.detour != nil {
+		l.detourTill = time.Now().Add(detourTime)
+	} else {
+		l.detourTill = time.Time{}
+	}
+}
+
+// path is a connection that is made when it is first needed and again after it broke.
+type path struct {
 	address string
 	dial    network.DialContext
 
@@ -35,138 +163,86 @@
 	lastErr error
 }
 
-// New returns a link; nothing is sent before the first call.
-func New(address string, dial network.DialContext) *Link {
-	return &Link{address: address, dial: dial}
+func newPath(address string, dial network.DialContext) *path {
+	return &path{address: address, dial: dial}
 }
 
-// Call calls a method and returns its answer. The answer is a value of its own, so that one that comes after
-// ctx has ended writes into memory that nobody reads.
-func Call[Reply any](ctx context.Context, l *Link, method string, args any) (*Reply, error) {
-	reply := new(Reply)
-	if err := l.call(ctx, method, args, reply); err != nil {
-		return nil, err
-	}
-	return reply, nil
-}
-
-// call waits for the answer until ctx ends. A call without an answer may have been carried out. The
-// connection is given up when a call times out, since an answer may never come on it.
-func (l *Link) call(ctx context.Context, method string, args, reply any) error {
-	client, err := l.connect(ctx)
+// call waits for the answer until ctx ends. The connection is given up when a call times out, since an answer
+// may never come on it.
+func (p *path) call(ctx context.Context, method string, args, reply any) error {
+	client, err := p.connect(ctx)
 	if err != nil {
-		return fmt.Errorf("%w: %s: %w", ErrUnreachable, l.address, err)
+		return fmt.Errorf("%w: %s: %w", ErrUnreachable, p.address, err)
 	}
 	pending := client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-pending.Done:
 		var answered rpc.ServerError
 		if pending.Error != nil && !errors.As(pending.Error, &answered) {
-			l.drop(client)
-			return fmt.Errorf("%w: %s: %w", ErrUnreachable, l.address, pending.Error)
+			p.drop(client)
+			return fmt.Errorf("%w: %s: %w", ErrUnreachable, p.address, pending.Error)
 		}
 		return pending.Error
 	case <-ctx.Done():
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			l.drop(client)
+			p.drop(client)
 		}
-		return fmt.Errorf("%w: %s: %w", ErrUnreachable, l.address, ctx.Err())
+		return fmt.Errorf("%w: %s: %w", ErrUnreachable, p.address, ctx.Err())
 	}
 }
 
 // connect returns the connection. One caller dials; the others wait for it.
-func (l *Link) connect(ctx context.Context) (*rpc.Client, error) {
-	l.mu.Lock()
-	for {
-		if l.client != nil {
-			client := l.client
-			l.mu.Unlock()
-			return client, nil
-		}
-		if l.dialing == nil {
-			break
-		}
-		dialing := l.dialing
-		l.mu.Unlock()
+func (p *path) connect(ctx context.Context) (*rpc.Client, error) {
+	p.mu.Lock()
+	for p.client == nil && p.dialing != nil {
+		dialing := p.dialing
+		p.mu.Unlock()
 		select {
 		case <-dialing:
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
-		l.mu.Lock()
-		if l.client == nil && l.lastErr != nil {
-			err := l.lastErr
-			l.mu.Unlock()
-			return nil, err
-		}
+		p.mu.Lock()
 	}
-	if time.Since(l.failed) < redialPause {
-		err := l.lastErr
-		l.mu.Unlock()
-		return nil, err
+	defer p.mu.Unlock()
+	if p.client != nil {
+		return p.client, nil
+	}
+	if p.lastErr != nil && time.Since(p.failed) < redialPause {
+		return nil, p.lastErr
 	}
+	return p.connectOnce(ctx)
+}
+
+// connectOnce dials. It is called with the lock held, and gives it up meanwhile.
+func (p *path) connectOnce(ctx context.Context) (*rpc.Client, error) {
 	dialing := make(chan struct{})
-	l.dialing = dialing
-	l.mu.Unlock()
+	p.dialing = dialing
+	p.mu.Unlock()
 	dialCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), dialTimeout)
-	conn, err := l.dial(dialCtx, "tcp", l.address)
+	conn, err := p.dial(dialCtx, "tcp", p.address)
 	cancel()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.dialing = nil
+	p.mu.Lock()
+	p.dialing = nil
 	close(dialing)
-	l.lastErr = err
+	p.lastErr = err
 	if err != nil {
-		l.failed = time.Now()
+		p.failed = time.Now()
 		return nil, err
 	}
-	l.client = rpc.NewClient(conn)
-	return l.client, nil
+	p.client = rpc.NewClient(conn)
+	return p.client, nil
 }
 
-func (l *Link) drop(client *rpc.Client) {
-	l.mu.Lock()
-	if l.client == client {
-		l.client = nil
+func (p *path) drop(client *rpc.Client) {
+	p.mu.Lock()
+	if p.client == client {
+		p.client = nil
 	}
-	l.mu.Unlock()
+	p.mu.Unlock()
 	_ = client.Close()
 }
 
-// Close ends the connection.
-func (l *Link) Close() {
-	l.mu.Lock()
-	client := l.client
-	l.client = nil
-	l.mu.Unlock()
-	if client != nil {
-		_ = client.Close()
-	}
-}
-
-// Set keeps a link for each address.
-type Set struct {
-	dial network.DialContext
-
-	mu    sync.Mutex
-	links map[string]*Link
-}
-
-// NewSet returns an empty set.
-func NewSet(dial network.DialContext) *Set { return &Set{dial: dial, links: map[string]*Link{}} }
-
-// To returns the link to an address.
-func (s *Set) To(address string) *Link {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	link := s.links[address]
-	if link == nil {
-		link = New(address, s.dial)
-		s.links[address] = link
-	}
-	return link
-}
-
 // Serve answers calls on a listener until it is closed.
 func Serve(listener net.Listener, services map[string]any) error {
 	server := rpc.NewServer()
--- /dev/null
+++ b/internal/tunnel/tunnel_test.go
@@ -0,0 +1,83 @@
+package tunnel_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/rookpass/rookpass/internal/tunnel"
+)
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+// echoServer sends back what it gets.
+func echoServer(t *testing.T) string {
+	l := listen(t)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(conn, conn)
+				_ = conn.Close()
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func helper(t *testing.T, allowed func(string) bool) string {
+	l := listen(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	go func() { _ = tunnel.NewServer((&net.Dialer{}).DialContext, allowed, log).Serve(l) }()
+	return l.Addr().String()
+}
+
+func TestConnectionIsCarriedBothWays(t *testing.T) {
+	target := echoServer(t)
+	d := tunnel.NewDialer((&net.Dialer{}).DialContext, "self")
+	d.SetHelpers([]string{"127.0.0.1:1", helper(t, func(a string) bool { return a == target })})
+	conn, err := d.Dial(context.Background(), "tcp", target)
+	assert.NilError(t, err)
+	_, err = io.WriteString(conn, "hello")
+	assert.NilError(t, err)
+	got := make([]byte, 5)
+	_, err = io.ReadFull(conn, got)
+	assert.NilError(t, err)
+	assert.Equal(t, string(got), "hello")
+	assert.NilError(t, conn.Close())
+}
+
+// TestOnlyDaemonsAreReached: a helper is no way to any other address.
+func TestOnlyDaemonsAreReached(t *testing.T) {
+	target := echoServer(t)
+	d := tunnel.NewDialer((&net.Dialer{}).DialContext, "self")
+	d.SetHelpers([]string{helper(t, func(string) bool { return false })})
+	conn, err := d.Dial(context.Background(), "tcp", target)
+	assert.NilError(t, err)
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	_, err = conn.Read(make([]byte, 1))
+	assert.Assert(t, err != nil && !errors.Is(err, context.DeadlineExceeded))
+}
+
+func TestNoHelperIsAnError(t *testing.T) {
+	d := tunnel.NewDialer((&net.Dialer{}).DialContext, "self")
+	d.SetHelpers([]string{"self"})
+	_, err := d.Dial(context.Background(), "tcp", "127.0.0.1:1")
+	assert.ErrorContains(t, err, "no daemon carries a connection")
+}
