--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -40,7 +40,7 @@
 	exchangeReturn = 8 * time.Second
 	// layoutPatience is how long the layout is waited for before the store itself is asked for the rest.
 	layoutPatience = 4 * time.Second
-	layoutPoll     = 50 * time.Millisecond
+	layoutPoll     = 10 * time.Millisecond
 	// cacheShare of a VM's memory holds kept turns.
 	cacheShare = 0.05
 	// headerTimeout bounds a request's headers before the configuration says how long; callers keep within 3 s.
