--- /dev/null
+++ b/internal/eventlog/eventlog_test.go
@@ -0,0 +1,94 @@
+package eventlog_test
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/rookpass/rookpass/internal/eventlog"
+)
+
+// sink collects what is written; while blocked, Write waits.
+type sink struct {
+	mu      sync.Mutex
+	text    bytes.Buffer
+	blocked chan struct{}
+}
+
+func (s *sink) Write(p []byte) (int, error) {
+	if s.blocked != nil {
+		<-s.blocked
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.text.Write(p)
+}
+
+func (s *sink) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.text.String()
+}
+
+func TestLinesComeInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &sink{}
+		w := eventlog.New(out)
+		for i := range 10 {
+			_, err := fmt.Fprintf(w, "line %d\n", i)
+			assert.NilError(t, err)
+		}
+		w.Close()
+		w.Close()
+		assert.Equal(t, strings.Count(out.String(), "\n"), 10)
+		assert.Assert(t, strings.HasPrefix(out.String(), "line 0\nline 1\n"))
+		_, err := fmt.Fprintln(w, "after the end")
+		assert.NilError(t, err)
+		assert.Equal(t, w.Dropped(), int64(1))
+	})
+}
+
+// TestBlockedReaderKeepsNobodyWaiting: lines that do not fit are dropped, counted, and told later.
+func TestBlockedReaderKeepsNobodyWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &sink{blocked: make(chan struct{})}
+		w := eventlog.New(out)
+		line := []byte(strings.Repeat("x", 1023) + "\n")
+		for range 60 {
+			for range 20 {
+				_, _ = w.Write(line)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Assert(t, w.Dropped() > 0)
+		close(out.blocked)
+		time.Sleep(time.Second)
+		_, _ = w.Write(line)
+		time.Sleep(time.Second)
+		w.Close()
+		assert.Assert(t, strings.Contains(out.String(), "event=log-dropped"))
+	})
+}
+
+func TestRateIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &sink{}
+		w := eventlog.New(out)
+		line := []byte(strings.Repeat("x", 1023) + "\n")
+		for range 100 {
+			for range 100 {
+				_, _ = w.Write(line)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		w.Close()
+		assert.Assert(t, len(out.String()) < 600<<10, "%d bytes within a second", len(out.String()))
+		assert.Assert(t, w.Dropped() > 0)
+	})
+}
--- a/internal/ledger/chain.go
+++ b/internal/ledger/chain.go
@@ -11,6 +11,7 @@
 	"github.com/rookpass/rookpass/internal/peerlink"
 	"github.com/rookpass/rookpass/internal/replica"
 	"github.com/rookpass/rookpass/internal/turn"
+	"github.com/rookpass/rookpass/internal/wait"
 )
 
 // Chain returns a turn and all before it in its line, the oldest first. ErrNoTurn means that the turn does
@@ -23,7 +24,7 @@
 			next = record.Previous
 			continue
 		}
-		found, err := l.fetch(ctx, program, next)
+		found, err := l.fetchUntil(ctx, program, next)
 		if errors.Is(err, ErrNoTurn) && len(chain) > 0 {
 			return nil, fmt.Errorf("%w: turn %s before %s", ErrUnsure, next, id)
 		}
@@ -40,6 +41,19 @@
 	return chain, nil
 }
 
+// fetchUntil asks again while too few disks answer, until ctx ends.
+func (l *Ledger) fetchUntil(ctx context.Context, program, id string) ([]turn.Record, error) {
+	for {
+		found, err := l.fetch(ctx, program, id)
+		if err == nil || errors.Is(err, ErrNoTurn) || ctx.Err() != nil {
+			return found, err
+		}
+		if waitErr := wait.For(ctx, retryPause); waitErr != nil {
+			return nil, err
+		}
+	}
+}
+
 // part is one disk's answer to a fetch.
 type part struct {
 	slot  int
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -286,3 +286,24 @@
 		})
 	}
 }
+
+// TestHistoryIsAskedForAgain: disks that are away for a moment cost a moment, not the turn.
+func TestHistoryIsAskedForAgain(t *testing.T) {
+	testbubble.Run(t, func(t *testing.T) {
+		c := newCluster(t, 3, 1)
+		keep(t, c.ledger("front-1"), 1)
+		l := c.ledger("front-2")
+		for i := range 3 {
+			c.kill(node(i))
+		}
+		go func() {
+			time.Sleep(400 * time.Millisecond)
+			for i := range 3 {
+				c.start(node(i), false)
+			}
+		}()
+		chain, err := l.Chain(within(t, 1200*time.Millisecond), "p0", "p0-b")
+		assert.NilError(t, err)
+		assert.Equal(t, len(chain), 2)
+	})
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -148,9 +148,9 @@
 	}
 	if err != nil {
 		stop()
-		reason := ReasonRead
-		if errors.Is(err, errGarbled) {
-			reason = ReasonGarbled
+		reason := ReasonGarbled
+		if isBroken(err) {
+			reason = ReasonRead
 		}
 		if writeErr != nil {
 			reason = ReasonWrite
@@ -172,6 +172,12 @@
 	return answer, nil
 }
 
+// isBroken tells a connection that ended from bytes that are no answer.
+func isBroken(err error) bool {
+	var network net.Error
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) || errors.As(err, &network)
+}
+
 // errGarbled marks bytes that are not an answer to the request.
 var errGarbled = Error.New("not an answer to this request")
 
