--- a/internal/ledger/chain.go
+++ b/internal/ledger/chain.go
@@ -61,8 +61,8 @@
 	err   error
 }
 
-// fetch returns a turn and some of those before it, the newest first. It asks the nearest disk of the
-// program's group, and all disks if that one does not answer soon or does not hold it.
+// fetch returns a turn and some of those before it, the newest first. It asks one disk after the other, the
+// nearest of the program's group first: the next one when a disk does not answer soon or does not hold the turn.
 func (l *Ledger) fetch(ctx context.Context, program, id string) ([]turn.Record, error) {
 	current := l.layout.Load()
 	if current == nil || !current.Formed {
@@ -70,7 +70,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	order := l.nearestFirst(current, program)
+	order := l.everySlot(current, program)
 	answers := make(chan part, len(order))
 	ask := func(slot int) {
 		disk := current.Slots[slot].Disk
@@ -81,21 +81,22 @@
 			answers <- p
 		}()
 	}
-	ask(order[0])
-	asked := 1
-	askRest := func() {
-		for ; asked < len(order); asked++ {
+	asked := 0
+	askNext := func() {
+		if asked < len(order) {
 			ask(order[asked])
+			asked++
 		}
 	}
-	hedge := time.NewTimer(hedgeDelay)
+	askNext()
+	hedge := time.NewTicker(hedgeDelay)
 	defer hedge.Stop()
 	absent, answered := 0, 0
 	var problem error
 	for answered < len(order) {
 		select {
 		case <-hedge.C:
-			askRest()
+			askNext()
 		case p := <-answers:
 			answered++
 			if p.err != nil {
@@ -107,7 +108,7 @@
 			} else if p.reply.Header.Complete {
 				absent++
 			}
-			askRest()
+			askNext()
 		case <-ctx.Done():
 			return nil, errors.Join(ErrUnsure, ctx.Err())
 		}
@@ -118,23 +119,30 @@
 	return nil, errors.Join(ErrUnsure, problem)
 }
 
-// nearestFirst returns all slots: those of the program's group first, and of those the ones in this data
-// centre.
-func (l *Ledger) nearestFirst(current *layout.Layout, program string) []int {
-	order := current.Group(program)
+// everySlot returns all slots: those of the program's group first, and of those the nearest.
+func (l *Ledger) everySlot(current *layout.Layout, program string) []int {
+	order := l.nearestFirst(current, current.Group(program))
 	for slot := range current.Slots {
 		if !slices.Contains(order, slot) {
 			order = append(order, slot)
 		}
 	}
-	group := order[:min(2*current.Tolerance+1, len(order))]
-	slices.SortStableFunc(group, func(a, b int) int { return l.distance(current, a) - l.distance(current, b) })
 	return order
 }
 
-func (l *Ledger) distance(current *layout.Layout, slot int) int {
-	if current.Slots[slot].Disk.DataCentre == l.dataCentre {
-		return 0
+// nearestFirst sorts slots: those in this data centre first, those that another disk takes over last.
+func (l *Ledger) nearestFirst(current *layout.Layout, slots []int) []int {
+	distance := func(i int) int {
+		slot := current.Slots[i]
+		switch {
+		case slot.Joining != nil:
+			return 2
+		case slot.Disk.DataCentre == l.dataCentre:
+			return 0
+		default:
+			return 1
+		}
 	}
-	return 1
+	slices.SortStableFunc(slots, func(a, b int) int { return distance(a) - distance(b) })
+	return slots
 }
--- a/internal/ledger/cluster_test.go
+++ b/internal/ledger/cluster_test.go
@@ -169,7 +169,7 @@
 func (c *cluster) ledger(host string) *ledger.Ledger {
 	l := ledger.New(peerlink.NewSet(dialFrom(c.fabric, host)), host, 1, c.log)
 	l.Learn(c.current())
-	c.t.Cleanup(l.Flush)
+	c.t.Cleanup(func() { assert.NilError(c.t, l.Flush(context.Background())) })
 	return l
 }
 
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -237,7 +237,7 @@
 		_, err := l.Reserve(within(t, time.Second), record, 100)
 		assert.NilError(t, err)
 		l.Void(record)
-		l.Flush()
+		assert.NilError(t, l.Flush(within(t, time.Second)))
 		_, err = c.ledger("front-2").Reserve(within(t, time.Second), reserved("p", "t2", 100), 100)
 		assert.NilError(t, err)
 	})
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -293,6 +293,6 @@
 	defer cancel()
 	_ = wait.For(ctx, unreadyTime)
 	_ = server.Shutdown(ctx) // what still runs at the deadline is cut by the end of the process
-	f.ledger.Flush()
-	f.log.WithFields(logrus.Fields{"event": "drained", "active": f.gateway.Active(), "ms": time.Since(began).Milliseconds()}).Info("requests ended")
+	unwritten := f.ledger.Flush(ctx)
+	f.log.WithFields(logrus.Fields{"event": "drained", "active": f.gateway.Active(), "unwritten": unwritten != nil, "ms": time.Since(began).Milliseconds()}).Info("requests ended")
 }
