--- /dev/null
+++ b/cmd/rookpass-soak/main.go
@@ -0,0 +1,111 @@
+// Command rookpass-soak plays random faults on real daemons and checks the promises.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/rookpass/rookpass/internal/soak"
+)
+
+type options struct {
+	Binary  string `long:"binary" default:"target/rookpass-node" description:"the daemons' program"`
+	Seed    uint64 `long:"seed" description:"first seed; 0 takes one from the clock"`
+	Runs    int    `long:"runs" default:"1" description:"how many seeds to play"`
+	Plan    string `long:"plan" description:"a file with one plan to replay"`
+	Fronts  int    `long:"fronts" default:"3" description:"front daemons"`
+	Stores  int    `long:"stores" default:"3" description:"store daemons"`
+	Servers int    `long:"servers" default:"6" description:"backend servers"`
+	Callers int    `long:"callers" default:"8" description:"callers that run programs at the same time"`
+	Seconds int    `long:"seconds" default:"10" description:"length of the faults of a run"`
+	Network int    `long:"network" default:"11" description:"second byte of the daemons' loopback addresses"`
+	Keep    string `long:"keep" description:"folder that keeps the logs of failed runs"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(2) // the parser has said why
+	}
+	failed, err := run(o)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "rookpass-soak:", err)
+		os.Exit(1)
+	}
+	if failed > 0 {
+		os.Exit(1)
+	}
+}
+
+func run(o options) (failed int, err error) {
+	plans, err := plans(o)
+	if err != nil {
+		return 0, err
+	}
+	for _, plan := range plans {
+		dir, err := os.MkdirTemp("", "rookpass-soak")
+		if err != nil {
+			return failed, err
+		}
+		began := time.Now()
+		result, err := soak.Run(context.Background(), plan, o.Binary, dir, o.Network)
+		if err != nil {
+			return failed, fmt.Errorf("seed %d: %w (logs in %s)", plan.Seed, err, dir)
+		}
+		fmt.Printf("seed %d: %d faults, %.0f s, %v\n", plan.Seed, len(plan.Faults), time.Since(began).Seconds(), result.Counts)
+		if len(result.Broken) == 0 {
+			_ = os.RemoveAll(dir) // only its space is lost
+			continue
+		}
+		failed++
+		for _, text := range result.Broken {
+			fmt.Println("  broken:", text)
+		}
+		fmt.Println("  plan:", plan)
+		if err := keep(o.Keep, dir, plan); err != nil {
+			return failed, err
+		}
+	}
+	fmt.Printf("%d runs, %d with a broken promise\n", len(plans), failed)
+	return failed, nil
+}
+
+func plans(o options) ([]soak.Plan, error) {
+	if o.Plan != "" {
+		data, err := os.ReadFile(o.Plan)
+		if err != nil {
+			return nil, err
+		}
+		plan, err := soak.Parse(data)
+		return []soak.Plan{plan}, err
+	}
+	seed := o.Seed
+	if seed == 0 {
+		seed = uint64(time.Now().UnixNano())
+	}
+	size := soak.Size{Fronts: o.Fronts, Stores: o.Stores, Servers: o.Servers, Callers: o.Callers, Length: time.Duration(o.Seconds) * time.Second}
+	var list []soak.Plan
+	for i := range o.Runs {
+		list = append(list, soak.Draw(seed+uint64(i), size))
+	}
+	return list, nil
+}
+
+// keep moves a failed run's folder to where logs are kept; without such a place it says where they lie.
+func keep(to, dir string, plan soak.Plan) error {
+	if to == "" {
+		fmt.Println("  logs:", dir)
+		return nil
+	}
+	target := filepath.Join(to, fmt.Sprint("seed-", plan.Seed))
+	if err := os.MkdirAll(to, 0o755); err != nil {
+		return err
+	}
+	fmt.Println("  logs:", target)
+	return os.Rename(dir, target)
+}
--- /dev/null
+++ b/internal/soak/checker.go
@@ -0,0 +1,100 @@
+package soak
+
+import (
+	"fmt"
+	"sync"
+)
+
+// Checker holds the promises against what callers and servers see.
+type Checker struct {
+	mu       sync.Mutex
+	expected map[string]string
+	runs     map[string]int
+	repeat   map[string]bool
+	refused  map[string]int
+	handed   map[string]int64
+	budgets  map[string]int64
+	broken   []string
+	// Counts are how requests ended, by what callers saw.
+	Counts map[string]int
+}
+
+// NewChecker returns a checker that has seen nothing.
+func NewChecker() *Checker {
+	return &Checker{expected: map[string]string{}, runs: map[string]int{}, repeat: map[string]bool{}, refused: map[string]int{},
+		handed: map[string]int64{}, budgets: map[string]int64{}, Counts: map[string]int{}}
+}
+
+// Fail notes a broken promise.
+func (c *Checker) Fail(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fail(format, args...)
+}
+
+func (c *Checker) fail(format string, args ...any) {
+	c.broken = append(c.broken, fmt.Sprintf(format, args...))
+}
+
+// Sent notes a request: what a server must get, and whether it may run twice.
+func (c *Checker) Sent(id, body string, repeatable bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.expected[id] = body
+	c.repeat[id] = repeatable
+}
+
+// Ran notes that a server began on a request.
+func (c *Checker) Ran(id, body string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	want, known := c.expected[id]
+	if !known {
+		c.fail("a server ran %q, which nobody sent", id)
+		return
+	}
+	if body != want {
+		c.fail("a server ran %s with %d bytes %.80q, not %d bytes %.80q", id, len(body), body, len(want), want)
+	}
+	c.runs[id]++
+	if c.runs[id] > 1 && !c.repeat[id] {
+		c.fail("%s must run once and ran %d times", id, c.runs[id])
+	}
+	if status := c.refused[id]; status != 0 {
+		c.fail("%s was answered %d and ran later", id, status)
+	}
+}
+
+// Refused notes an answer that says that the request has not run and never will.
+func (c *Checker) Refused(id string, status int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refused[id] = status
+	if c.runs[id] > 0 && !c.repeat[id] {
+		c.fail("%s ran and was answered %d", id, status)
+	}
+}
+
+// Handed notes tokens that a caller got of a program whose budget, with one turn's most above it, is limit.
+func (c *Checker) Handed(program string, tokens, limit int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handed[program] += tokens
+	if c.handed[program] > limit {
+		c.fail("program %s handed out %d tokens of %d", program, c.handed[program], limit)
+	}
+}
+
+// Ended counts how a request ended.
+func (c *Checker) Ended(outcome string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.Counts[outcome]++
+}
+
+// Broken returns the broken promises.
+func (c *Checker) Broken() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]string(nil), c.broken...)
+}
--- /dev/null
+++ b/internal/soak/plan.go
@@ -0,0 +1,140 @@
+// Package soak runs the real daemons as separate processes on one machine, injects faults from outside them,
+// and checks what callers and backend servers see.
+//
+// A seed decides the plan: which fault strikes what, when and for how long. A plan can be printed and replayed.
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Kind is a fault.
+type Kind string
+
+// The faults.
+const (
+	// Pause stops a process and lets it go on later.
+	Pause Kind = "pause"
+	// Kill ends a process; it is started again later.
+	Kill Kind = "kill"
+	// Term asks a process to stop in order; it is started again once it has.
+	Term Kind = "term"
+	// Wipe kills a store daemon and empties its disk.
+	Wipe Kind = "wipe"
+	// Tear kills a store daemon and spoils what its disk had not synced.
+	Tear Kind = "tear"
+	// KillAll kills every process.
+	KillAll Kind = "kill-all"
+	// StoreDown makes the platform's store refuse, StoreSilent say nothing, StoreLost lose answers.
+	StoreDown   Kind = "store-down"
+	StoreSilent Kind = "store-silent"
+	StoreLost   Kind = "store-lost"
+	// StoreForget drops the store's history.
+	StoreForget Kind = "store-forget"
+	// ServerHang, ServerCut, ServerSurplus and ServerShed spoil the answers of one backend server.
+	ServerHang    Kind = "server-hang"
+	ServerCut     Kind = "server-cut"
+	ServerSurplus Kind = "server-surplus"
+	ServerShed    Kind = "server-shed"
+	// ServerDrain takes one backend server away, and brings another at the same address.
+	ServerDrain Kind = "server-drain"
+	// LinkDelay, LinkReset, LinkOneWay and LinkSilent harm the connections from one process to the servers and the
+	// store.
+	LinkDelay  Kind = "link-delay"
+	LinkReset  Kind = "link-reset"
+	LinkOneWay Kind = "link-one-way"
+	LinkSilent Kind = "link-silent"
+	// Config brings a new version with one more route.
+	Config Kind = "config"
+)
+
+// Fault is one entry of a plan.
+type Fault struct {
+	Kind   Kind          `json:"kind"`
+	At     time.Duration `json:"at"`
+	For    time.Duration `json:"for"`
+	Target int           `json:"target"`
+}
+
+// Plan is a whole run.
+type Plan struct {
+	Seed    uint64        `json:"seed"`
+	Fronts  int           `json:"fronts"`
+	Stores  int           `json:"stores"`
+	Servers int           `json:"servers"`
+	Callers int           `json:"callers"`
+	Length  time.Duration `json:"length"`
+	Faults  []Fault       `json:"faults"`
+}
+
+// Size bounds a drawn plan.
+type Size struct {
+	Fronts, Stores, Servers, Callers int
+	Length                           time.Duration
+}
+
+// SmallSize is a run of a few seconds with a dozen processes.
+var SmallSize = Size{Fronts: 3, Stores: 3, Servers: 6, Callers: 8, Length: 8 * time.Second}
+
+// diskRest is the time that a lost disk needs before another may be lost: its restart and refill.
+const diskRest = 6 * time.Second
+
+// Draw returns the plan of a seed: series of faults that may overlap, but never more disks lost at once than
+// the one that is borne.
+func Draw(seed uint64, size Size) Plan {
+	r := rand.New(rand.NewPCG(seed, 1))
+	p := Plan{Seed: seed, Fronts: size.Fronts, Stores: size.Stores, Servers: size.Servers, Callers: size.Callers, Length: size.Length}
+	kinds := []Kind{Pause, Pause, Kill, Kill, Term, Term, Wipe, Tear, StoreDown, StoreSilent, StoreLost, StoreForget, ServerHang, ServerCut,
+		ServerSurplus, ServerShed, ServerDrain, LinkDelay, LinkReset, LinkOneWay, LinkSilent, Config}
+	if r.IntN(4) == 0 {
+		kinds = append(kinds, KillAll, KillAll)
+	}
+	var diskFree time.Duration
+	for at := time.Second; at < size.Length; at += time.Duration(100+r.IntN(900)) * time.Millisecond {
+		f := Fault{Kind: kinds[r.IntN(len(kinds))], At: at, For: time.Duration(200+r.IntN(2500)) * time.Millisecond}
+		switch f.Kind {
+		case Wipe, Tear:
+			if at < diskFree {
+				continue
+			}
+			diskFree = at + f.For + diskRest
+			f.Target = r.IntN(size.Stores)
+		case Pause, Kill, Term, LinkDelay, LinkReset, LinkOneWay, LinkSilent:
+			f.Target = r.IntN(size.Fronts + size.Stores)
+		case ServerHang, ServerCut, ServerSurplus, ServerShed, ServerDrain:
+			f.Target = r.IntN(size.Servers)
+		case KillAll:
+			diskFree = max(diskFree, at+f.For+diskRest)
+		}
+		p.Faults = append(p.Faults, f)
+	}
+	return p
+}
+
+// Parse reads a plan that String wrote, and names what is wrong with it.
+func Parse(data []byte) (Plan, error) {
+	var p Plan
+	if err := json.Unmarshal(data, &p); err != nil {
+		return p, fmt.Errorf("plan: %w", err)
+	}
+	if p.Fronts < 1 || p.Stores < 1 || p.Servers < 2 || p.Callers < 1 || p.Length <= 0 {
+		return p, fmt.Errorf("plan: fronts, stores, callers and length must be above 0, servers above 1")
+	}
+	for i, f := range p.Faults {
+		if f.Target < 0 || f.Target >= max(p.Fronts+p.Stores, p.Servers) {
+			return p, fmt.Errorf("plan: fault %d: no target %d", i, f.Target)
+		}
+	}
+	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return int(a.At - b.At) })
+	return p, nil
+}
+
+// String returns the plan as JSON.
+func (p Plan) String() string {
+	data, _ := json.Marshal(p) // plain numbers and texts
+	return string(data)
+}
--- /dev/null
+++ b/internal/soak/run.go
@@ -0,0 +1,210 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Result is what a run found.
+type Result struct {
+	// Broken are the broken promises; none means that the run passed.
+	Broken []string
+	Counts map[string]int
+}
+
+// Run plays a plan and checks the promises.
+func Run(ctx context.Context, plan Plan, binary, dir string, network int) (Result, error) {
+	w, err := NewWorld(plan, binary, dir, network)
+	if w != nil {
+		defer w.Close()
+	}
+	if err != nil {
+		return Result{}, err
+	}
+	var fronts []string
+	for _, p := range w.processes {
+		if p.callers != nil {
+			fronts = append(fronts, p.callers.address())
+		}
+	}
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	var all []*caller
+	for i := range plan.Callers {
+		c := newCaller(fronts, w.checker, plan.Seed*1000+uint64(i))
+		all = append(all, c)
+		callers.Go(func() { c.run(stop) })
+	}
+	w.play(ctx)
+	close(stop)
+	callers.Wait()
+	w.heal()
+	w.checkRecovery(all)
+	return Result{Broken: w.checker.Broken(), Counts: w.checker.Counts}, ctx.Err()
+}
+
+// play strikes with each fault at its time.
+func (w *World) play(ctx context.Context) {
+	began := time.Now()
+	for _, f := range w.plan.Faults {
+		if !sleepUntil(ctx, began.Add(f.At)) {
+			return
+		}
+		w.wg.Go(func() { w.strike(f) })
+	}
+	sleepUntil(ctx, began.Add(w.plan.Length))
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	select {
+	case <-time.After(time.Until(at)):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// strike does one fault, and undoes it after its time.
+func (w *World) strike(f Fault) {
+	switch f.Kind {
+	case Pause, Kill, Term, Wipe, Tear, KillAll:
+		w.strikeProcess(f)
+	case StoreDown, StoreSilent, StoreLost, StoreForget:
+		w.strikeStore(f)
+	case LinkDelay, LinkReset, LinkOneWay, LinkSilent:
+		w.strikeLinks(f)
+	case ServerDrain:
+		w.replaceServer(f)
+	case Config:
+		w.configure()
+	default:
+		s := w.servers[f.Target%len(w.servers)]
+		s.fault.Store(f.Kind)
+		time.Sleep(f.For)
+		s.fault.Store(Kind(""))
+	}
+}
+
+func (w *World) strikeProcess(f Fault) {
+	p := w.processes[f.Target%len(w.processes)]
+	disk := w.processes[w.plan.Fronts+f.Target%w.plan.Stores]
+	switch f.Kind {
+	case Pause:
+		if _, sent := p.signal(syscall.SIGSTOP, false); sent {
+			time.Sleep(f.For)
+			p.signal(syscall.SIGCONT, false)
+		}
+	case Kill:
+		w.restart(p, syscall.SIGKILL, f.For, nil)
+	case Term:
+		w.restart(p, syscall.SIGTERM, f.For, nil)
+	case Wipe:
+		w.restart(disk, syscall.SIGKILL, f.For, os.RemoveAll)
+	case Tear:
+		w.restart(disk, syscall.SIGKILL, f.For, tear)
+	case KillAll:
+		var all sync.WaitGroup
+		for _, p := range w.processes {
+			all.Go(func() { w.restart(p, syscall.SIGKILL, f.For, nil) })
+		}
+		all.Wait()
+	}
+}
+
+// tear adds to the newest file what a write that was never synced may leave.
+func tear(dir string) error {
+	files, err := filepath.Glob(filepath.Join(dir, "*.turns"))
+	if err != nil || len(files) == 0 {
+		return err
+	}
+	file, err := os.OpenFile(slices.Max(files), os.O_APPEND|os.O_WRONLY, 0)
+	if err != nil {
+		return err
+	}
+	_, err = file.Write([]byte{200, 0, 0, 0, 1, 2, 3, 4, 3, 0, 0, 9})
+	return errors.Join(err, file.Close())
+}
+
+func (w *World) strikeStore(f Fault) {
+	switch f.Kind {
+	case StoreForget:
+		w.store.Forget()
+		return
+	case StoreDown:
+		w.store.SetFault(func(r http.ResponseWriter) { r.WriteHeader(http.StatusServiceUnavailable) }, false)
+	case StoreSilent:
+		w.store.SetFault(func(http.ResponseWriter) { time.Sleep(f.For) }, false)
+	case StoreLost:
+		w.store.SetFault(func(http.ResponseWriter) { panic(http.ErrAbortHandler) }, true)
+	}
+	time.Sleep(f.For)
+	w.store.SetFault(nil, false)
+}
+
+// strikeLinks harms a daemon's link to the store, that from its callers, and that of one server.
+func (w *World) strikeLinks(f Fault) {
+	m := map[Kind]mode{LinkDelay: delay, LinkReset: reset, LinkOneWay: oneWay, LinkSilent: silent}[f.Kind]
+	p := w.processes[f.Target%len(w.processes)]
+	links := []*proxy{p.store, w.servers[f.Target%len(w.servers)].link}
+	if p.callers != nil {
+		links = append(links, p.callers)
+	}
+	for _, link := range links {
+		link.set(m)
+	}
+	time.Sleep(f.For)
+	for _, link := range links {
+		link.set(pass)
+	}
+}
+
+// replaceServer drains a server; after a while another one answers at its address.
+func (w *World) replaceServer(f Fault) {
+	place := f.Target % len(w.servers)
+	s := w.servers[place]
+	old := s.current()
+	old.Draining = true
+	w.store.SetServer(old)
+	time.Sleep(f.For)
+	w.store.RemoveServer(old.ID)
+	w.store.SetServer(s.rename(place))
+}
+
+// heal waits until every fault has been undone and every process runs.
+func (w *World) heal() {
+	w.wg.Wait()
+	for _, s := range w.servers {
+		s.link.set(pass)
+	}
+	if err := w.awaitReady(); err != nil {
+		w.checker.Fail("after the faults: %v", err)
+	}
+}
+
+// checkRecovery asks that every caller's last program goes on, and a new one runs whole.
+func (w *World) checkRecovery(callers []*caller) {
+	var wg sync.WaitGroup
+	for _, c := range callers {
+		wg.Go(func() {
+			fresh := line{program: fmt.Sprintf("p%d", ids.Add(1))}
+			if !c.turnWithin(&fresh, recoveryTime) {
+				w.checker.Fail("after the faults no new program was served within %v", recoveryTime)
+			}
+			if c.last.previous == "" || c.last.scarce {
+				return
+			}
+			if !c.turnWithin(&c.last, recoveryTime) {
+				w.checker.Fail("after the faults program %s could not go on from %s", c.last.program, c.last.previous)
+			}
+		})
+	}
+	wg.Wait()
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,89 @@
+package soak
+
+import (
+	"context"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestShortRun plays one seed on real daemons.
+func TestShortRun(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "rookpass-node")
+	out, err := exec.Command("go", "build", "-o", binary, "github.com/rookpass/rookpass/cmd/rookpass-node").CombinedOutput()
+	assert.NilError(t, err, "%s", out)
+	size := SmallSize
+	size.Length = 5 * time.Second
+	plan := Draw(7, size)
+	result, err := Run(context.Background(), plan, binary, t.TempDir(), 31)
+	assert.NilError(t, err)
+	t.Logf("%d faults: %v", len(plan.Faults), result.Counts)
+	assert.Equal(t, len(result.Broken), 0, "%s\nplan: %s", strings.Join(result.Broken, "\n"), plan)
+	assert.Assert(t, result.Counts["turn whole"] > 0 && result.Counts["call whole"] > 0)
+}
+
+func TestPlansFollowTheirSeed(t *testing.T) {
+	assert.Equal(t, Draw(5, SmallSize).String(), Draw(5, SmallSize).String())
+	assert.Assert(t, Draw(5, SmallSize).String() != Draw(6, SmallSize).String())
+	plan := Draw(5, SmallSize)
+	again, err := Parse([]byte(plan.String()))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, again, plan)
+	for _, bad := range []string{"{", `{"fronts":1}`, `{"fronts":1,"stores":1,"servers":2,"callers":1,"length":1,"faults":[{"target":9}]}`} {
+		_, err := Parse([]byte(bad))
+		assert.ErrorContains(t, err, "plan")
+	}
+}
+
+// TestPlansLoseOneDiskAtATime: more would be beyond what the daemons must bear.
+func TestPlansLoseOneDiskAtATime(t *testing.T) {
+	size := SmallSize
+	size.Length = time.Minute
+	for seed := range uint64(300) {
+		var free time.Duration
+		for _, f := range Draw(seed, size).Faults {
+			if f.Kind == Wipe || f.Kind == Tear {
+				assert.Assert(t, f.At >= free, "seed %d loses two disks at %v", seed, f.At)
+				free = f.At + f.For + diskRest
+			}
+		}
+	}
+}
+
+// TestCheckerCatches: each promise, broken, is noticed.
+func TestCheckerCatches(t *testing.T) {
+	for name, c := range map[string]struct {
+		course func(*Checker)
+		want   string
+	}{
+		"nothing wrong": {func(c *Checker) {
+			c.Sent("a", "x", false)
+			c.Ran("a", "x")
+			c.Sent("b", "x", true)
+			c.Ran("b", "x")
+			c.Ran("b", "x")
+			c.Sent("d", "x", false)
+			c.Refused("d", 503)
+			c.Handed("p", 10, 10)
+		}, ""},
+		"ran twice":        {func(c *Checker) { c.Sent("a", "x", false); c.Ran("a", "x"); c.Ran("a", "x") }, "must run once"},
+		"refused then ran": {func(c *Checker) { c.Sent("a", "x", false); c.Refused("a", 503); c.Ran("a", "x") }, "ran later"},
+		"ran then refused": {func(c *Checker) { c.Sent("a", "x", false); c.Ran("a", "x"); c.Refused("a", 402) }, "was answered 402"},
+		"changed":          {func(c *Checker) { c.Sent("a", "x", false); c.Ran("a", "y") }, "with 1 bytes"},
+		"nobody sent":      {func(c *Checker) { c.Ran("a", "x") }, "nobody sent"},
+		"beyond budget":    {func(c *Checker) { c.Handed("p", 6, 10); c.Handed("p", 6, 10) }, "12 tokens of 10"},
+		"ended by itself":  {func(c *Checker) { c.Fail("%s ended by itself", "front-1") }, "ended by itself"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			checker := NewChecker()
+			c.course(checker)
+			broken := strings.Join(checker.Broken(), "; ")
+			assert.Equal(t, broken == "", c.want == "", broken)
+			assert.Assert(t, strings.Contains(broken, c.want), broken)
+		})
+	}
+}
--- /dev/null
+++ b/internal/soak/world.go
@@ -0,0 +1,253 @@
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rookpass/rookpass/internal/catalog"
+	"github.com/rookpass/rookpass/platform/platformtest"
+)
+
+const (
+	// tolerance is how many disks the daemons must bear to lose at once.
+	tolerance = 1
+	// graceSeconds is the time between SIGTERM and SIGKILL.
+	graceSeconds = 8
+	// startTime bounds how long the daemons may take to be ready at first.
+	startTime = 20 * time.Second
+)
+
+// process is one daemon.
+type process struct {
+	node, class, ip, dir string
+	settings             platformtest.Process
+	// store and callers are its links to the platform's store and, for a front, from callers.
+	store, callers *proxy
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	ended   chan struct{}
+	ending  bool
+	stopped bool
+}
+
+// World is a run's processes and stand-ins.
+type World struct {
+	plan      Plan
+	binary    string
+	dir       string
+	checker   *Checker
+	store     *platformtest.Store
+	storeHTTP *http.Server
+	processes []*process
+	servers   []*server
+	version   int64
+	wg        sync.WaitGroup
+}
+
+// NewWorld starts the stand-ins and the daemons of a plan. network picks the second byte of the VMs' loopback
+// addresses, so that runs beside one another do not meet. dir takes settings, disks and logs.
+func NewWorld(plan Plan, binary, dir string, network int) (*World, error) {
+	w := &World{plan: plan, binary: binary, dir: dir, checker: NewChecker(), store: platformtest.NewStore()}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	w.storeHTTP = &http.Server{Handler: w.store}
+	go func() { _ = w.storeHTTP.Serve(listener) }()
+	for i := range plan.Servers {
+		s, err := newServer(i, w.checker)
+		if err != nil {
+			return nil, err
+		}
+		w.servers = append(w.servers, s)
+		w.store.SetServer(s.current())
+	}
+	w.configure()
+	var seeds []string
+	for i := range plan.Stores {
+		seeds = append(seeds, fmt.Sprintf("127.%d.1.%d:%d", network, i+1, platformtest.ControlPort))
+	}
+	for i := range plan.Fronts + plan.Stores {
+		if err := w.add(i, network, listener.Addr().String(), seeds); err != nil {
+			return nil, err
+		}
+	}
+	for _, p := range w.processes {
+		if err := w.start(p); err != nil {
+			return nil, err
+		}
+	}
+	return w, w.awaitReady()
+}
+
+func (w *World) add(i, network int, store string, seeds []string) error {
+	p := &process{class: "front", node: fmt.Sprint("front-", i), ip: fmt.Sprintf("127.%d.0.%d", network, i+1)}
+	if i >= w.plan.Fronts {
+		j := i - w.plan.Fronts
+		p.class, p.node, p.ip = "store", fmt.Sprint("store-", j), fmt.Sprintf("127.%d.1.%d", network, j+1)
+	}
+	p.dir = filepath.Join(w.dir, p.node)
+	link, err := newProxy(store)
+	if err != nil {
+		return err
+	}
+	p.store = link
+	p.settings = platformtest.Process{Node: p.node, Class: p.class, IP: p.ip, DataCentre: fmt.Sprint("dc", i%3), FirstStart: true,
+		StoreAddress: link.address(), Seeds: seeds[:min(3, len(seeds))], Tolerance: tolerance, GraceSeconds: graceSeconds}
+	if p.class == "front" {
+		if p.callers, err = newProxy(fmt.Sprintf("%s:%d", p.ip, platformtest.CallerPort)); err != nil {
+			return err
+		}
+	} else {
+		p.settings.DataDir = filepath.Join(p.dir, "data")
+	}
+	w.processes = append(w.processes, p)
+	return os.MkdirAll(p.dir, 0o755)
+}
+
+// configure puts the next version in force: the three routes, and one more for each version.
+func (w *World) configure() {
+	w.version++
+	route := func(name string, kind catalog.Kind, service string) catalog.Route {
+		return catalog.Route{Name: name, Host: host, Prefix: "/" + name + "/", Kind: kind, Timeout: callDeadline, MaxAttempts: 3,
+			Targets: []catalog.Target{{Service: service, Weight: 1}}}
+	}
+	c := catalog.Config{Version: w.version, Limits: catalog.Limits{MaxBodyBytes: 1 << 20, IdleTimeout: 15 * time.Second}}
+	c.Services = []catalog.Service{{Name: modelService, MaxConns: 200, TokensPerEvent: tokensPerEvent}, {Name: toolService, MaxConns: 200}}
+	c.Routes = []catalog.Route{route("turn", catalog.Stream, modelService), route("tool", catalog.AtMostOnce, toolService), route("lookup", catalog.Idempotent, toolService)}
+	c.Routes[0].Kept, c.Routes[0].Retention = true, time.Minute
+	for v := int64(1); v < w.version; v++ {
+		c.Routes = append(c.Routes, route(fmt.Sprint("new", v), catalog.Idempotent, toolService))
+	}
+	w.store.SetConfig(c)
+}
+
+// start runs a daemon's program. A daemon that ends without being asked to breaks a promise.
+func (w *World) start(p *process) error {
+	path := filepath.Join(p.dir, "settings.toml")
+	if err := platformtest.WriteSettings(path, p.settings); err != nil {
+		return err
+	}
+	out, err := os.OpenFile(filepath.Join(p.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(w.binary, p.class)
+	cmd.Env = append(os.Environ(), platformtest.EnvSettings+"="+path, "GOMAXPROCS=1")
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		return errors.Join(err, out.Close())
+	}
+	ended := make(chan struct{})
+	p.mu.Lock()
+	p.cmd, p.ended, p.ending = cmd, ended, false
+	p.settings.FirstStart = false
+	p.mu.Unlock()
+	go func() {
+		err := cmd.Wait()
+		_ = out.Close()
+		p.mu.Lock()
+		if !p.ending {
+			w.checker.Fail("%s ended by itself: %v", p.node, err)
+		}
+		p.mu.Unlock()
+		close(ended)
+	}()
+	return nil
+}
+
+// signal sends a signal to a running daemon. ends tells that it is meant to end by it.
+func (p *process) signal(s syscall.Signal, ends bool) (<-chan struct{}, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil || p.ending {
+		return nil, false
+	}
+	p.ending = p.ending || ends
+	return p.ended, p.cmd.Process.Signal(s) == nil
+}
+
+// restart ends a daemon, does something to its disk, and starts it again after a time.
+func (w *World) restart(p *process, s syscall.Signal, after time.Duration, disk func(dir string) error) {
+	ended, sent := p.signal(s, true)
+	if !sent {
+		return
+	}
+	select {
+	case <-ended:
+	case <-time.After((graceSeconds + 1) * time.Second):
+		w.checker.Fail("%s still ran %d s after SIGTERM", p.node, graceSeconds+1)
+		_ = p.cmd.Process.Kill()
+		<-ended
+	}
+	if disk != nil {
+		if err := disk(p.settings.DataDir); err != nil {
+			w.checker.Fail("soak: %v", err)
+		}
+	}
+	time.Sleep(after)
+	if err := w.start(p); err != nil {
+		w.checker.Fail("soak: %v", err)
+	}
+}
+
+// awaitReady waits until every front says that it is ready.
+func (w *World) awaitReady() error {
+	client := &http.Client{Timeout: time.Second}
+	for _, p := range w.processes {
+		if p.class != "front" {
+			continue
+		}
+		url := fmt.Sprintf("http://%s:%d/readiness", p.ip, platformtest.ReadyPort)
+		if err := awaitOK(client, url); err != nil {
+			return fmt.Errorf("%s: %w", p.node, err)
+		}
+	}
+	return nil
+}
+
+func awaitOK(client *http.Client, url string) error {
+	deadline := time.Now().Add(startTime)
+	for {
+		resp, err := client.Get(url)
+		if err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+			err = fmt.Errorf("not ready: status %d", resp.StatusCode)
+		}
+		if time.Now().After(deadline) {
+			return err
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// Close ends every process that this world started, by its id, and the stand-ins.
+func (w *World) Close() {
+	w.wg.Wait()
+	for _, p := range w.processes {
+		if ended, sent := p.signal(syscall.SIGKILL, true); sent {
+			<-ended
+		}
+		p.store.close()
+		if p.callers != nil {
+			p.callers.close()
+		}
+	}
+	for _, s := range w.servers {
+		_ = s.http.Close()
+		s.link.close()
+	}
+	_ = w.storeHTTP.Close()
+}
