rookpass-node show: what is in force on a daemon

Why: an operator had metrics and logs, but no view of configuration, servers, layout and programs on a daemon. Change: a status page beside the metrics, and the verb show.

--- a/cmd/rookpass-node/main.go
+++ b/cmd/rookpass-node/main.go
@@ -3,11 +3,18 @@
 package main
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
+	"net/http"
+	"net/url"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 
@@ -17,8 +24,10 @@
 
 type options struct {
 	LogLevel string `long:"log-level" default:"info" description:"least level of the lines written"`
+	Address  string `long:"address" description:"show: a daemon's metrics address, IP:port"`
+	Program  string `long:"program" description:"show: also the turns of a program that a store daemon keeps"`
 	Args     struct {
-		Role string `positional-arg-name:"role" choice:"front" choice:"store" choice:"check" description:"front, store, or check to check the settings only"`
+		Verb string `positional-arg-name:"verb" description:"front or store to run a daemon, check to check the settings, show to see what is in force on a daemon"`
 	} `positional-args:"yes" required:"yes"`
 }
 
@@ -34,6 +43,9 @@
 }
 
 func run(opts options) error {
+	if opts.Args.Verb == "show" {
+		return show(os.Stdout, opts.Address, opts.Program)
+	}
 	settings, err := platform.LoadSettings()
 	if err != nil {
 		return err
@@ -42,7 +54,7 @@
 	signal.Ignore(syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	switch opts.Args.Role {
+	switch opts.Args.Verb {
 	case "front":
 		return node.RunFront(ctx, settings, opts.LogLevel)
 	case "store":
@@ -51,6 +63,35 @@
 		fmt.Printf("%+v\n", settings)
 		return nil
 	default:
-		return fmt.Errorf("unknown role %q: front, store or check", opts.Args.Role)
+		return fmt.Errorf("unknown verb %q: front, store, check or show", opts.Args.Verb)
+	}
+}
+
+// showTimeout bounds the wait for a daemon's status.
+const showTimeout = 5 * time.Second
+
+// show prints what is in force on a daemon.
+func show(out io.Writer, address, program string) error {
+	if address == "" {
+		return errors.New("show needs --address")
+	}
+	client := &http.Client{Timeout: showTimeout}
+	resp, err := client.Get("http://" + address + node.StatusPath + "?program=" + url.QueryEscape(program))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s answered with status %d", address, resp.StatusCode)
+	}
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	var page bytes.Buffer
+	if err := json.Indent(&page, data, "", "  "); err != nil {
+		return fmt.Errorf("%s: %w", address, err)
 	}
+	_, err = page.WriteTo(out)
+	return err
 }
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -373,3 +373,24 @@
 		}
 	}
 }
+
+// View is what is known of one server.
+type View struct {
+	InFlight int `json:"in_flight"`
+	// MeanMS is the mean time of its answers in milliseconds; 0 before the first.
+	MeanMS float64 `json:"mean_ms"`
+	// Ejected servers failed repeatedly; Reported is how many other daemons suspect it.
+	Ejected  bool `json:"ejected"`
+	Reported int  `json:"reported"`
+}
+
+// View returns what is known of a server.
+func (b *Balancer) View(id string) View {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	view := View{Reported: b.reported[id]}
+	if s := b.states[id]; s != nil {
+		view.InFlight, view.MeanMS, view.Ejected = s.inFlight, 1000*s.mean, time.Now().Before(s.ejectedUntil)
+	}
+	return view
+}
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -1,6 +1,8 @@
 package catalog
 
 import (
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -258,3 +260,13 @@
 	_, known := s.byID[id]
 	return known
 }
+
+// All returns every server, in order of their IDs.
+func (s *Servers) All() []Server {
+	all := make([]Server, 0, len(s.byID))
+	for _, server := range s.byID {
+		all = append(all, server)
+	}
+	slices.SortFunc(all, func(a, b Server) int { return strings.Compare(a.ID, b.ID) })
+	return all
+}
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -113,7 +113,7 @@
 	if err != nil {
 		return err
 	}
-	f.serveMetrics()
+	f.servePages(f.status)
 	server := &http.Server{Handler: f.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	ready := &http.Server{Handler: http.HandlerFunc(f.answerReady), ReadHeaderTimeout: headerTimeout}
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
@@ -229,13 +229,18 @@
 
 // answerReady tells the platform whether this daemon should get new connections.
 func (f *front) answerReady(w http.ResponseWriter, _ *http.Request) {
-	if f.stopping.Load() || f.catalog.Table() == nil || f.catalog.Servers().Len() == 0 || !f.ledger.Ready() {
+	if !f.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
+// ready tells whether requests can be served and the daemon is not stopping.
+func (f *front) ready() bool {
+	return !f.stopping.Load() && f.catalog.Table() != nil && f.catalog.Servers().Len() > 0 && f.ledger.Ready()
+}
+
 // holdsSlot tells whether a store daemon of the layout listens at an address.
 func (f *front) holdsSlot(address string) bool {
 	l := f.ledger.Layout()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"net"
-	"net/http"
 	"os"
 	"runtime/debug"
 	"time"
@@ -88,16 +87,6 @@
 	b.out.Close()
 }
 
-// serveMetrics serves the metrics page until the process ends. A daemon works without it.
-func (b *base) serveMetrics() {
-	mux := http.NewServeMux()
-	mux.Handle("/metrics", b.metrics)
-	go func() {
-		err := http.ListenAndServe(b.settings.MetricsAddress(), mux)
-		b.log.WithFields(logrus.Fields{"event": "metrics-failed", "error": err}).Error("metrics not served")
-	}()
-}
-
 func listen(address string) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address)
 	return listener, Error.Wrap(err)
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -67,7 +67,7 @@
 		watch.New(source, watchPace, mirrors[1]).WithWait(storeWait),
 		watch.New(source, watchPace, both{mirrors[3], retiring.handler()}).WithWait(rareWait),
 	}
-	b.serveMetrics()
+	b.servePages(storeStatus(s.Node, store))
 	group, ctx := errgroup.WithContext(ctx)
 	services := map[string]any{
 		replica.ServiceName:  replica.NewService(store),
--- a/internal/replica/index.go
+++ b/internal/replica/index.go
@@ -195,9 +195,9 @@
 	x.live[to.Segment]++
 }
 
-// size returns the number of turns.
-func (x *index) size() int {
+// sizes returns the numbers of programs and turns.
+func (x *index) sizes() (programs, turns int) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return len(x.turns)
+	return len(x.programs), len(x.turns)
 }
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -51,7 +51,8 @@
 	if err != nil {
 		return nil, err
 	}
-	log.WithFields(logrus.Fields{"event": "disk-open", "disk": id.Disk, "turns": s.index.size(),
+	_, turns := s.Size()
+	log.WithFields(logrus.Fields{"event": "disk-open", "disk": id.Disk, "turns": turns,
 		"complete": id.complete(), "fence": id.Fence}).Info("disk read")
 	return s, nil
 }
@@ -230,3 +231,12 @@
 
 // Close ends the store; records that are not yet durable are refused.
 func (s *Store) Close() error { return s.files.Close() }
+
+// Size returns the numbers of programs and turns kept.
+func (s *Store) Size() (programs, turns int) { return s.index.sizes() }
+
+// Bytes returns what the turns take on the disk.
+func (s *Store) Bytes() int64 { return s.files.Bytes() }
+
+// Turns returns a program's turns.
+func (s *Store) Turns(program string) []Entry { return s.index.entries(program) }
