--- a/cmd/rookpass-node/main.go
+++ b/cmd/rookpass-node/main.go
@@ -50,8 +50,7 @@
 	if err != nil {
 		return err
 	}
-	// A changed settings file needs no action: addresses and limits hold for a process's life.
-	signal.Ignore(syscall.SIGHUP)
+	signal.Ignore(syscall.SIGHUP) // until the daemon listens for it
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	switch opts.Args.Verb {
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -129,6 +129,7 @@
 	group.Go(func() error { return tunnel.NewServer(f.dial, f.holdsSlot, f.log).Serve(peers) })
 	f.watch(work, group)
 	group.Go(func() error { return f.exchange(work) })
+	group.Go(func() error { return f.followSettings(work) })
 	group.Go(func() error { return f.sweep(work) })
 	group.Go(func() error {
 		select {
@@ -199,7 +200,7 @@
 		var sources []feed.NamedMirror
 		l := f.ledger.Layout()
 		if l == nil {
-			for _, seed := range f.settings.Seeds {
+			for _, seed := range *f.seeds.Load() {
 				sources = append(sources, feed.NamedMirror{Name: seed, Mirror: mirror.NewClient(links.To(seed))})
 			}
 			return sources
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,7 +7,7 @@
 	"errors"
 	"net"
 	"os"
-	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -51,6 +51,8 @@
 	store    *platform.Store
 	dial     network.DialContext
 	links    *peerlink.Set
+	// seeds are addresses of store daemons for when the layout is not known.
+	seeds atomic.Pointer[[]string]
 }
 
 func newBase(settings platform.Settings, level, role string) (*base, error) {
@@ -59,7 +61,6 @@
 	if err != nil {
 		return nil, err
 	}
-	debug.SetMemoryLimit(int64(heapShare * float64(settings.MemoryBytes)))
 	dial := network.NewDialer(connectTimeout, silenceTimeout)
 	b := &base{
 		settings: settings,
@@ -70,6 +71,7 @@
 		dial:     dial,
 		links:    peerlink.NewSet(dial),
 	}
+	b.apply(settings)
 	b.metrics.Gauge("rookpass_store_calls_total", func() float64 { return float64(b.store.Calls()) })
 	b.metrics.Gauge("rookpass_log_lines_dropped_total", func() float64 { return float64(out.Dropped()) })
 	log.WithFields(logrus.Fields{"event": "start", "role": role, "data_centre": settings.DataCentre, "first_start": settings.FirstStart,
--- /dev/null
+++ b/internal/node/reload.go
@@ -0,0 +1,57 @@
+package node
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"reflect"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/rookpass/rookpass/platform"
+)
+
+// settingsPause is the time between two looks at the settings file, which may change without a signal.
+const settingsPause = 5 * time.Second
+
+// followSettings reads the settings file again on SIGHUP, and now and then, until ctx ends. Seeds and the memory
+// limit take effect; addresses, folders and tolerances hold for a process's life. A file that is wrong changes
+// nothing.
+func (b *base) followSettings(ctx context.Context) error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	ticker := time.NewTicker(settingsPause)
+	defer ticker.Stop()
+	read := b.settings
+	for {
+		why := "signal"
+		select {
+		case <-signals:
+		case <-ticker.C:
+			why = "look"
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		next, err := platform.LoadSettings()
+		if err != nil {
+			b.log.WithFields(logrus.Fields{"event": "reload", "why": why, "outcome": "refused", "error": err}).Warn("settings not read; the old ones stay")
+			continue
+		}
+		changed := !reflect.DeepEqual(next, read)
+		read = next
+		b.apply(next)
+		if changed || why == "signal" {
+			b.log.WithFields(logrus.Fields{"event": "reload", "why": why, "outcome": "read", "changed": changed}).Info("settings read")
+		}
+	}
+}
+
+// apply puts in force what may change during a process's life.
+func (b *base) apply(s platform.Settings) {
+	b.seeds.Store(&s.Seeds)
+	debug.SetMemoryLimit(int64(heapShare * float64(s.MemoryBytes)))
+}
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -98,6 +98,7 @@
 		group.Go(func() error { return mirrors[i].Save(ctx, path, b.log) })
 	}
 	group.Go(func() error { return controller.Run(ctx) })
+	group.Go(func() error { return b.followSettings(ctx) })
 	group.Go(func() error { return layoutWatcher.Run(ctx) })
 	for _, w := range watchers {
 		group.Go(func() error {
