Bound what fronts swap with one another

Cause: an answer named every other front, and each called every 300 ms at one store daemon: with 300 fronts 1,000 calls and 6 MB a second there (by arithmetic). Change: 16 peers an answer; above 64 fronts they call less often.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -16,8 +16,13 @@
 const (
 	// Pause is the time between two calls of a daemon: what one has seen helps the others soon after.
 	Pause = 300 * time.Millisecond
-	// memory is how long a daemon is remembered that no longer calls.
-	memory = 3 * time.Second
+	// memory is how long a daemon is remembered that no longer calls: several pauses of 400 daemons.
+	memory = 6 * time.Second
+	// maxPeers is how many other daemons an answer names: enough helpers for a detour.
+	maxPeers = 16
+	// crowd is how many daemons may call every Pause; more of them call less often, so that the calls that come
+	// together stay bounded: some 200 a second, a few hundredths of a core.
+	crowd = 64
 	// callTimeout bounds one call.
 	callTimeout = 600 * time.Millisecond
 )
@@ -32,8 +37,9 @@
 
 // Reply is what the others have seen.
 type Reply struct {
-	// Peers are the other daemons' addresses.
-	Peers []string
+	// Peers are some other daemons' addresses, Daemons how many there are.
+	Peers   []string
+	Daemons int
 	// Suspects tells how many of them suspect a server.
 	Suspects map[string]int
 }
@@ -68,7 +74,10 @@
 		if from == args.From {
 			continue
 		}
-		reply.Peers = append(reply.Peers, from)
+		reply.Daemons++
+		if len(reply.Peers) < maxPeers { // the order of a map's keys differs each time
+			reply.Peers = append(reply.Peers, from)
+		}
 		for _, id := range r.suspects {
 			reply.Suspects[id]++
 		}
@@ -76,6 +85,11 @@
 	return nil
 }
 
+// PauseFor returns the time until the next call of one of so many daemons.
+func PauseFor(daemons int) time.Duration {
+	return Pause * time.Duration(max(1, (daemons+crowd-1)/crowd))
+}
+
 // Swap calls a service over a link.
 func Swap(ctx context.Context, link *peerlink.Link, args *Args) (*Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -252,8 +252,8 @@
 
 // exchange swaps what this daemon has seen for what the others have, at the first store daemon that answers.
 func (f *front) exchange(ctx context.Context) error {
-	place, moved := 0, time.Now()
-	for wait.For(ctx, exchange.Pause) == nil {
+	place, moved, daemons := 0, time.Now(), 0
+	for wait.For(ctx, exchange.PauseFor(daemons)) == nil {
 		l := f.ledger.Layout()
 		if l == nil || !l.Formed {
 			continue
@@ -270,6 +270,7 @@
 			f.log.WithFields(logrus.Fields{"event": "exchange-failed", "place": place, "error": err}).Info("asking another daemon")
 			continue
 		}
+		daemons = reply.Daemons
 		f.balancer.SetReported(reply.Suspects)
 		f.detour.SetHelpers(reply.Peers)
 	}
