--- /dev/null
+++ b/internal/atomicfile/atomicfile_test.go
@@ -0,0 +1,23 @@
+package atomicfile_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/rookpass/rookpass/internal/atomicfile"
+)
+
+func TestReplaces(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "file")
+	for _, text := range []string{"a longer first text", "second"} {
+		assert.NilError(t, atomicfile.Write(path, []byte(text)))
+		got, err := os.ReadFile(path)
+		assert.NilError(t, err)
+		assert.Equal(t, string(got), text)
+	}
+	_, err := os.Stat(path + ".new")
+	assert.ErrorIs(t, err, os.ErrNotExist)
+}
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -119,8 +119,11 @@
 	now := time.Now()
 	best, candidates := -1, 0
 	// Rather a server that others suspect than one that fails here, and rather that one than none at all.
-	for trust := unsuspected; trust <= anyServer && best < 0; trust++ {
+	for _, trust := range []trust{unsuspected, alive, anyServer} {
 		best, candidates = b.choose(ask, now, trust)
+		if best >= 0 {
+			break
+		}
 	}
 	if best < 0 {
 		return nil, false
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -103,7 +103,7 @@
 		}
 	}
 	for id, e := range entries {
-		if id != record.ID && e.State != turn.Void {
+		if id != record.ID {
 			spent += e.Tokens
 		}
 	}
--- a/internal/mirror/file.go
+++ b/internal/mirror/file.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/zeebo/errs"
 
+	"github.com/rookpass/rookpass/internal/atomicfile"
 	"github.com/rookpass/rookpass/internal/objectapi"
 	"github.com/rookpass/rookpass/internal/wait"
 )
@@ -56,19 +57,10 @@
 	return ctx.Err()
 }
 
-// write replaces the file in one step.
 func write(path string, snapshot objectapi.Snapshot) error {
 	data, err := json.Marshal(snapshot)
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	file, err := os.Create(path + ".new")
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	_, err = file.Write(data)
-	if err := errors.Join(err, file.Sync(), file.Close()); err != nil {
-		return Error.Wrap(err)
-	}
-	return Error.Wrap(os.Rename(path+".new", path))
+	return Error.Wrap(atomicfile.Write(path, data))
 }
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -56,8 +56,6 @@
 	unreadyTime = 2500 * time.Millisecond
 	// stopMargin is what a stopping daemon leaves of its grace.
 	stopMargin = 500 * time.Millisecond
-	// drainPoll is the time between two looks whether requests still run.
-	drainPoll = 20 * time.Millisecond
 )
 
 // front is the front daemon.
--- a/internal/replica/identity.go
+++ b/internal/replica/identity.go
@@ -9,8 +9,8 @@
 	"os"
 	"path/filepath"
 
+	"github.com/rookpass/rookpass/internal/atomicfile"
 	"github.com/rookpass/rookpass/internal/layout"
-	"github.com/rookpass/rookpass/internal/turnlog"
 )
 
 const identityFile = "disk.json"
@@ -54,24 +54,11 @@
 	return hex.EncodeToString(id[:])
 }
 
-// saveIdentity replaces the file in one step that a loss of power can't tear.
+// saveIdentity makes the identity outlive a loss of power.
 func saveIdentity(dir string, id identity) error {
 	data, err := json.Marshal(id)
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	path := filepath.Join(dir, identityFile)
-	file, err := os.Create(path + ".new")
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	_, err = file.Write(data)
-	err = errors.Join(err, file.Sync(), file.Close())
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	if err := os.Rename(path+".new", path); err != nil {
-		return Error.Wrap(err)
-	}
-	return turnlog.SyncFolder(dir)
+	return Error.Wrap(atomicfile.Write(filepath.Join(dir, identityFile), data))
 }
--- a/internal/replica/index.go
+++ b/internal/replica/index.go
@@ -76,7 +76,7 @@
 		x.live[e.position.Segment]--
 	}
 	x.sequence++
-	e.state, e.tokens, e.previous, e.position, e.sequence = r.State, r.Tokens, r.Previous, position, x.sequence
+	e.state, e.tokens, e.previous, e.position, e.sequence = r.State, r.Counts(), r.Previous, position, x.sequence
 	x.live[position.Segment]++
 	return true
 }
--- a/internal/replica/messages.go
+++ b/internal/replica/messages.go
@@ -41,8 +41,9 @@
 
 // Entry is one turn of a program as the budget sees it.
 type Entry struct {
-	ID     string
-	State  turn.State
+	ID    string
+	State turn.State
+	// Tokens is what the turn counts: nothing once it is void.
 	Tokens int64
 }
 
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -32,11 +32,10 @@
 	// store and callers are its links to the platform's store and, for a front, from callers.
 	store, callers *proxy
 
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	ended   chan struct{}
-	ending  bool
-	stopped bool
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	ended  chan struct{}
+	ending bool
 }
 
 // World is a run's processes and stand-ins.
--- a/internal/turnlog/turnlog.go
+++ b/internal/turnlog/turnlog.go
@@ -17,6 +17,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/rookpass/rookpass/internal/atomicfile"
 	"github.com/rookpass/rookpass/internal/turn"
 )
 
@@ -161,23 +162,14 @@
 	if err := file.Sync(); err != nil {
 		return Error.Wrap(err)
 	}
-	if err := SyncFolder(l.dir); err != nil {
-		return err
+	if err := atomicfile.SyncFolder(l.dir); err != nil {
+		return Error.Wrap(err)
 	}
 	l.files[segment] = file
 	l.active, l.size = segment, 0
 	return nil
 }
 
-// SyncFolder makes the names in a folder last.
-func SyncFolder(path string) error {
-	dir, err := os.Open(path)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	return Error.Wrap(errors.Join(dir.Sync(), dir.Close()))
-}
-
 // Ticket is an append that has its place and waits for the disk.
 type Ticket struct {
 	Position Position
