--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -3,7 +3,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -208,45 +207,6 @@
 	return now.Before(s.ejectedUntil) || now.Before(s.busyUntil) || b.silent(route, s, now)
 }
 
-// tooManyReported tells whether others suspect so many servers that the rest could not bear the load.
-func (b *Balancer) tooManyReported(servers []catalog.Server) bool {
-	if len(b.reported) == 0 {
-		return false
-	}
-	n := 0
-	for i := range servers {
-		if b.reported[servers[i].ID] > 0 {
-			n++
-		}
-	}
-	return float64(n) > maxReportedShare*float64(len(servers))
-}
-
-// SetReported tells how many other daemons suspect each server.
-func (b *Balancer) SetReported(reported map[string]int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.reported = reported
-}
-
-// Suspects returns the servers that look dead here: those that failed repeatedly or keep requests waiting. It
-// returns none where they are so many that this VM's own network is the likelier cause.
-func (b *Balancer) Suspects() []string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := time.Now()
-	var suspects []string
-	for id, s := range b.states {
-		if now.Before(s.ejectedUntil) || b.silent(s.waitingRoute, s, now) {
-			suspects = append(suspects, id)
-		}
-	}
-	if float64(len(suspects)) > maxReportedShare*float64(len(b.states)) {
-		return nil
-	}
-	return suspects
-}
-
 // silent tells whether a server has kept a request waiting for much longer than is usual.
 func (b *Balancer) silent(route string, s *state, now time.Time) bool {
 	if len(s.waiting) == 0 {
@@ -276,96 +236,6 @@
 	return s
 }
 
-// Outcome is how a request at a server ended.
-type Outcome int
-
-// The outcomes.
-const (
-	// Answered requests got a whole answer in time.
-	Answered Outcome = iota
-	// Shed requests were turned away by a server that is full.
-	Shed
-	// Failed requests got no usable answer.
-	Failed
-	// Abandoned requests were given up by their caller: they tell nothing of the server.
-	Abandoned
-	// Overtaken requests were given up since another server answered first.
-	Overtaken
-)
-
-// Responded tells that the head of the answer is there.
-func (c *Choice) Responded() {
-	b := c.balancer
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if c.responded {
-		return
-	}
-	c.stopWaiting()
-	blend(b.heads, c.route, time.Since(c.began).Seconds(), headWeight)
-}
-
-// stopWaiting takes the request off those without an answer. It is called with the lock held.
-func (c *Choice) stopWaiting() {
-	if c.responded {
-		return
-	}
-	c.responded = true
-	if i := slices.Index(c.state.waiting, c.began); i >= 0 {
-		c.state.waiting = slices.Delete(c.state.waiting, i, i+1)
-	}
-}
-
-// Done tells how the request ended.
-func (c *Choice) Done(outcome Outcome) {
-	if c.settled {
-		return
-	}
-	c.settled = true
-	b := c.balancer
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := time.Now()
-	s := c.state
-	s.inFlight--
-	c.stopWaiting()
-	switch outcome {
-	case Answered:
-		s.failures = 0
-		s.ejectedUntil = time.Time{}
-		b.learn(c.Server.Service, s, now.Sub(c.began).Seconds())
-	case Shed:
-		s.busyUntil = now.Add(busyTime)
-	case Failed:
-		s.failures++
-		if s.failures >= ejectAfter {
-			pause := min(ejectTime<<min(s.failures-ejectAfter, 4), maxEject)
-			s.ejectedUntil = now.Add(pause)
-		}
-	case Overtaken:
-		b.learn(c.Server.Service, s, now.Sub(c.began).Seconds())
-	case Abandoned:
-	}
-}
-
-func (b *Balancer) learn(service string, s *state, seconds float64) {
-	if s.mean == 0 {
-		s.mean = seconds
-	}
-	s.mean += latencyWeight * (seconds - s.mean)
-	blend(b.means, service, seconds, headWeight)
-}
-
-// blend moves a mean towards a new value; the first value is taken whole.
-func blend(means map[string]float64, name string, value, weight float64) {
-	mean, known := means[name]
-	if !known {
-		means[name] = value
-		return
-	}
-	means[name] = mean + weight*(value-mean)
-}
-
 // Forget drops what is known of servers that no longer exist.
 func (b *Balancer) Forget(exists func(id string) bool) {
 	b.mu.Lock()
@@ -377,23 +247,3 @@
 	}
 }
 
-// View is what is known of one server.
-type View struct {
-	InFlight int `json:"in_flight"`
-	// MeanMS is the mean time of its answers in milliseconds; 0 before the first.
-	MeanMS float64 `json:"mean_ms"`
-	// Ejected servers failed repeatedly; Reported is how many other daemons suspect it.
-	Ejected  bool `json:"ejected"`
-	Reported int  `json:"reported"`
-}
-
-// View returns what is known of a server.
-func (b *Balancer) View(id string) View {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	view := View{Reported: b.reported[id]}
-	if s := b.states[id]; s != nil {
-		view.InFlight, view.MeanMS, view.Ejected = s.inFlight, 1000*s.mean, time.Now().Before(s.ejectedUntil)
-	}
-	return view
-}
--- /dev/null
+++ b/internal/balance/outcome.go
@@ -0,0 +1,96 @@
+package balance
+
+import (
+	"slices"
+	"time"
+)
+
+// Outcome is how a request at a server ended.
+type Outcome int
+
+// The outcomes.
+const (
+	// Answered requests got a whole answer in time.
+	Answered Outcome = iota
+	// Shed requests were turned away by a server that is full.
+	Shed
+	// Failed requests got no usable answer.
+	Failed
+	// Abandoned requests were given up by their caller: they tell nothing of the server.
+	Abandoned
+	// Overtaken requests were given up since another server answered first.
+	Overtaken
+)
+
+// Responded tells that the head of the answer is there.
+func (c *Choice) Responded() {
+	b := c.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c.responded {
+		return
+	}
+	c.stopWaiting()
+	blend(b.heads, c.route, time.Since(c.began).Seconds(), headWeight)
+}
+
+// stopWaiting takes the request off those without an answer. It is called with the lock held.
+func (c *Choice) stopWaiting() {
+	if c.responded {
+		return
+	}
+	c.responded = true
+	if i := slices.Index(c.state.waiting, c.began); i >= 0 {
+		c.state.waiting = slices.Delete(c.state.waiting, i, i+1)
+	}
+}
+
+// Done tells how the request ended.
+func (c *Choice) Done(outcome Outcome) {
+	if c.settled {
+		return
+	}
+	c.settled = true
+	b := c.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	s := c.state
+	s.inFlight--
+	c.stopWaiting()
+	switch outcome {
+	case Answered:
+		s.failures = 0
+		s.ejectedUntil = time.Time{}
+		b.learn(c.Server.Service, s, now.Sub(c.began).Seconds())
+	case Shed:
+		s.busyUntil = now.Add(busyTime)
+	case Failed:
+		s.failures++
+		if s.failures >= ejectAfter {
+			pause := min(ejectTime<<min(s.failures-ejectAfter, 4), maxEject)
+			s.ejectedUntil = now.Add(pause)
+		}
+	case Overtaken:
+		b.learn(c.Server.Service, s, now.Sub(c.began).Seconds())
+	case Abandoned:
+	}
+}
+
+func (b *Balancer) learn(service string, s *state, seconds float64) {
+	if s.mean == 0 {
+		s.mean = seconds
+	}
+	s.mean += latencyWeight * (seconds - s.mean)
+	blend(b.means, service, seconds, headWeight)
+}
+
+// blend moves a mean towards a new value; the first value is taken whole.
+func blend(means map[string]float64, name string, value, weight float64) {
+	mean, known := means[name]
+	if !known {
+		means[name] = value
+		return
+	}
+	means[name] = mean + weight*(value-mean)
+}
--- /dev/null
+++ b/internal/balance/suspects.go
@@ -0,0 +1,67 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/rookpass/rookpass/internal/catalog"
+)
+
+// tooManyReported tells whether others suspect so many servers that the rest could not bear the load.
+func (b *Balancer) tooManyReported(servers []catalog.Server) bool {
+	if len(b.reported) == 0 {
+		return false
+	}
+	n := 0
+	for i := range servers {
+		if b.reported[servers[i].ID] > 0 {
+			n++
+		}
+	}
+	return float64(n) > maxReportedShare*float64(len(servers))
+}
+
+// SetReported tells how many other daemons suspect each server.
+func (b *Balancer) SetReported(reported map[string]int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reported = reported
+}
+
+// Suspects returns the servers that look dead here: those that failed repeatedly or keep requests waiting. It
+// returns none where they are so many that this VM's own network is the likelier cause.
+func (b *Balancer) Suspects() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	var suspects []string
+	for id, s := range b.states {
+		if now.Before(s.ejectedUntil) || b.silent(s.waitingRoute, s, now) {
+			suspects = append(suspects, id)
+		}
+	}
+	if float64(len(suspects)) > maxReportedShare*float64(len(b.states)) {
+		return nil
+	}
+	return suspects
+}
+
+// View is what is known of one server.
+type View struct {
+	InFlight int `json:"in_flight"`
+	// MeanMS is the mean time of its answers in milliseconds; 0 before the first.
+	MeanMS float64 `json:"mean_ms"`
+	// Ejected servers failed repeatedly; Reported is how many other daemons suspect it.
+	Ejected  bool `json:"ejected"`
+	Reported int  `json:"reported"`
+}
+
+// View returns what is known of a server.
+func (b *Balancer) View(id string) View {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	view := View{Reported: b.reported[id]}
+	if s := b.states[id]; s != nil {
+		view.InFlight, view.MeanMS, view.Ejected = s.inFlight, 1000*s.mean, time.Now().Before(s.ejectedUntil)
+	}
+	return view
+}
