Clean up: one wait for a group, no mirror that nobody reads, no copy a second

Found in a last reading of the whole change; behaviour stays as it was. - Ledger.Flush repeated Holder.Wait: both call wait.Group. - Store daemons mirrored the retirements for other store daemons; since each reads the store itself again, nobody asked for that copy. - Mirror.Save copied every object each second to compare one version. - exchange.service of the gateway was written and never read.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -104,6 +104,5 @@
 // servers returns the servers of the service that a route's weights pick.
 func (x *exchange) servers() []catalog.Server {
 	name := x.route.Pick(random())
-	x.service = x.table.Service(name)
 	return x.g.catalog.Servers().Of(name)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,13 +85,12 @@
 	ctx     context.Context
 	arrived time.Time
 	// until is when the caller or the route's timeout gives the request up; zero where neither bounds it.
-	until   time.Time
-	info    call.Info
-	table   *catalog.Table
-	route   *catalog.Route
-	service *catalog.Service
-	body    []byte
-	header  http.Header
+	until  time.Time
+	info   call.Info
+	table  *catalog.Table
+	route  *catalog.Route
+	body   []byte
+	header http.Header
 
 	attempts []attempt
 	// begun is set once a part of the answer has left.
--- a/internal/holder/move.go
+++ b/internal/holder/move.go
@@ -10,6 +10,7 @@
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
 	"github.com/rookpass/rookpass/internal/program"
 	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/wait"
 )
 
 // Recover puts a partition that was taken from a dead owner in service. Calls that were under way are
@@ -338,16 +339,4 @@
 }
 
 // Wait returns once no call runs here any more, or ctx ends.
-func (h *Holder) Wait(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() {
-		h.running.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
+func (h *Holder) Wait(ctx context.Context) error { return wait.Group(ctx, &h.running) }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -136,19 +136,7 @@
 }
 
 // Flush waits for the writes that still go on, until ctx ends.
-func (l *Ledger) Flush(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() {
-		l.background.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
+func (l *Ledger) Flush(ctx context.Context) error { return wait.Group(ctx, &l.background) }
 
 // write sends a record to the disks of its group until a quorum has it. With entries it returns the program's
 // turns as those disks know them, and whether every disk of the group has answered.
--- a/internal/mirror/file.go
+++ b/internal/mirror/file.go
@@ -42,17 +42,17 @@
 
 // Save writes the copy to the disk whenever it has changed, until ctx ends.
 func (m *Mirror) Save(ctx context.Context, path string, log logrus.FieldLogger) error {
-	saved, _ := m.Stale()
+	saved := m.seen()
 	for wait.For(ctx, savePause) == nil {
-		snapshot, known := m.Stale()
-		if !known || snapshot.Version == saved.Version {
+		if m.seen() == saved {
 			continue
 		}
+		snapshot, _ := m.Stale()
 		if err := write(path, snapshot); err != nil {
 			log.WithFields(logrus.Fields{"event": "mirror-save-failed", "file": path, "error": err}).Warn("copy not saved")
 			continue
 		}
-		saved = snapshot
+		saved = snapshot.Version
 	}
 	return ctx.Err()
 }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -119,6 +119,13 @@
 	return m.snapshot(), m.version > 0
 }
 
+// seen returns the version that the copy has come to; 0 where there is none.
+func (m *Mirror) seen() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.version
+}
+
 func (m *Mirror) snapshot() objectapi.Snapshot {
 	snapshot := objectapi.Snapshot{Version: m.version}
 	for _, object := range m.objects {
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -54,16 +54,13 @@
 		Store: store, API: b.store, Links: b.links, Retirements: retiring, Log: b.log, Key: layoutKey,
 		FirstStart: s.FirstStart, Tolerance: s.DisksLostAtOnce, DiskBytes: s.DiskBytes,
 	})
-	mirrors := []*mirror.Mirror{
-		mirror.New(platform.ConfigPrefix), mirror.New(platform.ServersPrefix),
-		mirror.New(layoutPrefix), mirror.New(platform.RetirementsPrefix),
-	}
+	mirrors := []*mirror.Mirror{mirror.New(platform.ConfigPrefix), mirror.New(platform.ServersPrefix), mirror.New(layoutPrefix)}
 	layouts := &handler{prefix: layoutPrefix, apply: controller.Observe}
 	layoutWatcher := watch.New(b.store, watchPace, both{mirrors[2], layouts}).WithWait(rareWait)
 	watchers := []*watch.Watcher{
 		watch.New(b.store, watchPace, mirrors[0]).WithWait(storeWait),
 		watch.New(b.store, watchPace, mirrors[1]).WithWait(storeWait),
-		watch.New(b.store, watchPace, both{mirrors[3], retiring.handler()}).WithWait(rareWait),
+		watch.New(b.store, watchPace, retiring.handler()).WithWait(rareWait),
 	}
 	b.servePages(storeStatus(s.Node, store))
 	group, ctx := errgroup.WithContext(ctx)
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 )
 
@@ -17,3 +18,18 @@
 		return ctx.Err()
 	}
 }
+
+// Group returns nil once a group is done, or ctx's error if that ends first.
+func Group(ctx context.Context, group *sync.WaitGroup) error {
+	done := make(chan struct{})
+	go func() {
+		group.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
