Requests: servers looked up again at each try, bodies and writes bounded, callers asked to leave while stopping

Ruled out: the balancer (it passes over draining servers of the list that it is given). Change: the list is read at each try, the service picked once; bodies reserve from a fifth of the VM's memory, else 503 as not run; writes end 2.5 s after the request's time; the head of each answer says whether the daemon stops. Before: each of the four new tests failed or hung on the old code. After: green.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -101,8 +101,6 @@
 
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
 
-// servers returns the servers of the service that a route's weights pick.
-func (x *exchange) servers() []catalog.Server {
-	name := x.route.Pick(random())
-	return x.g.catalog.Servers().Of(name)
-}
+// servers returns the servers of the request's service as they are known now: one that has begun to leave
+// since the last try must get nothing more.
+func (x *exchange) servers() []catalog.Server { return x.g.catalog.Servers().Of(x.service) }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/zeebo/errs"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/rookpass/rookpass/internal/balance"
 	"github.com/rookpass/rookpass/internal/call"
@@ -47,6 +48,8 @@
 	dialect  call.Dialect
 	log      logrus.FieldLogger
 	stats    *Stats
+	// bodies are the bytes that bodies of requests may hold together.
+	bodies   *semaphore.Weighted
 	steps    []step
 	stopping atomic.Bool
 	active   atomic.Int64
@@ -61,12 +64,14 @@
 	Dialect  call.Dialect
 	Log      logrus.FieldLogger
 	Stats    *Stats
+	// BodyBytes bounds what bodies of requests hold together, in bytes.
+	BodyBytes int64
 }
 
 // New returns a gateway.
 func New(o Options) *Gateway {
 	g := &Gateway{catalog: o.Catalog, balancer: o.Balancer, sender: o.Sender, ledger: o.Ledger, dialect: o.Dialect,
-		log: o.Log, stats: o.Stats}
+		log: o.Log, stats: o.Stats, bodies: semaphore.NewWeighted(o.BodyBytes)}
 	g.steps = []step{withCallInfo, withConfig, withRoute, withDeadline, withBody}
 	return g
 }
@@ -85,12 +90,16 @@
 	ctx     context.Context
 	arrived time.Time
 	// until is when the caller or the route's timeout gives the request up; zero where neither bounds it.
-	until  time.Time
-	info   call.Info
-	table  *catalog.Table
-	route  *catalog.Route
-	body   []byte
-	header http.Header
+	until time.Time
+	info  call.Info
+	table *catalog.Table
+	route *catalog.Route
+	body  []byte
+	// reserved is what the body takes of Gateway.bodies.
+	reserved int64
+	header   http.Header
+	// service is the one that the route's weights picked for the request.
+	service string
 
 	attempts []attempt
 	// begun is set once a part of the answer has left.
@@ -112,9 +121,7 @@
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	x := &exchange{g: g, w: w, r: r, ctx: r.Context(), arrived: time.Now()}
-	if g.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	defer x.release()
 	var cancel context.CancelFunc
 	x.ctx, cancel = context.WithCancel(x.ctx)
 	defer cancel()
@@ -128,7 +135,10 @@
 		var cancelDeadline context.CancelFunc
 		x.ctx, cancelDeadline = context.WithDeadline(x.ctx, x.until)
 		defer cancelDeadline()
+		x.boundWrites(x.until.Add(writeSlack))
+		defer x.boundWrites(time.Time{})
 	}
+	x.service = x.route.Pick(random())
 	var refused *refusal
 	if x.route.Kept {
 		refused = x.serveTurn()
@@ -142,6 +152,25 @@
 	x.finish(0, "answered", nil)
 }
 
+// writeSlack is how long after a request's time an answer may still be written: the last event of a turn waits
+// for its record.
+const writeSlack = finishWait + 500*time.Millisecond
+
+// boundWrites ends writes to a caller that does not read: nothing else does. The zero time lifts the bound.
+func (x *exchange) boundWrites(until time.Time) {
+	if err := http.NewResponseController(x.w).SetWriteDeadline(until); err != nil {
+		x.g.log.WithFields(logrus.Fields{"event": "write-unbounded", "id": x.info.ID, "error": err}).Debug("a caller that does not read may hold the request")
+	}
+}
+
+// writeHead sends a status and the headers set so far. A stopping daemon asks the caller to leave.
+func (x *exchange) writeHead(status int) {
+	if x.g.stopping.Load() {
+		x.w.Header().Set("Connection", "close")
+	}
+	x.w.WriteHeader(status)
+}
+
 // refuse answers the request, or breaks the answer off where a part of it has left already.
 func (x *exchange) refuse(f *refusal) {
 	status := f.status
@@ -160,7 +189,7 @@
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	text := f.reason + "\n"
 	h.Set("Content-Length", strconv.Itoa(len(text)))
-	x.w.WriteHeader(f.status)
+	x.writeHead(f.status)
 	_, _ = x.w.Write([]byte(text)) // the caller may have left; nothing more can be done for it
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -122,27 +122,46 @@
 	t       *testing.T
 	books   *books
 	catalog *catalog.Catalog
-	url     string
+	gateway *gateway.Gateway
+	// entries holds the servers, numbered in the order of their handlers.
+	entries *catalog.ServersHandler
+	objects []objectapi.Object
+	// ended gets the reason of each request that has ended.
+	ended chan string
+	url   string
+}
+
+// Levels implements logrus.Hook.
+func (r *rig) Levels() []logrus.Level { return logrus.AllLevels }
+
+// Fire implements logrus.Hook.
+func (r *rig) Fire(e *logrus.Entry) error {
+	if e.Data["event"] == "request" {
+		r.ended <- fmt.Sprint(e.Data["outcome"])
+	}
+	return nil
 }
 
 func newRig(t *testing.T, servers ...http.HandlerFunc) *rig {
-	r := &rig{t: t, books: &books{turns: map[string]*turn.Record{}, fail: map[string]error{}}, catalog: catalog.New()}
+	r := &rig{t: t, books: &books{turns: map[string]*turn.Record{}, fail: map[string]error{}}, catalog: catalog.New(),
+		ended: make(chan string, 1000)}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	var objects []objectapi.Object
+	log.AddHook(r)
 	for i, h := range servers {
 		s := httptest.NewServer(h)
 		t.Cleanup(s.Close)
-		objects = append(objects, objectapi.Object{Key: fmt.Sprintf("s/%d", i), Value: []byte(s.Listener.Addr().String())})
+		r.objects = append(r.objects, objectapi.Object{Key: fmt.Sprintf("s/%d", i), Value: []byte(s.Listener.Addr().String())})
 	}
-	catalog.NewServersHandler(r.catalog, "s/", func(o objectapi.Object) (catalog.Server, error) {
+	r.entries = catalog.NewServersHandler(r.catalog, "s/", func(o objectapi.Object) (catalog.Server, error) {
 		return catalog.Server{ID: o.Key[2:], Service: "svc", Address: string(o.Value), Slots: 4}, nil
-	}, log).Reset(objects, 1)
+	}, log)
+	r.entries.Reset(r.objects, 1)
 	r.configure(log)
 	dial := (&net.Dialer{}).DialContext
-	g := gateway.New(gateway.Options{Catalog: r.catalog, Balancer: balance.New("here"), Sender: upstream.NewPool(dial, dialect{}),
-		Ledger: r.books, Dialect: dialect{}, Log: log, Stats: gateway.NewStats(metrics.New())})
-	front := httptest.NewServer(g)
+	r.gateway = gateway.New(gateway.Options{Catalog: r.catalog, Balancer: balance.New("here"), Sender: upstream.NewPool(dial, dialect{}),
+		Ledger: r.books, Dialect: dialect{}, Log: log, Stats: gateway.NewStats(metrics.New()), BodyBytes: 1500})
+	front := httptest.NewServer(r.gateway)
 	t.Cleanup(front.Close)
 	r.url = front.URL
 	return r
@@ -167,6 +186,8 @@
 	body   string
 	header http.Header
 	broken bool
+	// closes tells that the caller is asked to leave the connection.
+	closes bool
 }
 
 func (r *rig) send(path, body string, headers ...string) reply {
@@ -183,7 +204,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	got, err := io.ReadAll(resp.Body)
-	return reply{status: resp.StatusCode, body: string(got), header: resp.Header, broken: err != nil}
+	return reply{status: resp.StatusCode, body: string(got), header: resp.Header, broken: err != nil, closes: resp.Close}
 }
 
 // echo answers with the request's body, signed.
@@ -453,3 +474,90 @@
 	assert.Equal(t, r.send("/once/x", "hello", "Deadline", "600ms").status, http.StatusGatewayTimeout)
 	assert.Equal(t, sent.Load(), int64(1))
 }
+
+// TestLeavingServerGetsNoFurtherTry: a server whose entry goes while a request is being tried elsewhere gets
+// nothing more, though it was there when the request came.
+func TestLeavingServerGetsNoFurtherTry(t *testing.T) {
+	for _, path := range []string{"/twice/x", "/once/x", "/turn/x"} {
+		var r *rig
+		var tried atomic.Int64
+		leave := func(w http.ResponseWriter, req *http.Request) {
+			tried.Add(1)
+			r.entries.Reset(nil, 2)
+			shed(w, req)
+		}
+		r = newRig(t, leave, leave)
+		assert.Equal(t, r.send(path, "hello").status, http.StatusServiceUnavailable, path)
+		assert.Equal(t, tried.Load(), int64(1), path)
+	}
+}
+
+// TestBodiesHoldBoundedMemory: what does not fit beside the bodies of other requests is refused as not run, with
+// and without a known length, and fits once they have ended.
+func TestBodiesHoldBoundedMemory(t *testing.T) {
+	came, release := make(chan struct{}), make(chan struct{})
+	r := newRig(t, func(w http.ResponseWriter, req *http.Request) {
+		if req.Header.Get("Hold") != "" {
+			close(came)
+			<-release
+		}
+		echo(w, req)
+	})
+	held := make(chan reply)
+	go func() { held <- r.send("/once/x", strings.Repeat("a", 900), "Id", "first", "Hold", "1") }()
+	<-came
+	refused := r.send("/once/x", strings.Repeat("b", 900), "Id", "second")
+	assert.Equal(t, refused.status, http.StatusServiceUnavailable)
+	assert.Assert(t, refused.header.Get("Retry-After") != "")
+	chunked, err := http.NewRequest(http.MethodPost, r.url+"/once/x", io.MultiReader(strings.NewReader(strings.Repeat("c", 900))))
+	assert.NilError(t, err)
+	resp, err := http.DefaultTransport.RoundTrip(chunked)
+	assert.NilError(t, err)
+	_ = resp.Body.Close()
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, r.send("/once/x", "small").status, http.StatusOK)
+	close(release)
+	assert.Equal(t, (<-held).status, http.StatusOK)
+	for range 4 {
+		<-r.ended
+	}
+	assert.Equal(t, r.send("/once/x", strings.Repeat("b", 900), "Id", "third").status, http.StatusOK)
+}
+
+// TestCallerThatDoesNotReadIsLeft: its answer does not fit into the connection, and the request ends soon after
+// its time all the same.
+func TestCallerThatDoesNotReadIsLeft(t *testing.T) {
+	r := newRig(t, func(w http.ResponseWriter, req *http.Request) {
+		w.Header().Set("Id", req.Header.Get("Id"))
+		w.Header().Set("Seal", "s")
+		block := make([]byte, 64<<10)
+		for req.Context().Err() == nil {
+			if _, err := w.Write(block); err != nil {
+				return
+			}
+		}
+	})
+	conn, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET /twice/x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: slow\r\nDeadline: 100ms\r\n\r\n")
+	assert.NilError(t, err)
+	select {
+	case reason := <-r.ended:
+		assert.Equal(t, reason, "caller-left")
+	case <-time.After(10 * time.Second):
+		t.Fatal("the request is still held")
+	}
+}
+
+// TestStoppingDaemonAsksCallersToLeave: also those whose requests came before.
+func TestStoppingDaemonAsksCallersToLeave(t *testing.T) {
+	var r *rig
+	r = newRig(t, func(w http.ResponseWriter, req *http.Request) {
+		r.gateway.Stop()
+		echo(w, req)
+	})
+	got := r.send("/once/x", "hello")
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Assert(t, got.closes)
+}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -24,7 +24,7 @@
 // servePlain sends a request to servers until one answers it, within the route's number of attempts. Where it
 // may run twice, another server is asked beside one that is silent for long.
 func (x *exchange) servePlain() *refusal {
-	c := &contest{x: x, ask: balance.Ask{Route: x.route.Name, Servers: x.servers(), Tried: map[string]bool{}},
+	c := &contest{x: x, ask: balance.Ask{Route: x.route.Name, Tried: map[string]bool{}},
 		ended: make(chan *try, x.route.MaxAttempts)}
 	defer c.abandon()
 	hedge := time.NewTimer(x.g.balancer.HedgeAfter(x.route.Name))
@@ -78,6 +78,7 @@
 	if c.sent >= c.x.route.MaxAttempts {
 		return false
 	}
+	c.ask.Servers = c.x.servers()
 	choice, found := c.x.g.balancer.Pick(&c.ask)
 	if !found {
 		return false
@@ -218,5 +219,5 @@
 		h["Content-Length"] = []string{strconv.FormatInt(answer.Length, 10)}
 	}
 	x.begun = true
-	x.w.WriteHeader(answer.Status)
+	x.writeHead(answer.Status)
 }
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -18,6 +18,8 @@
 	retryStarting = 300 * time.Millisecond
 	// retryBusy is for servers that are all full: about one short request.
 	retryBusy = 100 * time.Millisecond
+	// retryMemory is for a daemon whose memory is full of bodies: about the time of one call.
+	retryMemory = 200 * time.Millisecond
 	// retryLedger is for turns that the disks could not settle: about a take-over's step.
 	retryLedger = 200 * time.Millisecond
 )
@@ -78,11 +80,19 @@
 		_ = http.NewResponseController(x.w).SetReadDeadline(x.until) // without it a slow body is bounded by the caller
 	}
 	reader := io.Reader(x.r.Body)
+	if x.r.ContentLength < 0 {
+		reader = &meteredReader{x}
+	} else if !x.reserve(x.r.ContentLength) {
+		return noMemory()
+	}
 	if limit > 0 {
 		reader = io.LimitReader(reader, limit+1)
 	}
 	body, err := readSized(reader, x.r.ContentLength)
 	_ = http.NewResponseController(x.w).SetReadDeadline(time.Time{}) // as above
+	if errors.Is(err, errNoMemory) {
+		return noMemory()
+	}
 	if err != nil {
 		status := http.StatusBadRequest
 		if isTimeout(err) {
@@ -98,6 +108,36 @@
 	return nil
 }
 
+// errNoMemory means that bodies of other requests take all the memory set aside for them.
+var errNoMemory = Error.New("no memory left for the body")
+
+func noMemory() *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, reason: "no-memory", retryAfter: jitter(retryMemory), err: errNoMemory}
+}
+
+// reserve takes memory for n bytes of the body, or returns false where none is left.
+func (x *exchange) reserve(n int64) bool {
+	if !x.g.bodies.TryAcquire(n) {
+		return false
+	}
+	x.reserved += n
+	return true
+}
+
+// release gives the memory of the body back.
+func (x *exchange) release() { x.g.bodies.Release(x.reserved) }
+
+// meteredReader reads a body of unknown length and reserves memory as it comes.
+type meteredReader struct{ x *exchange }
+
+func (m *meteredReader) Read(p []byte) (int, error) {
+	n, err := m.x.r.Body.Read(p)
+	if n > 0 && !m.x.reserve(int64(n)) {
+		return 0, errNoMemory
+	}
+	return n, err
+}
+
 // readSized reads a body whose length may be known.
 func readSized(r io.Reader, length int64) ([]byte, error) {
 	if length <= 0 {
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -108,7 +108,7 @@
 // sendTurn sends the turn to servers until one takes it on. A turn that a server may have begun on is not
 // sent again.
 func (x *exchange) sendTurn(chain []*turn.Record) (*upstream.Answer, *balance.Choice, time.Time, *upstream.Failure) {
-	ask := &balance.Ask{Route: x.route.Name, Servers: x.servers(), Tried: map[string]bool{}, PromptTokens: max(1, x.info.PromptTokens)}
+	ask := &balance.Ask{Route: x.route.Name, Tried: map[string]bool{}, PromptTokens: max(1, x.info.PromptTokens)}
 	for _, part := range x.info.Parts {
 		ask.Parts = append(ask.Parts, part.ID)
 		ask.Sizes = append(ask.Sizes, part.Tokens)
@@ -120,6 +120,7 @@
 	body := x.prompt(chain)
 	last := upstream.NewFailure(verdict.NotRun, "no-server", Error.New("no server of the route's service is known"))
 	for sent := 0; sent < x.route.MaxAttempts; {
+		ask.Servers = x.servers()
 		choice, found := x.g.balancer.Pick(ask)
 		if !found {
 			break
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -43,6 +43,9 @@
 	layoutPoll     = 10 * time.Millisecond
 	// cacheShare of a VM's memory holds kept turns.
 	cacheShare = 0.05
+	// bodyShare of a VM's memory holds bodies of requests: five of the largest that configurations allow so far, on
+	// the smallest VM.
+	bodyShare = 0.2
 	// headerTimeout bounds a request's headers before the configuration says how long; callers keep within 3 s.
 	headerTimeout = 10 * time.Second
 	// idleTimeout is how long a caller's connection is kept; configurations so far say 15 s and less.
@@ -89,7 +92,7 @@
 	f.ledger = ledger.New(b.links, b.settings.DataCentre, int(cacheShare*float64(b.settings.MemoryBytes)), b.log)
 	f.gateway = gateway.New(gateway.Options{
 		Catalog: f.catalog, Balancer: f.balancer, Sender: f.pool, Ledger: f.ledger, Dialect: platform.Headers{},
-		Log: b.log, Stats: gateway.NewStats(b.metrics),
+		Log: b.log, Stats: gateway.NewStats(b.metrics), BodyBytes: int64(bodyShare * float64(b.settings.MemoryBytes)),
 	})
 	b.metrics.Gauge("rookpass_connections_opened_total", func() float64 { return float64(f.pool.Opened()) })
 	b.metrics.Gauge("rookpass_connections_reused_total", func() float64 { return float64(f.pool.Reused()) })
