--- a/deploy/days/draw/main.go
+++ b/deploy/days/draw/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/jessevdk/go-flags"
@@ -15,6 +16,7 @@
 	Seed    uint64  `long:"seed" default:"1" description:"seed of the draw"`
 	Seconds float64 `long:"seconds" default:"30" description:"time within which troubles begin"`
 	Faults  int     `long:"faults" default:"6" description:"how many faults"`
+	Health  bool    `long:"health" description:"also the troubles of sites where servers' health answers may be false"`
 	Plans   int     `long:"plans" default:"3" description:"how many pieces of planned work"`
 }
 
@@ -38,7 +40,6 @@
 	{kind: "srv_slow", share: some, x: [2]float64{2, 6}, length: seconds},
 	{kind: "srv_crash", share: [2]float64{0.05, 0.25}, hows: []string{"", "dark", "gone", "domain"}, length: seconds},
 	{kind: "srv_grey", share: [2]float64{0.05, 0.2}, x: [2]float64{0.2, 0.6}, hows: []string{"errors", "shed", "busy", "hang", "reset", "mute"}, length: seconds},
-	{kind: "srv_flap", share: [2]float64{0.05, 0.2}, gap: [2]float64{0.5, 2}, length: seconds},
 	{kind: "srv_cut", share: some, hows: []string{"", "fronts", "some", "some lossy", "one_way", "reset", "reborn"}, length: seconds},
 	{kind: "replace_with_reuse", share: [2]float64{0.05, 0.2}, hows: []string{"", "drain", "dark"}},
 	{kind: "answer_lost", share: some, x: [2]float64{0.02, 0.06}, hows: []string{"", "reset"}, length: seconds},
@@ -66,6 +67,12 @@
 	{kind: "after_ack_wipe", on: "store", count: 1, hows: []string{"", "oldest"}, length: seconds},
 }
 
+// healthFaults come only where health answers may be false.
+var healthFaults = []trouble{
+	{kind: "srv_flap", share: [2]float64{0.05, 0.2}, gap: [2]float64{0.5, 2}, length: seconds},
+	{kind: "srv_lying_health", share: [2]float64{0.05, 0.2}, hows: []string{"errors", "hang", "reset", "bad"}, length: seconds},
+}
+
 var plans = []trouble{
 	{kind: "release", share: [2]float64{0.2, 0.6}, x: [2]float64{1, 2}, gap: [2]float64{0.5, 1.5}},
 	{kind: "scale_in", share: [2]float64{0.05, 0.2}, hows: []string{"", "spot", "reclaim"}, length: seconds},
@@ -106,8 +113,12 @@
 		b.WriteString(entry(random, plans, opts.Seconds))
 	}
 	b.WriteString("]\nfaults = [\n")
+	kinds := faults
+	if opts.Health {
+		kinds = slices.Concat(faults, healthFaults)
+	}
 	for range opts.Faults {
-		b.WriteString(entry(random, faults, opts.Seconds))
+		b.WriteString(entry(random, kinds, opts.Seconds))
 	}
 	b.WriteString("]\n")
 	if closing := closings[random.IntN(len(closings))]; closing != "" {
