Callers, servers and checker of the soak in a package of their own; daemons get their network from outside

Cause: a fault matrix of the platform's daemons in virtual time needs what the soak has (callers, servers, the checker) and daemons that listen, dial and read settings through what a test gives them. Change: internal/workload; node.host; the pages end with the daemon; a store daemon closes its log as it stops; retirements that a new list lacks are forgotten; the checker knows leaving servers and configurations that go back (each shown able to fail).

--- a/deploy/days/draw/main.go
+++ b/deploy/days/draw/main.go
@@ -16,7 +16,7 @@
 	Seed    uint64  `long:"seed" default:"1" description:"seed of the draw"`
 	Seconds float64 `long:"seconds" default:"30" description:"time within which troubles begin"`
 	Faults  int     `long:"faults" default:"6" description:"how many faults"`
-	Health  bool    `long:"health" description:"also the troubles of sites where servers' health answers may be false"`
+	Grown   bool    `long:"grown" description:"also the troubles that only the grown sites know"`
 	Plans   int     `long:"plans" default:"3" description:"how many pieces of planned work"`
 }
 
@@ -44,7 +44,6 @@
 	{kind: "replace_with_reuse", share: [2]float64{0.05, 0.2}, hows: []string{"", "drain", "dark"}},
 	{kind: "answer_lost", share: some, x: [2]float64{0.02, 0.06}, hows: []string{"", "reset"}, length: seconds},
 	{kind: "garble", share: some, x: [2]float64{0.01, 0.04}, hows: []string{"", "extra", "unframed", "early", "extra late"}, length: seconds},
-	{kind: "idle_race", share: some, x: [2]float64{100, 500}, length: seconds},
 	{kind: "node_kill", share: some, hows: []string{"", "power", "turn"}, length: seconds},
 	{kind: "node_freeze", share: some, hows: []string{"", "meet"}, length: seconds},
 	{kind: "node_slow", share: some, x: [2]float64{3, 6}, length: seconds},
@@ -67,8 +66,9 @@
 	{kind: "after_ack_wipe", on: "store", count: 1, hows: []string{"", "oldest"}, length: seconds},
 }
 
-// healthFaults come only where health answers may be false.
-var healthFaults = []trouble{
+// grownFaults come only on the grown sites.
+var grownFaults = []trouble{
+	{kind: "idle_race", share: some, x: [2]float64{100, 500}, length: seconds},
 	{kind: "srv_flap", share: [2]float64{0.05, 0.2}, gap: [2]float64{0.5, 2}, length: seconds},
 	{kind: "srv_lying_health", share: [2]float64{0.05, 0.2}, hows: []string{"errors", "hang", "reset", "bad"}, length: seconds},
 }
@@ -114,8 +114,8 @@
 	}
 	b.WriteString("]\nfaults = [\n")
 	kinds := faults
-	if opts.Health {
-		kinds = slices.Concat(faults, healthFaults)
+	if opts.Grown {
+		kinds = slices.Concat(faults, grownFaults)
 	}
 	for range opts.Faults {
 		b.WriteString(entry(random, kinds, opts.Seconds))
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -75,7 +75,7 @@
 
 // RunFront runs the front daemon until ctx ends, and then until its requests have.
 func RunFront(ctx context.Context, settings platform.Settings, level string) error {
-	b, err := newBase(settings, level, "front")
+	b, err := newBase(thisVM(), settings, level, "front")
 	if err != nil {
 		return err
 	}
@@ -86,8 +86,8 @@
 
 func newFront(b *base) *front {
 	f := &front{base: b, catalog: catalog.New(), balancer: balance.New(b.settings.DataCentre)}
-	f.pool = upstream.NewPool(b.dial, platform.Headers{})
-	f.detour = tunnel.NewDialer(b.dial, b.settings.PeerAddress())
+	f.pool = upstream.NewPool(b.host.dial, platform.Headers{})
+	f.detour = tunnel.NewDialer(b.host.dial, b.settings.PeerAddress())
 	b.links.WithDetour(f.detour.Dial, diskPatience)
 	f.ledger = ledger.New(b.links, b.settings.DataCentre, int(cacheShare*float64(b.settings.MemoryBytes)), b.log)
 	f.gateway = gateway.New(gateway.Options{
@@ -102,19 +102,18 @@
 }
 
 func (f *front) run(ctx context.Context) error {
-	callers, err := listen(f.settings.CallerAddress)
+	callers, err := f.listen(f.settings.CallerAddress)
 	if err != nil {
 		return err
 	}
-	readiness, err := listen(f.settings.ReadyAddress)
+	readiness, err := f.listen(f.settings.ReadyAddress)
 	if err != nil {
 		return err
 	}
-	peers, err := listen(f.settings.PeerAddress())
+	peers, err := f.listen(f.settings.PeerAddress())
 	if err != nil {
 		return err
 	}
-	f.servePages(f.status)
 	server := &http.Server{Handler: f.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	ready := &http.Server{Handler: http.HandlerFunc(f.answerReady), ReadHeaderTimeout: headerTimeout}
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
@@ -127,7 +126,8 @@
 		_ = peers.Close()
 		return work.Err()
 	})
-	group.Go(func() error { return tunnel.NewServer(f.dial, f.holdsSlot, f.log).Serve(peers) })
+	group.Go(func() error { return tunnel.NewServer(f.host.dial, f.holdsSlot, f.log).Serve(peers) })
+	group.Go(func() error { return f.servePages(work, f.status) })
 	f.watch(work, group)
 	group.Go(func() error { return f.exchange(work) })
 	group.Go(func() error { return f.followSettings(work) })
@@ -196,7 +196,7 @@
 // is known, the seeds stand in.
 func (f *front) mirrors() func() []feed.NamedMirror {
 	// Apart from the ledger's: a watch that hangs must not break its calls.
-	links := peerlink.NewSet(f.dial).WithDetour(f.detour.Dial, mirrorPatience)
+	links := peerlink.NewSet(f.host.dial).WithDetour(f.detour.Dial, mirrorPatience)
 	return func() []feed.NamedMirror {
 		var sources []feed.NamedMirror
 		l := f.ledger.Layout()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync/atomic"
@@ -42,34 +43,53 @@
 	heapShare = 0.6
 )
 
+// host is the VM that a daemon runs on. Tests put one in memory in its place.
+type host struct {
+	listen func(address string) (net.Listener, error)
+	dial   network.DialContext
+	// load reads the settings file.
+	load func() (platform.Settings, error)
+	// output takes the log.
+	output io.Writer
+}
+
+// thisVM returns the host that the process runs on.
+func thisVM() host {
+	return host{
+		listen: func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
+		dial:   network.NewDialer(connectTimeout, silenceTimeout),
+		load:   platform.LoadSettings,
+		output: os.Stdout,
+	}
+}
+
 // base is what both daemons have.
 type base struct {
+	host     host
 	settings platform.Settings
 	out      *eventlog.Writer
 	log      logrus.FieldLogger
 	metrics  *metrics.Registry
 	store    *platform.Store
-	dial     network.DialContext
 	links    *peerlink.Set
 	// seeds are addresses of store daemons for when the layout is not known.
 	seeds atomic.Pointer[[]string]
 }
 
-func newBase(settings platform.Settings, level, role string) (*base, error) {
-	out := eventlog.New(os.Stdout)
+func newBase(host host, settings platform.Settings, level, role string) (*base, error) {
+	out := eventlog.New(host.output)
 	log, err := telemetry.NewLog(out, level, settings.Node)
 	if err != nil {
 		return nil, err
 	}
-	dial := network.NewDialer(connectTimeout, silenceTimeout)
 	b := &base{
+		host:     host,
 		settings: settings,
 		out:      out,
 		log:      log,
 		metrics:  metrics.New(),
-		store:    platform.NewStore(settings.StoreAddress, dial),
-		dial:     dial,
-		links:    peerlink.NewSet(dial),
+		store:    platform.NewStore(settings.StoreAddress, host.dial),
+		links:    peerlink.NewSet(host.dial),
 	}
 	b.apply(settings)
 	b.metrics.Gauge("rookpass_store_calls_total", func() float64 { return float64(b.store.Calls()) })
@@ -89,8 +109,8 @@
 	b.out.Close()
 }
 
-func listen(address string) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
+func (b *base) listen(address string) (net.Listener, error) {
+	listener, err := b.host.listen(address)
 	return listener, Error.Wrap(err)
 }
 
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -36,7 +36,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		next, err := platform.LoadSettings()
+		next, err := b.host.load()
 		if err != nil {
 			b.log.WithFields(logrus.Fields{"event": "reload", "why": why, "outcome": "refused", "error": err}).Warn("settings not read; the old ones stay")
 			continue
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 
@@ -73,16 +74,23 @@
 	}
 }
 
-// servePages serves metrics and status until the process ends. A daemon works without them.
-func (b *base) servePages(status func(*http.Request) any) {
+// servePages serves metrics and status until ctx ends. A daemon works without them.
+func (b *base) servePages(ctx context.Context, status func(*http.Request) any) error {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", b.metrics)
 	mux.HandleFunc(StatusPath, func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(status(r)) // the reader may have left
 	})
-	go func() {
-		err := http.ListenAndServe(b.settings.MetricsAddress(), mux)
+	listener, err := b.listen(b.settings.MetricsAddress())
+	if err == nil {
+		stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+		defer stop()
+		err = http.Serve(listener, mux)
+	}
+	if ctx.Err() == nil {
 		b.log.WithFields(logrus.Fields{"event": "metrics-failed", "error": err}).Error("metrics not served")
-	}()
+	}
+	<-ctx.Done()
+	return ctx.Err()
 }
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"path/filepath"
 	"sync"
 	"time"
@@ -34,7 +35,7 @@
 
 // RunStore runs the store daemon until ctx ends.
 func RunStore(ctx context.Context, settings platform.Settings, level string) error {
-	b, err := newBase(settings, level, "store")
+	b, err := newBase(thisVM(), settings, level, "store")
 	if err != nil {
 		return err
 	}
@@ -70,8 +71,8 @@
 		watch.New(b.store, watchPace, mirrors[1]).WithWait(storeWait),
 		watch.New(b.store, watchPace, retiring.handler()).WithWait(rareWait),
 	}
-	b.servePages(storeStatus(s.Node, store))
 	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return b.servePages(ctx, storeStatus(s.Node, store)) })
 	services := map[string]any{
 		replica.ServiceName:  replica.NewService(store),
 		mirror.ServiceName:   mirror.NewService(mirrors...),
@@ -81,7 +82,7 @@
 		if address == "" {
 			continue
 		}
-		listener, err := listen(address)
+		listener, err := b.listen(address)
 		if err != nil {
 			return err
 		}
@@ -111,7 +112,7 @@
 			return w.Run(ctx)
 		})
 	}
-	return group.Wait()
+	return errors.Join(group.Wait(), store.Close())
 }
 
 // both passes a prefix's changes to two handlers.
@@ -165,11 +166,19 @@
 	}
 	return &handler{
 		prefix: platform.RetirementsPrefix,
+		reset:  r.forget,
 		apply:  func(o objectapi.Object) { set(o.Key, true) },
 		remove: func(key string) { set(key, false) },
 	}
 }
 
+// forget drops what was known, before a new list.
+func (r *retirements) forget() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	clear(r.nodes)
+}
+
 // Retiring implements replica.Retirements.
 func (r *retirements) Retiring(node string) bool {
 	r.mu.Lock()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -11,6 +10,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/rookpass/rookpass/internal/workload"
 )
 
 // Result is what a run found.
@@ -37,11 +38,11 @@
 	}
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
-	var all []*caller
+	var all []*workload.Caller
 	for i := range plan.Callers {
-		c := newCaller(fronts, w.checker, plan.Seed*1000+uint64(i))
+		c := workload.NewCaller(fronts, w.checker, plan.Seed*1000+uint64(i), nil)
 		all = append(all, c)
-		callers.Go(func() { c.run(stop) })
+		callers.Go(func() { c.Run(workload.Programs, stop) })
 	}
 	w.play(ctx)
 	close(stop)
@@ -87,12 +88,16 @@
 		w.configure()
 	default:
 		s := w.servers[f.Target%len(w.servers)]
-		s.fault.Store(f.Kind)
+		s.SetFault(serverFaults[f.Kind])
 		time.Sleep(f.For)
-		s.fault.Store(Kind(""))
+		s.SetFault("")
 	}
 }
 
+var serverFaults = map[Kind]workload.Fault{
+	ServerHang: workload.Hang, ServerCut: workload.Cut, ServerSurplus: workload.Surplus, ServerShed: workload.Shed,
+}
+
 func (w *World) strikeProcess(f Fault) {
 	p := w.processes[f.Target%len(w.processes)]
 	disk := w.processes[w.plan.Fronts+f.Target%w.plan.Stores]
@@ -168,14 +173,12 @@
 
 // replaceServer drains a server; after a while another one answers at its address.
 func (w *World) replaceServer(f Fault) {
-	place := f.Target % len(w.servers)
-	s := w.servers[place]
-	old := s.current()
-	old.Draining = true
+	s := w.servers[f.Target%len(w.servers)]
+	old := s.Leave()
 	w.store.SetServer(old)
 	time.Sleep(f.For)
 	w.store.RemoveServer(old.ID)
-	w.store.SetServer(s.rename(place))
+	w.store.SetServer(s.Rename())
 }
 
 // heal waits until every fault has been undone and every process runs.
@@ -190,21 +193,10 @@
 }
 
 // checkRecovery asks that every caller's last program goes on, and a new one runs whole.
-func (w *World) checkRecovery(callers []*caller) {
+func (w *World) checkRecovery(callers []*workload.Caller) {
 	var wg sync.WaitGroup
 	for _, c := range callers {
-		wg.Go(func() {
-			fresh := line{program: fmt.Sprintf("p%d", ids.Add(1))}
-			if !c.turnWithin(&fresh, recoveryTime) {
-				w.checker.Fail("after the faults no new program was served within %v", recoveryTime)
-			}
-			if c.last.previous == "" || c.last.scarce {
-				return
-			}
-			if !c.turnWithin(&c.last, recoveryTime) {
-				w.checker.Fail("after the faults program %s could not go on from %s", c.last.program, c.last.previous)
-			}
-		})
+		wg.Go(c.CheckRecovery)
 	}
 	wg.Wait()
 }
--- a/internal/soak/caller.go
+++ b/internal/workload/caller.go
@@ -1,4 +1,4 @@
-package soak
+package workload
 
 import (
 	"bytes"
@@ -9,13 +9,16 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/rookpass/rookpass/internal/network"
 	"github.com/rookpass/rookpass/platform/platformtest"
 )
 
 const (
+	// host is the name that callers ask for.
 	host = "agents.example"
 	// mostTokens is the most that a turn generates.
 	mostTokens = tokensPerEvent * eventsPerTurn
@@ -25,6 +28,8 @@
 	callDeadline    = 4 * time.Second
 	// retryTime is how long a turn is tried again before its program is given up, in a run under faults.
 	retryTime = 6 * time.Second
+	// retryPause is the time between two tries of a turn.
+	retryPause = 150 * time.Millisecond
 	// recoveryTime is how soon after the last fault everything must be served again.
 	recoveryTime = 12 * time.Second
 )
@@ -35,13 +40,14 @@
 // ids gives requests and programs names of their own.
 var ids atomic.Int64
 
-// caller runs programs, one after the other.
-type caller struct {
+// Caller runs programs, one after the other.
+type Caller struct {
 	fronts  []string
 	checker *Checker
-	random  *rand.Rand
 	client  *http.Client
-	// last is the newest whole program: its turns must be there after the faults.
+	mu      sync.Mutex
+	random  *rand.Rand
+	// last is the newest line of turns that is whole so far: its turns must be there after the faults.
 	last line
 }
 
@@ -52,23 +58,54 @@
 	scarce                     bool
 }
 
-func newCaller(fronts []string, checker *Checker, seed uint64) *caller {
-	return &caller{fronts: fronts, checker: checker, random: rand.New(rand.NewPCG(seed, 2)), client: &http.Client{Transport: &http.Transport{}}}
+// NewCaller returns a caller of some fronts, by their addresses. dial is nil for the network of this machine.
+func NewCaller(fronts []string, checker *Checker, seed uint64, dial network.DialContext) *Caller {
+	return &Caller{fronts: fronts, checker: checker, random: rand.New(rand.NewPCG(seed, 2)),
+		client: &http.Client{Transport: &http.Transport{DialContext: dial}}}
 }
 
-// run runs programs until stop is closed.
-func (c *caller) run(stop <-chan struct{}) {
+// Work is what a caller asks for.
+type Work string
+
+// The kinds of work.
+const (
+	// Programs are turns with calls of tools between them; every fourth program has a scarce budget.
+	Programs Work = "programs"
+	// Turns are two lines of turns that fork from one, side by side.
+	Turns Work = "turns"
+	// Budgets are two lines side by side, with a budget for fewer turns.
+	Budgets Work = "budgets"
+	// Calls are calls of tools that must not run twice.
+	Calls Work = "calls"
+	// Lookups are calls that may.
+	Lookups Work = "lookups"
+)
+
+// Run asks for work until stop is closed.
+func (c *Caller) Run(work Work, stop <-chan struct{}) {
 	for {
 		select {
 		case <-stop:
 			return
 		default:
 		}
-		c.program()
+		switch work {
+		case Programs:
+			c.program()
+		case Turns, Budgets:
+			c.fork(work == Budgets)
+		case Calls:
+			c.tool("/tool/", false)
+		case Lookups:
+			c.tool("/lookup/", true)
+		}
 	}
 }
 
-func (c *caller) program() {
+// Close ends the caller's connections.
+func (c *Caller) Close() { c.client.CloseIdleConnections() }
+
+func (c *Caller) program() {
 	n := ids.Add(1)
 	l := line{program: fmt.Sprintf("p%d", n), scarce: n%4 == 0}
 	for l.turns < turnsPerProgram {
@@ -81,8 +118,53 @@
 	}
 }
 
+// fork runs one turn and then two lines that go on from it, side by side.
+func (c *Caller) fork(scarce bool) {
+	first := line{program: fmt.Sprintf("p%d", ids.Add(1)), scarce: scarce}
+	if !c.turnWithin(&first, retryTime) {
+		return
+	}
+	lines := [2]line{first, first}
+	var wg sync.WaitGroup
+	for i := range lines {
+		wg.Go(func() {
+			for lines[i].turns < turnsPerProgram && c.turnWithin(&lines[i], retryTime) {
+			}
+		})
+	}
+	wg.Wait()
+	c.last = lines[0]
+}
+
+// CheckRecovery asks that the caller's last line goes on, and a new program begins.
+func (c *Caller) CheckRecovery() {
+	fresh := line{program: fmt.Sprintf("p%d", ids.Add(1))}
+	if !c.turnWithin(&fresh, recoveryTime) {
+		c.checker.Fail("after the faults no new program was served within %v", recoveryTime)
+	}
+	if c.last.previous == "" || c.last.scarce {
+		return
+	}
+	if !c.turnWithin(&c.last, recoveryTime) {
+		c.checker.Fail("after the faults program %s could not go on from %s", c.last.program, c.last.previous)
+	}
+}
+
+// Knows asks a front for the route that came with a version, and reports whether it is in force there; false
+// too where the front does not answer. life names the front's present life.
+func (c *Caller) Knows(front, life string, version int64) bool {
+	id := fmt.Sprintf("v%d", ids.Add(1))
+	c.checker.Sent(id, "", true)
+	status, _, _, err := c.sendTo(front, fmt.Sprintf("/new%d/", version), platformtest.Call{ID: id, Deadline: callDeadline}, "")
+	if err != nil || status != http.StatusOK && status != http.StatusNotFound {
+		return false
+	}
+	c.checker.Served(life, version, status == http.StatusOK)
+	return status == http.StatusOK
+}
+
 // turnWithin tries a turn until it is whole, and reports whether it was in time.
-func (c *caller) turnWithin(l *line, limit time.Duration) bool {
+func (c *Caller) turnWithin(l *line, limit time.Duration) bool {
 	for began := time.Now(); time.Since(began) < limit; {
 		switch c.turn(l) {
 		case http.StatusOK:
@@ -90,13 +172,13 @@
 		case http.StatusPaymentRequired, http.StatusNotFound:
 			return false
 		}
-		time.Sleep(time.Duration(100+c.random.IntN(200)) * time.Millisecond)
+		time.Sleep(retryPause)
 	}
 	return false
 }
 
 // turn sends the line's next turn once, and returns how it was answered; 0 where it broke off.
-func (c *caller) turn(l *line) int {
+func (c *Caller) turn(l *line) int {
 	budget := int64(100 * mostTokens)
 	if l.scarce {
 		budget = scarceTurns * mostTokens
@@ -128,7 +210,7 @@
 }
 
 // tool sends one call of a tool.
-func (c *caller) tool(path string, repeatable bool) {
+func (c *Caller) tool(path string, repeatable bool) {
 	id := fmt.Sprintf("c%d", ids.Add(1))
 	c.checker.Sent(id, "args of "+id, repeatable)
 	status, header, body, err := c.send(path, platformtest.Call{ID: id, Deadline: callDeadline}, "args of "+id)
@@ -142,7 +224,7 @@
 	c.checker.Ended("call whole")
 }
 
-func (c *caller) failed(id string, status int, err error) int {
+func (c *Caller) failed(id string, status int, err error) int {
 	if err != nil {
 		c.checker.Ended("broken off")
 		return 0
@@ -154,10 +236,16 @@
 	return status
 }
 
-func (c *caller) send(path string, call platformtest.Call, body string) (int, http.Header, []byte, error) {
+func (c *Caller) send(path string, call platformtest.Call, body string) (int, http.Header, []byte, error) {
+	c.mu.Lock()
+	front := c.fronts[c.random.IntN(len(c.fronts))]
+	c.mu.Unlock()
+	return c.sendTo(front, path, call, body)
+}
+
+func (c *Caller) sendTo(front, path string, call platformtest.Call, body string) (int, http.Header, []byte, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), call.Deadline)
 	defer cancel()
-	front := c.fronts[c.random.IntN(len(c.fronts))]
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+front+path+call.ID, bytes.NewReader([]byte(body)))
 	if err != nil {
 		return 0, nil, nil, err
--- a/internal/soak/checker.go
+++ b/internal/workload/checker.go
@@ -1,8 +1,9 @@
-package soak
+package workload
 
 import (
 	"fmt"
 	"sync"
+	"time"
 )
 
 // Checker holds the promises against what callers and servers see.
@@ -13,7 +14,9 @@
 	repeat   map[string]bool
 	refused  map[string]int
 	handed   map[string]int64
-	budgets  map[string]int64
+	leaving  map[string]time.Time
+	excused  time.Time
+	seen     map[string]int64
 	broken   []string
 	// Counts are how requests ended, by what callers saw.
 	Counts map[string]int
@@ -22,7 +25,7 @@
 // NewChecker returns a checker that has seen nothing.
 func NewChecker() *Checker {
 	return &Checker{expected: map[string]string{}, runs: map[string]int{}, repeat: map[string]bool{}, refused: map[string]int{},
-		handed: map[string]int64{}, budgets: map[string]int64{}, Counts: map[string]int{}}
+		handed: map[string]int64{}, leaving: map[string]time.Time{}, seen: map[string]int64{}, Counts: map[string]int{}}
 }
 
 // Fail notes a broken promise.
@@ -85,6 +88,45 @@
 	}
 }
 
+// drainTime is how long after a server's word that it leaves it may still get requests.
+const drainTime = 2 * time.Second
+
+// Leaving notes that a server has said that it leaves.
+func (c *Checker) Leaving(server string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaving[server] = time.Now()
+}
+
+// Excuse lets requests reach leaving servers until a time: a paused daemon's last ones arrive when it wakes.
+func (c *Checker) Excuse(until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.excused = until
+}
+
+// Arrived notes that a request has reached a server.
+func (c *Checker) Arrived(server, id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	at, leaving := c.leaving[server]
+	if leaving && now.Sub(at) > drainTime && now.After(c.excused) {
+		c.fail("%s reached server %s %v after it had said that it leaves", id, server, now.Sub(at))
+	}
+}
+
+// Served notes that one life of a front has served a route of a version, or refused one.
+func (c *Checker) Served(front string, version int64, known bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if known {
+		c.seen[front] = max(c.seen[front], version)
+	} else if version <= c.seen[front] {
+		c.fail("%s went back: it knows no route of version %d after it has served one of %d", front, version, c.seen[front])
+	}
+}
+
 // Ended counts how a request ended.
 func (c *Checker) Ended(outcome string) {
 	c.mu.Lock()
--- /dev/null
+++ b/internal/workload/checker_test.go
@@ -0,0 +1,48 @@
+package workload
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestCheckerCatches: each promise, broken, is noticed.
+func TestCheckerCatches(t *testing.T) {
+	for name, c := range map[string]struct {
+		course func(*Checker)
+		want   string
+	}{
+		"nothing wrong": {func(c *Checker) {
+			c.Sent("a", "x", false)
+			c.Ran("a", "x")
+			c.Sent("b", "x", true)
+			c.Ran("b", "x")
+			c.Ran("b", "x")
+			c.Sent("d", "x", false)
+			c.Refused("d", 503)
+			c.Handed("p", 10, 10)
+		}, ""},
+		"ran twice":                {func(c *Checker) { c.Sent("a", "x", false); c.Ran("a", "x"); c.Ran("a", "x") }, "must run once"},
+		"refused then ran":         {func(c *Checker) { c.Sent("a", "x", false); c.Refused("a", 503); c.Ran("a", "x") }, "ran later"},
+		"ran then refused":         {func(c *Checker) { c.Sent("a", "x", false); c.Ran("a", "x"); c.Refused("a", 402) }, "was answered 402"},
+		"changed":                  {func(c *Checker) { c.Sent("a", "x", false); c.Ran("a", "y") }, "with 1 bytes"},
+		"nobody sent":              {func(c *Checker) { c.Ran("a", "x") }, "nobody sent"},
+		"beyond budget":            {func(c *Checker) { c.Handed("p", 6, 10); c.Handed("p", 6, 10) }, "12 tokens of 10"},
+		"late at a leaving server": {func(c *Checker) { c.Leaving("s"); time.Sleep(3 * time.Second); c.Arrived("s", "a") }, "after it had said"},
+		"soon at a leaving server": {func(c *Checker) { c.Leaving("s"); time.Sleep(time.Second); c.Arrived("s", "a") }, ""},
+		"went back":                {func(c *Checker) { c.Served("f", 4, true); c.Served("f", 3, false) }, "went back"},
+		"not yet there":            {func(c *Checker) { c.Served("f", 4, true); c.Served("f", 5, false) }, ""},
+		"ended by itself":          {func(c *Checker) { c.Fail("%s ended by itself", "front-1") }, "ended by itself"},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			checker := NewChecker()
+			c.course(checker)
+			broken := strings.Join(checker.Broken(), "; ")
+			assert.Equal(t, broken == "", c.want == "", "%s: %s", name, broken)
+			assert.Assert(t, strings.Contains(broken, c.want), "%s: %s", name, broken)
+		})
+	}
+}
--- a/internal/soak/server.go
+++ b/internal/workload/server.go
@@ -1,9 +1,11 @@
-package soak
+// Package workload has callers that run programs, backend servers that answer them, and a checker that holds
+// rookpass's promises against what both see. The soak puts real processes between them, the fault matrix of
+// internal/node daemons in virtual time.
+package workload
 
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -25,97 +27,119 @@
 	toolTime   = 20 * time.Millisecond
 )
 
-// server is a backend server of the model or the tool service.
-type server struct {
-	entry   catalog.Server
+// Fault is how a server spoils its answers; the zero value is none.
+type Fault string
+
+// The faults of a server.
+const (
+	// Hang runs requests and says nothing.
+	Hang Fault = "hang"
+	// Cut breaks answers off in the middle.
+	Cut Fault = "cut"
+	// Surplus sends each answer twice.
+	Surplus Fault = "surplus"
+	// Shed turns requests away as not run.
+	Shed Fault = "shed"
+)
+
+// Server is a backend server of the model or the tool service. It implements http.Handler.
+type Server struct {
+	place   int
 	checker *Checker
-	http    *http.Server
-	link    *proxy
-	fault   atomic.Value // Kind
-	lives   int
-	mu      sync.Mutex
+	fault   atomic.Value // Fault
+
+	mu    sync.Mutex
+	entry catalog.Server
+	lives int
 }
 
-func newServer(place int, checker *Checker) (*server, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	link, err := newProxy(listener.Addr().String())
-	if err != nil {
-		return nil, err
-	}
+// NewServer returns the server at a place, whose number picks its service and data centre. address is where
+// daemons reach it.
+func NewServer(place int, address string, checker *Checker) *Server {
 	service := modelService
 	if place%2 == 1 {
 		service = toolService
 	}
-	s := &server{checker: checker, link: link}
-	s.fault.Store(Kind(""))
-	s.entry = catalog.Server{Service: service, Address: link.address(), DataCentre: fmt.Sprint("dc", place%3), Slots: 32}
-	s.rename(place)
-	s.http = &http.Server{Handler: s}
-	go func() { _ = s.http.Serve(listener) }()
-	return s, nil
+	s := &Server{place: place, checker: checker}
+	s.SetFault("")
+	s.entry = catalog.Server{Service: service, Address: address, DataCentre: fmt.Sprint("dc", place%3), Slots: 32}
+	s.Rename()
+	return s
 }
 
-// rename begins another life of the server at its address.
-func (s *server) rename(place int) catalog.Server {
+// SetFault sets how the server spoils its answers.
+func (s *Server) SetFault(f Fault) { s.fault.Store(f) }
+
+// Rename begins another life of the server at its address, and returns its entry.
+func (s *Server) Rename() catalog.Server {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lives++
-	s.entry.ID = fmt.Sprintf("i-%d-%d", place, s.lives)
+	s.entry.ID = fmt.Sprintf("i-%d-%d", s.place, s.lives)
 	s.entry.Draining = false
 	return s.entry
 }
 
-func (s *server) current() catalog.Server {
+// Leave makes the server say that it leaves, and returns its entry.
+func (s *Server) Leave() catalog.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entry.Draining = true
+	s.checker.Leaving(s.entry.ID)
+	return s.entry
+}
+
+// Entry returns the server's entry as it is now.
+func (s *Server) Entry() catalog.Server {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.entry
 }
 
 // ServeHTTP implements http.Handler.
-func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := platformtest.CallID(r.Header)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
-	fault := s.fault.Load().(Kind)
+	fault := s.fault.Load().(Fault)
+	entry := s.Entry()
 	w.Header().Set("X-Content-Type-Options", "nosniff")
 	switch {
-	case platformtest.ExpectedServer(r.Header) != s.current().ID:
+	case platformtest.ExpectedServer(r.Header) != entry.ID:
 		platformtest.Sign(w.Header(), id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
-	case fault == ServerShed:
+	case fault == Shed:
 		platformtest.Sign(w.Header(), id)
 		platformtest.SayNotRun(w.Header())
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	s.checker.Arrived(entry.ID, id)
 	s.checker.Ran(id, string(body))
-	if fault == ServerHang {
+	if fault == Hang {
 		<-r.Context().Done()
 		return
 	}
 	platformtest.Sign(w.Header(), id)
-	if s.entry.Service == modelService {
+	if entry.Service == modelService {
 		s.stream(w, r, id, fault)
 		return
 	}
 	s.tool(w, id, fault)
 }
 
-// event returns the data of a turn's event.
+// eventData returns the data of a turn's event.
 func eventData(id string, n int) string { return fmt.Sprintf("%s/%d", id, n) }
 
-func (s *server) stream(w http.ResponseWriter, r *http.Request, id string, fault Kind) {
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, id string, fault Fault) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	for n := 1; n <= eventsPerTurn; n++ {
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, eventData(id, n)) // the caller may have left
 		w.(http.Flusher).Flush()
-		if fault == ServerCut && n == eventsPerTurn/2 {
+		if fault == Cut && n == eventsPerTurn/2 {
 			panic(http.ErrAbortHandler)
 		}
 		select {
@@ -129,15 +153,15 @@
 // toolAnswer is the body of a tool's answer.
 func toolAnswer(id string) string { return "done " + id + strings.Repeat(".", 200) }
 
-func (s *server) tool(w http.ResponseWriter, id string, fault Kind) {
+func (s *Server) tool(w http.ResponseWriter, id string, fault Fault) {
 	time.Sleep(toolTime)
 	body := toolAnswer(id)
 	switch fault {
-	case ServerCut:
+	case Cut:
 		w.Header().Set("Content-Length", fmt.Sprint(len(body)))
 		_, _ = io.WriteString(w, body[:len(body)/2])
 		panic(http.ErrAbortHandler)
-	case ServerSurplus:
+	case Surplus:
 		conn, buffered, err := w.(http.Hijacker).Hijack()
 		if err != nil {
 			return
