A retiring disk without a spare gives its slot up where enough disks stay

Ruled out: a front that is not ready (the first guess; none was). Change: the disk serves no older layout, marks its slot as leaving, copies what others lack until a quorum of the slots that stay in each group has it, then makes the slot vacant; groups take another slot in its place. Only where whole groups stay: with three disks and a tolerance of one a retirement still waits for a spare.

--- a/internal/layout/layout.go
+++ b/internal/layout/layout.go
@@ -2,7 +2,11 @@
 //
 // A layout has a fixed number of slots, decided when the system first starts. Each slot is held by one disk;
 // while another disk takes the slot over, writes to the slot count only if both disks have them. A program's
-// records lie on the slots of its group.
+// records lie on the slots of its group: a durable record is held by a quorum of them, always.
+//
+// A disk that is to be emptied with no other to take its slot gives the slot up: it is leaving, and counts for
+// nothing, until all that it holds is on a quorum of the rest of each group; then the slot is vacant for good, and groups
+// do without it.
 package layout
 
 import (
@@ -34,6 +38,9 @@
 	Disk       Disk   `json:"disk"`
 	// Joining is the disk that takes the slot over, if any.
 	Joining *Disk `json:"joining,omitempty"`
+	// Leaving slots are read from but not written to. Vacant ones have no disk.
+	Leaving bool `json:"leaving,omitempty"`
+	Vacant  bool `json:"vacant,omitempty"`
 }
 
 // Layout is one state of the slots.
@@ -70,12 +77,39 @@
 	return &next
 }
 
+// Disks returns the disks that hold slots, in the order of the slots.
+func (l *Layout) Disks() []Disk {
+	disks := make([]Disk, 0, len(l.Slots))
+	for _, slot := range l.Slots {
+		if !slot.Vacant {
+			disks = append(disks, slot.Disk)
+		}
+	}
+	return disks
+}
+
+// Live returns the number of slots that have a disk.
+func (l *Layout) Live() int { return len(l.Disks()) }
+
+// MayLeave tells whether a slot can be given up: the others that stay must make whole groups.
+func (l *Layout) MayLeave(slot int) bool {
+	staying := 0
+	for i, other := range l.Slots {
+		if i != slot && !other.Vacant && !other.Leaving {
+			staying++
+		}
+	}
+	return staying >= l.groupSize()
+}
+
+func (l *Layout) groupSize() int { return 2*l.Tolerance + 1 }
+
 // Quorum is how many slots of a group must hold a record to make it durable, and how many must answer for a
 // budget to be known: any two quorums share a slot.
-func (l *Layout) Quorum() int { return min(l.Tolerance+1, len(l.Slots)) }
+func (l *Layout) Quorum() int { return min(l.Tolerance+1, l.Live()) }
 
 // Absence is how many slots of the whole layout must say that they have no such record for it not to exist.
-func (l *Layout) Absence() int { return len(l.Slots) - l.Quorum() + 1 }
+func (l *Layout) Absence() int { return l.Live() - l.Quorum() + 1 }
 
 // SlotOf returns the slot that a disk holds, or -1.
 func (l *Layout) SlotOf(disk string) int {
@@ -87,18 +121,22 @@
 	return slices.IndexFunc(l.Slots, func(s Slot) bool { return s.Joining != nil && s.Joining.ID == disk })
 }
 
-// Group returns the slots for a program: 2 x tolerance + 1 of them, picked by rendezvous hash, those in
-// data centres not yet picked first. It depends only on the number of slots and their data centres.
+// Group returns the slots for a program: 2 x tolerance + 1 of those that are not vacant, picked by rendezvous
+// hash, those in data centres not yet picked first. It depends only on the slots and their data centres, not on
+// who holds them.
 func (l *Layout) Group(program string) []int {
-	order := make([]int, len(l.Slots))
+	order := make([]int, 0, len(l.Slots))
 	weights := make([]uint64, len(l.Slots))
 	key := xxhash.Sum64String(program)
-	for i := range order {
-		order[i] = i
+	for i, slot := range l.Slots {
+		if slot.Vacant {
+			continue
+		}
+		order = append(order, i)
 		weights[i] = mix(key + uint64(i+1)*0x9e3779b97f4a7c15)
 	}
 	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(weights[b], weights[a]) })
-	size := min(2*l.Tolerance+1, len(order))
+	size := min(l.groupSize(), len(order))
 	if size == len(order) {
 		return order
 	}
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -26,11 +26,37 @@
 func TestQuorumsMeet(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		l := drawLayout(t)
+		for i := range l.Slots {
+			l.Slots[i].Vacant = l.MayLeave(i) && rapid.Bool().Draw(t, "vacant")
+		}
 		group := l.Group(rapid.String().Draw(t, "program"))
-		assert.Equal(t, len(group), min(2*l.Tolerance+1, len(l.Slots)))
+		assert.Equal(t, len(group), min(2*l.Tolerance+1, l.Live()))
+		for _, slot := range group {
+			assert.Assert(t, !l.Slots[slot].Vacant)
+		}
 		assert.Equal(t, len(slices.Compact(slices.Sorted(slices.Values(group)))), len(group))
 		assert.Assert(t, 2*l.Quorum() > len(group))
-		assert.Assert(t, l.Quorum()+l.Absence() > len(l.Slots))
+		assert.Assert(t, l.Quorum()+l.Absence() > l.Live())
+	})
+}
+
+// TestVacantSlotChangesOnlyItsGroups: and each of those by that one slot, so that a quorum of the slots that stay
+// is a quorum of the group after it.
+func TestVacantSlotChangesOnlyItsGroups(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := drawLayout(t)
+		slot := rapid.IntRange(0, len(l.Slots)-1).Draw(t, "slot")
+		if !l.MayLeave(slot) {
+			t.Skip("too few slots")
+		}
+		program := rapid.String().Draw(t, "program")
+		before := l.Group(program)
+		l.Slots[slot].Vacant = true
+		after := l.Group(program)
+		stayed := slices.DeleteFunc(slices.Clone(before), func(s int) bool { return s == slot })
+		for _, s := range stayed {
+			assert.Assert(t, slices.Contains(after, s), "slot %d left the group %v, now %v, with slot %d", s, before, after, slot)
+		}
 	})
 }
 
--- a/internal/ledger/chain.go
+++ b/internal/ledger/chain.go
@@ -123,19 +123,19 @@
 func (l *Ledger) everySlot(current *layout.Layout, program string) []int {
 	order := l.nearestFirst(current, current.Group(program))
 	for slot := range current.Slots {
-		if !slices.Contains(order, slot) {
+		if !current.Slots[slot].Vacant && !slices.Contains(order, slot) {
 			order = append(order, slot)
 		}
 	}
 	return order
 }
 
-// nearestFirst sorts slots: those in this data centre first, those that another disk takes over last.
+// nearestFirst sorts slots: those in this data centre first, those that are being given up last.
 func (l *Ledger) nearestFirst(current *layout.Layout, slots []int) []int {
 	distance := func(i int) int {
 		slot := current.Slots[i]
 		switch {
-		case slot.Joining != nil:
+		case slot.Joining != nil || slot.Leaving:
 			return 2
 		case slot.Disk.DataCentre == l.dataCentre:
 			return 0
--- a/internal/ledger/cluster_test.go
+++ b/internal/ledger/cluster_test.go
@@ -139,7 +139,7 @@
 func (c *cluster) holders() map[string]bool {
 	nodes := map[string]bool{}
 	for _, slot := range c.current().Slots {
-		if slot.Joining == nil {
+		if slot.Joining == nil && !slot.Vacant {
 			nodes[slot.Disk.Node] = true
 		}
 	}
@@ -150,6 +150,9 @@
 func (c *cluster) settled() {
 	c.eventually(func() bool {
 		for _, slot := range c.current().Slots {
+			if slot.Vacant {
+				continue
+			}
 			d := c.nodes[slot.Disk.Node]
 			if slot.Joining != nil || d == nil || d.store.Self().ID != slot.Disk.ID {
 				return false
@@ -227,6 +230,13 @@
 	c.retiring[node] = true
 }
 
+// unretire withdraws it.
+func (c *cluster) unretire(node string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.retiring, node)
+}
+
 // told returns what was reported of a node's retirement.
 func (c *cluster) told(node string) string {
 	c.mu.Lock()
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -198,9 +198,13 @@
 		})
 	}
 	for _, slot := range group {
-		ask(slot, current.Slots[slot].Disk)
-		if joining := current.Slots[slot].Joining; joining != nil {
-			ask(slot, *joining)
+		place := current.Slots[slot]
+		if place.Leaving {
+			continue // it counts for nothing, so it is asked for nothing
+		}
+		ask(slot, place.Disk)
+		if place.Joining != nil {
+			ask(slot, *place.Joining)
 		}
 	}
 	return r
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -10,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/rookpass/rookpass/internal/layout"
 	"github.com/rookpass/rookpass/internal/ledger"
 	"github.com/rookpass/rookpass/internal/testbubble"
 )
@@ -170,6 +172,71 @@
 	})
 }
 
+// TestRetirementWithoutASpare: where enough disks stay, the slot is given up, and what lay on its disk with only
+// just enough others is on enough of those that stay.
+func TestRetirementWithoutASpare(t *testing.T) {
+	testbubble.Run(t, func(t *testing.T) {
+		c := newCluster(t, 5, 1)
+		c.fabric.Cut("front-1", node(0))
+		keep(t, c.ledger("front-1"), programs)
+		c.fabric.Heal("front-1", node(0))
+		old := c.ledger("front-old")
+		_, err := old.Reserve(within(t, 5*time.Second), reserved("p0", "p0-r", 70), 100)
+		assert.NilError(t, err)
+		c.retire(node(1))
+		c.eventually(func() bool { return c.told(node(1)) == "done" })
+		assert.Equal(t, c.current().Live(), 4)
+		c.wipe(node(1))
+		check(t, c.ledger("front-2"), programs)
+		spent, err := c.ledger("front-2").Reserve(within(t, 5*time.Second), reserved("p0", "p0-s", 40), 100)
+		assert.ErrorIs(t, err, ledger.ErrBudget)
+		assert.Equal(t, spent, int64(90), "two turns of 10 and the reservation of 70")
+		// A daemon with the layout of before finds its way.
+		assert.NilError(t, old.Finish(within(t, 5*time.Second), finished("p0", "p0-r", "p0-b", "late")))
+		// One more disk may be lost, and one more is given up; then no further one.
+		c.wipe(node(2))
+		c.start(node(2), false)
+		c.settled()
+		check(t, c.ledger("front-3"), programs)
+		c.retire(node(3))
+		c.eventually(func() bool { return c.told(node(3)) == "done" })
+		c.wipe(node(3))
+		check(t, c.ledger("front-4"), programs)
+		c.retire(node(4))
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, c.told(node(4)), "running")
+		assert.Equal(t, c.current().Live(), 3)
+		c.kill(node(0))
+		check(t, c.ledger("front-5"), programs)
+	})
+}
+
+// TestWithdrawnRetirement: a disk that could not be emptied yet keeps its slot.
+func TestWithdrawnRetirement(t *testing.T) {
+	testbubble.Run(t, func(t *testing.T) {
+		c := newCluster(t, 4, 1)
+		keep(t, c.ledger("front-1"), programs)
+		c.fabric.Cut(node(1), node(2))
+		c.fabric.Cut(node(1), node(3))
+		c.fabric.Cut(node(1), node(0))
+		c.retire(node(1))
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, c.current().Slots[slices.IndexFunc(c.current().Slots, func(s layout.Slot) bool { return s.Disk.Node == node(1) })].Leaving)
+		assert.Equal(t, c.told(node(1)), "running")
+		// A turn that is kept meanwhile does not count on it.
+		assert.NilError(t, c.ledger("front-1").Finish(within(t, 5*time.Second), finished("p0", "p0-c", "p0-b", "meanwhile")))
+		c.unretire(node(1))
+		c.eventually(func() bool {
+			return !slices.ContainsFunc(c.current().Slots, func(s layout.Slot) bool { return s.Leaving || s.Vacant })
+		})
+		for i := range 3 {
+			c.fabric.Heal(node(1), node([]int{0, 2, 3}[i]))
+		}
+		c.wipe(node(0))
+		check(t, c.ledger("front-2"), programs)
+	})
+}
+
 func TestAllDisksLosePower(t *testing.T) {
 	testbubble.Run(t, func(t *testing.T) {
 		c := newCluster(t, 4, 1)
--- a/internal/ledger/losses_test.go
+++ b/internal/ledger/losses_test.go
@@ -9,6 +9,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/rookpass/rookpass/internal/layout"
+
 	"github.com/rookpass/rookpass/internal/ledger"
 	"github.com/rookpass/rookpass/internal/testbubble"
 )
@@ -33,8 +35,8 @@
 // TestRandomLosses: disks are lost, killed, cut off, replaced and added in a random order, never more at once
 // than is borne; turns are kept meanwhile. At the end every turn that was acknowledged is there.
 func TestRandomLosses(t *testing.T) {
-	for seed := range uint64(12) {
-		size := []struct{ disks, tolerance int }{{3, 1}, {4, 1}, {7, 2}}[seed%3]
+	for seed := range uint64(25) {
+		size := []struct{ disks, tolerance int }{{3, 1}, {4, 1}, {7, 2}, {6, 1}, {8, 2}}[seed%5]
 		t.Run(fmt.Sprint("seed ", seed, " ", size), func(t *testing.T) {
 			testbubble.Run(t, func(t *testing.T) { randomLosses(t, seed, size.disks, size.tolerance) })
 		})
@@ -75,7 +77,7 @@
 	slices.Sort(holders)
 	r.Shuffle(len(holders), func(i, j int) { holders[i], holders[j] = holders[j], holders[i] })
 	for _, name := range holders[:count] {
-		switch r.IntN(4) {
+		switch r.IntN(5) {
 		case 0: // killed and back with its disk
 			c.kill(name)
 			c.start(name, false)
@@ -90,6 +92,18 @@
 			c.fabric.Cut("front-1", name)
 			time.Sleep(time.Second)
 			c.fabric.Heal("front-1", name)
+		case 4: // emptied, then gone for good
+			if c.mayLeave(name) {
+				c.retire(name)
+				c.eventually(func() bool { return c.told(name) == "done" })
+				c.wipe(name)
+			}
 		}
 	}
 }
+
+// mayLeave tells whether a holder of a slot can be emptied without a spare.
+func (c *cluster) mayLeave(name string) bool {
+	l := c.current()
+	return l.MayLeave(slices.IndexFunc(l.Slots, func(s layout.Slot) bool { return s.Disk.Node == name }))
+}
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -206,9 +206,9 @@
 			}
 			return sources
 		}
-		for _, slot := range l.Slots {
-			source := feed.NamedMirror{Name: slot.Disk.Node, Mirror: mirror.NewClient(links.To(slot.Disk.Address))}
-			if slot.Disk.DataCentre == f.settings.DataCentre {
+		for _, disk := range l.Disks() {
+			source := feed.NamedMirror{Name: disk.Node, Mirror: mirror.NewClient(links.To(disk.Address))}
+			if disk.DataCentre == f.settings.DataCentre {
 				sources = slices.Insert(sources, 0, source)
 			} else {
 				sources = append(sources, source)
@@ -263,7 +263,8 @@
 			place = 0
 		}
 		args := &exchange.Args{From: f.settings.PeerAddress(), Suspects: f.balancer.Suspects()}
-		reply, err := exchange.Swap(ctx, f.links.To(l.Slots[place%len(l.Slots)].Disk.Address), args)
+		disks := l.Disks()
+		reply, err := exchange.Swap(ctx, f.links.To(disks[place%len(disks)].Address), args)
 		if err != nil {
 			place++
 			moved = time.Now()
--- a/internal/replica/controller.go
+++ b/internal/replica/controller.go
@@ -60,6 +60,8 @@
 	silentSince map[string]time.Time
 	reported    string
 	cleaned     time.Time
+	// retiringSince is since when this disk waits to give its slot up; zero where it does not.
+	retiringSince time.Time
 }
 
 // Options are what a controller needs.
@@ -121,8 +123,8 @@
 	if err := c.reportRetirement(ctx, l); err != nil {
 		return err
 	}
-	if l.SlotOf(self.ID) >= 0 {
-		return nil
+	if slot := l.SlotOf(self.ID); slot >= 0 {
+		return c.keepOrGiveUp(ctx, l, slot)
 	}
 	if slot := l.SlotJoined(self.ID); slot >= 0 {
 		return c.takeOver(ctx, l, slot)
@@ -135,12 +137,24 @@
 		return nil
 	}
 	next := l.Clone()
-	next.Slots[slot].Joining = &self
+	next.Slots[slot].Joining, next.Slots[slot].Leaving = &self, false
 	c.log.WithFields(logrus.Fields{"event": "slot-join", "slot": slot, "from_node": l.Slots[slot].Disk.Node,
 		"retiring": c.retirements.Retiring(l.Slots[slot].Disk.Node), "epoch": next.Epoch}).Info("taking a slot over")
 	return c.put(ctx, next)
 }
 
+// keepOrGiveUp looks after the slot that this disk holds.
+func (c *Controller) keepOrGiveUp(ctx context.Context, l *layout.Layout, slot int) error {
+	switch {
+	case l.Slots[slot].Joining != nil:
+		return nil // another disk takes it over
+	case c.retirements.Retiring(c.store.Self().Node):
+		return c.giveUp(ctx, l, slot)
+	default:
+		return c.stay(ctx, l, slot)
+	}
+}
+
 // form gathers the first disks.
 func (c *Controller) form(ctx context.Context, l *layout.Layout) error {
 	self := c.store.Self()
@@ -196,8 +210,9 @@
 	return errors.Join(err, readErr)
 }
 
-// vacant returns a slot that this disk may take over, or -1: the one that this VM's lost disk held, one that
-// is to be emptied, or one whose daemon has not answered for long.
+// vacant returns a slot that this disk may take over, or -1: the one that this VM's lost disk held, one whose
+// daemon has not answered for long, or one that is to be emptied. A disk that is gone comes before one that is to
+// be emptied: that one may find another way, and still serves.
 func (c *Controller) vacant(ctx context.Context, l *layout.Layout) int {
 	node := c.store.Self().Node
 	for i, slot := range l.Slots {
@@ -205,12 +220,7 @@
 			return i
 		}
 	}
-	for i, slot := range l.Slots {
-		if slot.Joining == nil && c.retirements.Retiring(slot.Disk.Node) {
-			return i
-		}
-	}
-	silent := c.ping(ctx, l)
+	silent, suspected := c.ping(ctx, l)
 	if len(silent) > l.Tolerance {
 		return -1 // more are silent than may be lost: more likely it is this VM that is cut off
 	}
@@ -219,12 +229,20 @@
 			return i
 		}
 	}
+	if suspected {
+		return -1
+	}
+	for i, slot := range l.Slots {
+		if slot.Joining == nil && !slot.Leaving && c.retirements.Retiring(slot.Disk.Node) {
+			return i
+		}
+	}
 	return -1
 }
 
-// ping asks every disk that holds or joins a slot, and returns the slots whose holder has been silent for
-// long.
-func (c *Controller) ping(ctx context.Context, l *layout.Layout) []int {
+// ping asks every disk that holds or joins a slot. It returns the slots whose holder has been silent for long,
+// and whether another holder has not answered just now.
+func (c *Controller) ping(ctx context.Context, l *layout.Layout) (silent []int, suspected bool) {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	now := time.Now()
@@ -242,6 +260,9 @@
 		}
 	}
 	for _, slot := range l.Slots {
+		if slot.Vacant {
+			continue
+		}
 		wg.Add(1)
 		go ask(slot.Disk)
 		if slot.Joining != nil {
@@ -250,13 +271,17 @@
 		}
 	}
 	wg.Wait()
-	var silent []int
 	for i, slot := range l.Slots {
-		if c.silent(slot.Disk) {
+		_, missed := c.silentSince[slot.Disk.ID]
+		switch {
+		case slot.Vacant || !missed:
+		case c.silent(slot.Disk):
 			silent = append(silent, i)
+		default:
+			suspected = true
 		}
 	}
-	return silent
+	return silent, suspected
 }
 
 func (c *Controller) silent(disk layout.Disk) bool {
--- a/internal/replica/fill.go
+++ b/internal/replica/fill.go
@@ -25,7 +25,7 @@
 	var mu sync.Mutex
 	copied, missing := 0, 0
 	for i, other := range l.Slots {
-		if i == slot {
+		if i == slot || other.Vacant {
 			continue
 		}
 		wg.Add(1)
@@ -43,7 +43,7 @@
 	}
 	wg.Wait()
 	if missing > max(0, l.Tolerance-1) {
-		return Error.New("slot %d: %d of %d disks gave no records", slot, missing, len(l.Slots)-1)
+		return Error.New("slot %d: %d of %d disks gave no records", slot, missing, l.Live()-1)
 	}
 	next := l.Clone()
 	next.Slots[slot].Disk = c.store.Self()
--- a/internal/replica/index.go
+++ b/internal/replica/index.go
@@ -138,6 +138,24 @@
 	return found[:min(limit, len(found))]
 }
 
+// held is a turn that the index knows, with its program.
+type held struct {
+	State
+	program  string
+	position turnlog.Position
+}
+
+// all returns every turn.
+func (x *index) all() []held {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	list := make([]held, 0, len(x.turns))
+	for _, e := range x.turns {
+		list = append(list, held{State{e.id, e.state}, e.program.name, e.position})
+	}
+	return list
+}
+
 // expire forgets programs whose retention has passed, and returns the files in which nothing is left.
 func (x *index) expire(now time.Time, active uint32) []uint32 {
 	x.mu.Lock()
--- /dev/null
+++ b/internal/replica/leave.go
@@ -0,0 +1,166 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/rookpass/rookpass/internal/layout"
+	"github.com/rookpass/rookpass/internal/peerlink"
+)
+
+const (
+	// spareTime is how long a retiring disk waits for a spare one to take its slot: several steps of one.
+	spareTime = time.Second
+	// lackedTurns is how many turns one question names; some 60 bytes each.
+	lackedTurns = 2000
+	// lackedTimeout bounds one question, pushTimeout one record.
+	lackedTimeout = 2 * time.Second
+	pushTimeout   = time.Second
+	// pushesAtOnce bounds the records on their way to one disk, so that they share syncs.
+	pushesAtOnce = 16
+)
+
+// giveUp takes this disk out of the layout where no other disk takes its slot over, in three steps, each
+// a new layout or a condition for it:
+//
+//   - This disk serves no older layout from here on, then the slot is marked as leaving. What was durable with this
+//     disk's help is now known to it; from here on it helps no more.
+//   - Every record here is copied until a quorum of the slots that stay in its group holds it.
+//   - The slot becomes vacant. Groups that had it take another one in its place; a quorum of the old group's slots that
+//     stay is a quorum of the new group.
+func (c *Controller) giveUp(ctx context.Context, l *layout.Layout, slot int) error {
+	if !l.Slots[slot].Leaving {
+		return c.beginLeaving(ctx, l, slot)
+	}
+	began := time.Now()
+	copied, err := c.copyOut(ctx, l, slot)
+	if err != nil {
+		return err
+	}
+	next := l.Clone()
+	next.Slots[slot] = layout.Slot{DataCentre: l.Slots[slot].DataCentre, Vacant: true}
+	c.log.WithFields(logrus.Fields{"event": "slot-vacant", "slot": slot, "records": copied,
+		"ms": time.Since(began).Milliseconds(), "epoch": next.Epoch}).Info("slot given up")
+	return c.put(ctx, next)
+}
+
+func (c *Controller) beginLeaving(ctx context.Context, l *layout.Layout, slot int) error {
+	if c.retiringSince.IsZero() {
+		c.retiringSince = time.Now()
+	}
+	if !l.MayLeave(slot) || time.Since(c.retiringSince) < spareTime {
+		return nil
+	}
+	next := l.Clone()
+	next.Slots[slot].Leaving = true
+	if err := c.store.fence(next.Epoch); err != nil {
+		return err
+	}
+	c.log.WithFields(logrus.Fields{"event": "slot-leave", "slot": slot, "epoch": next.Epoch, "live": l.Live()}).Info("giving a slot up: no spare disk took it")
+	return c.put(ctx, next)
+}
+
+// stay takes a slot back that was to be given up, where the retirement was withdrawn.
+func (c *Controller) stay(ctx context.Context, l *layout.Layout, slot int) error {
+	c.retiringSince = time.Time{}
+	if !l.Slots[slot].Leaving {
+		return nil
+	}
+	next := l.Clone()
+	next.Slots[slot].Leaving = false
+	return c.put(ctx, next)
+}
+
+// copyOut brings every record of this disk to a quorum of the slots that stay in its group, and returns how
+// many were sent.
+func (c *Controller) copyOut(ctx context.Context, l *layout.Layout, slot int) (int, error) {
+	records := c.store.index.all()
+	groups := map[string][]int{}
+	bySlot := map[int][]int{}
+	for i, r := range records {
+		group, known := groups[r.program]
+		if !known {
+			group = l.Group(r.program)
+			groups[r.program] = group
+		}
+		for _, other := range group {
+			if other != slot && !l.Slots[other].Leaving {
+				bySlot[other] = append(bySlot[other], i)
+			}
+		}
+	}
+	holders := make([]int, len(records))
+	sent := 0
+	for other, wanted := range bySlot {
+		lacked, err := c.bring(ctx, l, l.Slots[other].Disk, records, wanted)
+		if err != nil {
+			c.log.WithFields(logrus.Fields{"event": "copy-failed", "slot": slot, "to": l.Slots[other].Disk.Node, "error": err}).Warn("records not copied")
+			continue
+		}
+		sent += lacked
+		for _, i := range wanted {
+			holders[i]++
+		}
+	}
+	for i, n := range holders {
+		if n < l.Quorum() {
+			return sent, Error.New("slot %d: turn %s of program %s is on %d disks that stay, not %d", slot, records[i].ID, records[i].program, n, l.Quorum())
+		}
+	}
+	return sent, nil
+}
+
+// bring makes one disk hold some of the records, and returns how many it lacked.
+func (c *Controller) bring(ctx context.Context, l *layout.Layout, disk layout.Disk, records []held, wanted []int) (int, error) {
+	target := Target{Disk: disk.ID, Epoch: l.Epoch}
+	link := c.links.To(disk.Address)
+	sent := 0
+	for len(wanted) > 0 {
+		page := wanted[:min(lackedTurns, len(wanted))]
+		wanted = wanted[len(page):]
+		args := &LackedArgs{Target: target}
+		for _, i := range page {
+			args.Turns = append(args.Turns, records[i].State)
+		}
+		askCtx, cancel := context.WithTimeout(ctx, lackedTimeout)
+		reply, err := peerlink.Call[LackedReply](askCtx, link, ServiceName+".Lacked", args)
+		cancel()
+		if err != nil {
+			return sent, err
+		}
+		if reply.Header.Status != OK {
+			return sent, Error.New("%s answered with status %d", disk.Node, reply.Header.Status)
+		}
+		var group errgroup.Group
+		group.SetLimit(pushesAtOnce)
+		for _, place := range reply.Lacked {
+			group.Go(func() error { return c.push(ctx, link, target, records[page[place]]) })
+		}
+		if err := group.Wait(); err != nil {
+			return sent, err
+		}
+		sent += len(reply.Lacked)
+	}
+	return sent, nil
+}
+
+// push sends one record to a disk.
+func (c *Controller) push(ctx context.Context, link *peerlink.Link, target Target, r held) error {
+	record, err := c.store.files.Read(r.position)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
+	defer cancel()
+	reply, err := peerlink.Call[WriteReply](ctx, link, ServiceName+".Write", &WriteArgs{Target: target, Record: record})
+	if err != nil {
+		return err
+	}
+	if reply.Header.Status != OK {
+		return Error.New("turn %s: status %d", r.ID, reply.Header.Status)
+	}
+	return nil
+}
--- a/internal/replica/messages.go
+++ b/internal/replica/messages.go
@@ -93,6 +93,24 @@
 	Done    bool
 }
 
+// State is how far a turn has come on a disk.
+type State struct {
+	ID    string
+	State turn.State
+}
+
+// LackedArgs ask which of some turns a disk does not hold, at least as far as given.
+type LackedArgs struct {
+	Target Target
+	Turns  []State
+}
+
+// LackedReply holds the places of those turns in the question.
+type LackedReply struct {
+	Header Header
+	Lacked []int
+}
+
 // PingArgs ask whether a disk's daemon answers.
 type PingArgs struct{ Disk string }
 
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -71,10 +71,6 @@
 func (s *Store) Learn(l *layout.Layout) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.learn(l)
-}
-
-func (s *Store) learn(l *layout.Layout) bool {
 	if s.id.Layout != nil && s.id.Layout.Epoch >= l.Epoch {
 		return false
 	}
@@ -90,6 +86,22 @@
 	return true
 }
 
+// fence makes the disk serve no layout older than epoch from now on, also after a restart.
+func (s *Store) fence(epoch uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.id.Fence >= epoch {
+		return nil
+	}
+	id := s.id
+	id.Fence = epoch
+	if err := saveIdentity(s.dir, id); err != nil {
+		return err
+	}
+	s.id = id
+	return nil
+}
+
 // check compares what a request means with what the disk is.
 func (s *Store) check(target Target) Header {
 	s.mu.Lock()
@@ -175,19 +187,12 @@
 // take-over: a record that is acknowledged later went to the new disk as well.
 func (v *Service) Export(args *ExportArgs, reply *ExportReply) error {
 	s := v.store
-	s.mu.Lock()
-	s.learn(&args.Layout)
-	if s.id.Fence < args.Layout.Epoch {
-		id := s.id
-		id.Fence = args.Layout.Epoch
-		if err := saveIdentity(s.dir, id); err != nil {
-			s.mu.Unlock()
-			reply.Header.Status = Failed
-			return nil
-		}
-		s.id = id
+	s.Learn(&args.Layout)
+	if err := s.fence(args.Layout.Epoch); err != nil {
+		s.log.WithFields(logrus.Fields{"event": "identity-failed", "error": err}).Error("fence not saved")
+		reply.Header.Status = Failed
+		return nil
 	}
-	s.mu.Unlock()
 	reply.Header = s.check(Target{Disk: args.From, Epoch: args.Layout.Epoch})
 	if reply.Header.Status != OK {
 		return nil
@@ -223,6 +228,20 @@
 	return nil
 }
 
+// Lacked tells which of some turns the disk does not hold.
+func (v *Service) Lacked(args *LackedArgs, reply *LackedReply) error {
+	reply.Header = v.store.check(args.Target)
+	if reply.Header.Status != OK {
+		return nil
+	}
+	for i, t := range args.Turns {
+		if !v.store.index.has(t.ID, t.State) {
+			reply.Lacked = append(reply.Lacked, i)
+		}
+	}
+	return nil
+}
+
 // Ping tells whether the disk is the one that is meant.
 func (v *Service) Ping(args *PingArgs, reply *PingReply) error {
 	reply.Header = v.store.check(Target{Disk: args.Disk, Epoch: 1 << 62})
