--- /dev/null
+++ b/internal/node/world_test.go
@@ -0,0 +1,253 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/rookpass/rookpass/internal/network/memnet"
+	"github.com/rookpass/rookpass/internal/testbubble"
+	"github.com/rookpass/rookpass/internal/workload"
+	"github.com/rookpass/rookpass/platform"
+	"github.com/rookpass/rookpass/platform/platformtest"
+)
+
+func TestMain(m *testing.M) {
+	testbubble.Prepare()
+	// The first use of signals starts a goroutine for the whole process, which must not be in a bubble.
+	alive := make(chan os.Signal, 1)
+	signal.Notify(alive, syscall.SIGHUP)
+	signal.Stop(alive)
+	os.Exit(m.Run())
+}
+
+const (
+	worldFronts  = 3
+	worldStores  = 4
+	worldServers = 6
+	storeHost    = "platform"
+	storeAddress = storeHost + ":1"
+)
+
+// world is a whole system in virtual time: daemons as they are in production, between stand-ins, on a network
+// in memory.
+type world struct {
+	t        *testing.T
+	fabric   *memnet.Fabric
+	platform *platformtest.Store
+	checker  *workload.Checker
+	servers  []*workload.Server
+	fronts   []*member
+	stores   []*member
+	dir      string
+	seeds    []string
+	ended    sync.WaitGroup
+
+	mu      sync.Mutex
+	version int64
+}
+
+// member is a VM and the daemon's present life on it.
+type member struct {
+	name, ip, role, dataCentre string
+	lives, disks               int
+	// host is the name of the present life on the network.
+	host string
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+func (m *member) callers() string { return m.ip + ":8149" }
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, fabric: memnet.New(), platform: platformtest.NewStore(), checker: workload.NewChecker(), dir: t.TempDir()}
+	w.serve(storeHost, storeAddress, w.platform)
+	for i := range worldServers {
+		address := fmt.Sprintf("server-%d:1", i)
+		s := workload.NewServer(i, address, w.checker)
+		w.servers = append(w.servers, s)
+		w.serve(fmt.Sprint("server-", i), address, s)
+		w.platform.SetServer(s.Entry())
+	}
+	w.configure()
+	for i := range worldStores {
+		w.seeds = append(w.seeds, fmt.Sprintf("10.1.0.%d:8144", i+1))
+		w.stores = append(w.stores, &member{name: fmt.Sprint("store-", i), ip: fmt.Sprint("10.1.0.", i+1), role: "store", dataCentre: fmt.Sprint("dc", i%3)})
+	}
+	for i := range worldFronts {
+		w.fronts = append(w.fronts, &member{name: fmt.Sprint("front-", i), ip: fmt.Sprint("10.0.0.", i+1), role: "front", dataCentre: fmt.Sprint("dc", i%3)})
+	}
+	for _, m := range w.members() {
+		w.start(m, true)
+	}
+	t.Cleanup(w.close)
+	w.awaitReady()
+	return w
+}
+
+func (w *world) members() []*member { return append(append([]*member(nil), w.stores...), w.fronts...) }
+
+// serve answers at an address of a host until the test ends.
+func (w *world) serve(host, address string, handler http.Handler) {
+	listener, err := w.fabric.Listen(host, address)
+	assert.NilError(w.t, err)
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(listener) }()
+	w.t.Cleanup(func() { _ = server.Close() })
+}
+
+// configure puts the next version in force and returns it.
+func (w *world) configure() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version++
+	w.platform.SetConfig(workload.Config(w.version))
+	return w.version
+}
+
+func (w *world) newest() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.version
+}
+
+// start begins a life of a daemon on what its disk holds.
+func (w *world) start(m *member, first bool) {
+	m.lives++
+	m.host = fmt.Sprintf("%s/%d", m.name, m.lives)
+	settings := platform.Settings{
+		Node: m.name, IP: m.ip, DataCentre: m.dataCentre, FirstStart: first, Seeds: w.seeds[:3],
+		FirstPort: 7380, LastPort: 7395, MemoryBytes: 16 << 30, DisksLostAtOnce: 1,
+		StoreAddress: storeAddress, StopGrace: 8 * time.Second,
+	}
+	if m.role == "front" {
+		settings.CallerAddress, settings.ReadyAddress = m.callers(), m.ip+":8141"
+	} else {
+		settings.ControlAddress = m.ip + ":8144"
+		settings.DataDir = filepath.Join(w.dir, fmt.Sprint(m.name, ".", m.disks))
+	}
+	name := m.host
+	b, err := newBase(host{
+		listen: func(address string) (net.Listener, error) { return w.fabric.Listen(name, address) },
+		dial: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return w.fabric.Dial(ctx, name, address)
+		},
+		load:   func() (platform.Settings, error) { return settings, nil },
+		output: w.log(),
+	}, settings, "info", m.role)
+	assert.NilError(w.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	m.stop, m.done = cancel, done
+	w.ended.Go(func() {
+		defer close(done)
+		if m.role == "front" {
+			err = newFront(b).run(ctx)
+		} else {
+			err = b.runStore(ctx)
+		}
+		b.stopped("test", ignoreEnd(err))
+	})
+}
+
+// log takes the daemons' lines where a developer asks for them.
+func (w *world) log() io.Writer {
+	if os.Getenv("ROOKPASS_TEST_LOG") != "" {
+		return os.Stderr
+	}
+	return io.Discard
+}
+
+// kill ends a daemon's process at once.
+func (w *world) kill(m *member) {
+	w.fabric.Kill(m.host)
+	m.stop()
+	if m.role == "store" {
+		<-m.done // what it still does to its disk must not meet the next life
+	}
+}
+
+// restart kills a daemon, and starts it again after a time; lost tells that its disk comes back empty.
+func (w *world) restart(m *member, after time.Duration, lost bool) {
+	w.kill(m)
+	time.Sleep(after)
+	if lost {
+		m.disks++
+	}
+	w.start(m, false)
+}
+
+// cut separates a daemon from some hosts for a time.
+func (w *world) cut(m *member, hosts []string, d time.Duration) {
+	for _, h := range hosts {
+		w.fabric.Cut(m.host, h)
+	}
+	time.Sleep(d)
+	for _, h := range hosts {
+		w.fabric.Heal(m.host, h)
+	}
+}
+
+func hosts(members []*member) []string {
+	var names []string
+	for _, m := range members {
+		names = append(names, m.host)
+	}
+	return names
+}
+
+// caller returns a caller of all fronts.
+func (w *world) caller(seed uint64) *workload.Caller {
+	var addresses []string
+	for _, m := range w.fronts {
+		addresses = append(addresses, m.callers())
+	}
+	c := workload.NewCaller(addresses, w.checker, seed, w.dial)
+	w.t.Cleanup(c.Close)
+	return c
+}
+
+func (w *world) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	return w.fabric.Dial(ctx, "callers", address)
+}
+
+// awaitReady waits until every front says that it is ready.
+func (w *world) awaitReady() {
+	transport := &http.Transport{DialContext: w.dial, DisableKeepAlives: true}
+	client := &http.Client{Transport: transport, Timeout: time.Second}
+	for _, m := range w.fronts {
+		ready := func() bool {
+			resp, err := client.Get("http://" + m.ip + ":8141/readiness")
+			if err != nil {
+				return false
+			}
+			_ = resp.Body.Close()
+			return resp.StatusCode == http.StatusOK
+		}
+		for tries := 0; !ready(); tries++ {
+			if tries == 400 {
+				w.t.Fatal(m.name + " is not ready after " + strconv.Itoa(tries) + " questions")
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
+
+func (w *world) close() {
+	for _, m := range w.members() {
+		w.kill(m)
+	}
+	w.ended.Wait()
+}
--- a/internal/workload/caller.go
+++ b/internal/workload/caller.go
@@ -95,9 +95,9 @@
 		case Turns, Budgets:
 			c.fork(work == Budgets)
 		case Calls:
-			c.tool("/tool/", false)
+			c.toolOrPause("/tool/", false)
 		case Lookups:
-			c.tool("/lookup/", true)
+			c.toolOrPause("/lookup/", true)
 		}
 	}
 }
@@ -209,19 +209,27 @@
 	return http.StatusOK
 }
 
-// tool sends one call of a tool.
-func (c *Caller) tool(path string, repeatable bool) {
+// toolOrPause sends one call of a tool, and waits before the next where it failed.
+func (c *Caller) toolOrPause(path string, repeatable bool) {
+	if !c.tool(path, repeatable) {
+		time.Sleep(retryPause)
+	}
+}
+
+// tool sends one call of a tool, and reports whether it was whole.
+func (c *Caller) tool(path string, repeatable bool) bool {
 	id := fmt.Sprintf("c%d", ids.Add(1))
 	c.checker.Sent(id, "args of "+id, repeatable)
 	status, header, body, err := c.send(path, platformtest.Call{ID: id, Deadline: callDeadline}, "args of "+id)
 	if status != http.StatusOK || err != nil {
 		c.failed(id, status, err)
-		return
+		return false
 	}
 	if string(body) != toolAnswer(id) || !platformtest.Signed(header, id) {
 		c.checker.Fail("call %s was answered whole with %.120q", id, body)
 	}
 	c.checker.Ended("call whole")
+	return true
 }
 
 func (c *Caller) failed(id string, status int, err error) int {
