--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -159,7 +159,7 @@
 	r.entries.Reset(r.objects, 1)
 	r.configure(log)
 	dial := (&net.Dialer{}).DialContext
-	r.gateway = gateway.New(gateway.Options{Catalog: r.catalog, Balancer: balance.New("here"), Sender: upstream.NewPool(dial, dialect{}),
+	r.gateway = gateway.New(gateway.Options{Catalog: r.catalog, Balancer: balance.New("here"), Sender: upstream.NewPool(dial, dialect{}, 100),
 		Ledger: r.books, Dialect: dialect{}, Log: log, Stats: gateway.NewStats(metrics.New()), BodyBytes: 1500})
 	front := httptest.NewServer(r.gateway)
 	t.Cleanup(front.Close)
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -46,6 +46,8 @@
 	// bodyShare of a VM's memory holds bodies of requests: five of the largest that configurations allow so far, on
 	// the smallest VM.
 	bodyShare = 0.2
+	// serverShare of a VM's descriptors may be connections to servers; callers, disks and other daemons need the rest.
+	serverShare = 0.5
 	// headerTimeout bounds a request's headers before the configuration says how long; callers keep within 3 s.
 	headerTimeout = 10 * time.Second
 	// idleTimeout is how long a caller's connection is kept; configurations so far say 15 s and less.
@@ -86,7 +88,7 @@
 
 func newFront(b *base) *front {
 	f := &front{base: b, catalog: catalog.New(), balancer: balance.New(b.settings.DataCentre)}
-	f.pool = upstream.NewPool(b.host.dial, platform.Headers{})
+	f.pool = upstream.NewPool(b.host.dial, platform.Headers{}, int(serverShare*float64(b.settings.MaxDescriptors)))
 	f.detour = tunnel.NewDialer(b.host.dial, b.settings.PeerAddress())
 	b.links.WithDetour(f.detour.Dial, diskPatience)
 	f.ledger = ledger.New(b.links, b.settings.DataCentre, int(cacheShare*float64(b.settings.MemoryBytes)), b.log)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -27,9 +27,13 @@
 type Pool struct {
 	dial    network.DialContext
 	dialect call.Dialect
+	// most bounds the connections to all servers.
+	most int
 
 	mu    sync.Mutex
 	hosts map[string]*host
+	// open counts the connections to all servers.
+	open int
 
 	opened atomic.Int64
 	reused atomic.Int64
@@ -41,9 +45,9 @@
 	open int
 }
 
-// NewPool returns an empty pool.
-func NewPool(dial network.DialContext, dialect call.Dialect) *Pool {
-	return &Pool{dial: dial, dialect: dialect, hosts: map[string]*host{}}
+// NewPool returns an empty pool of at most so many connections.
+func NewPool(dial network.DialContext, dialect call.Dialect, most int) *Pool {
+	return &Pool{dial: dial, dialect: dialect, most: most, hosts: map[string]*host{}}
 }
 
 // Opened returns how many connections were opened, Reused how many requests went over kept ones.
@@ -90,14 +94,9 @@
 		_ = c.Close()
 		p.drop(address)
 	}
-	p.mu.Lock()
-	h := p.host(address)
-	if limit > 0 && h.open >= limit {
-		p.mu.Unlock()
-		return nil, &Failure{Verdict: verdict.NotRun, Reason: ReasonNoConns, err: Error.New("all %d connections to %s are busy", limit, address)}
+	if err := p.enter(address, limit); err != nil {
+		return nil, &Failure{Verdict: verdict.NotRun, Reason: ReasonNoConns, err: err}
 	}
-	h.open++
-	p.mu.Unlock()
 	p.opened.Add(1)
 	c, err := p.dial(ctx, "tcp", address)
 	if err != nil {
@@ -107,6 +106,46 @@
 	return newConn(c), nil
 }
 
+// enter counts a new connection to an address, or says why there can be none. Where there are too many in all,
+// an idle one to another server gives way.
+func (p *Pool) enter(address string, limit int) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h := p.host(address); limit > 0 && h.open >= limit {
+		return Error.New("all %d connections to %s are busy", limit, address)
+	}
+	if p.open >= p.most && !p.closeOneIdle() {
+		return Error.New("all %d connections to servers are busy", p.most)
+	}
+	p.host(address).open++
+	p.open++
+	return nil
+}
+
+// closeOneIdle closes the idle connection of any server that has rested longest there. It is called with the
+// lock held.
+func (p *Pool) closeOneIdle() bool {
+	for address, h := range p.hosts {
+		if len(h.idle) == 0 {
+			continue
+		}
+		_ = h.idle[0].Close()
+		h.idle = h.idle[1:]
+		p.left(address, h)
+		return true
+	}
+	return false
+}
+
+// left counts a connection as closed. It is called with the lock held.
+func (p *Pool) left(address string, h *host) {
+	h.open--
+	p.open--
+	if h.open <= 0 && len(h.idle) == 0 {
+		delete(p.hosts, address)
+	}
+}
+
 func (p *Pool) host(address string) *host {
 	h := p.hosts[address]
 	if h == nil {
@@ -138,7 +177,7 @@
 	h := p.host(address)
 	if keep <= 0 || len(h.idle) >= maxIdle {
 		_ = c.Close()
-		h.open--
+		p.left(address, h)
 		return
 	}
 	c.expires = time.Now().Add(keep)
@@ -149,11 +188,7 @@
 func (p *Pool) drop(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	h := p.host(address)
-	h.open--
-	if h.open <= 0 && len(h.idle) == 0 {
-		delete(p.hosts, address)
-	}
+	p.left(address, p.host(address))
 }
 
 // CloseIdle closes connections that have expired, and all idle ones to addresses that are not wanted.
@@ -170,6 +205,7 @@
 			}
 			closing = append(closing, c)
 			h.open--
+			p.open--
 		}
 		h.idle = kept
 		if h.open <= 0 && len(h.idle) == 0 {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -62,7 +62,7 @@
 }
 
 func newPool() *upstream.Pool {
-	return upstream.NewPool(network.NewDialer(time.Second, time.Second), dialect{})
+	return upstream.NewPool(network.NewDialer(time.Second, time.Second), dialect{}, 100)
 }
 
 func request(id string) *upstream.Request {
@@ -289,3 +289,29 @@
 	close(release)
 	assert.Assert(t, <-done == nil)
 }
+
+// TestLimitOfAllConnections: idle connections to other servers give way; busy ones don't.
+func TestLimitOfAllConnections(t *testing.T) {
+	serve := func(conn net.Conn, r *bufio.Reader) {
+		for {
+			id, _, err := read(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, answer(id, "body"))
+		}
+	}
+	p := upstream.NewPool(network.NewDialer(time.Second, time.Second), dialect{}, 2)
+	for i := range 4 {
+		_, failure := ask(background(t), p, server(t, serve), fmt.Sprint(i))
+		assert.Assert(t, failure == nil, "%v", failure)
+	}
+	for i := range 2 {
+		held, failure := p.Do(background(t), server(t, serve), 0, request(fmt.Sprint("held", i)))
+		assert.Assert(t, failure == nil, "%v", failure)
+		defer held.Close()
+	}
+	_, failure := ask(background(t), p, server(t, serve), "too many")
+	assert.Equal(t, failure.Reason, upstream.ReasonNoConns)
+	assert.Equal(t, failure.Verdict, verdict.NotRun)
+}
