--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -356,6 +356,7 @@
 		{"budget unsure", func(b *books) { b.fail["reserve"] = ledger.ErrUnsure }, stream, nil, 503, true},
 		{"servers full", func(*books) {}, shed, nil, 503, true},
 		{"broken at the start", func(*books) {}, hangUp, nil, 502, false},
+		{"without an id", func(*books) {}, stream, []string{"Id", ""}, 400, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var sent atomic.Int64
@@ -364,7 +365,7 @@
 			got := r.send("/turn/x", "one", append([]string{"Program", "p", "Budget", "1000"}, c.headers...)...)
 			assert.Equal(t, got.status, c.status)
 			assert.Equal(t, len(r.books.voided) == 1, c.voided)
-			if c.status == 402 || c.status == 404 {
+			if c.status >= 400 && c.status < 500 {
 				assert.Equal(t, int(sent.Load()), 0)
 			}
 		})
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -43,7 +43,7 @@
 	return nil
 }
 
-// withRoute finds the request's route.
+// withRoute finds the request's route, and refuses what that route can't take.
 func withRoute(x *exchange) *refusal {
 	host := x.r.Host
 	if name, _, err := net.SplitHostPort(host); err == nil {
@@ -54,6 +54,9 @@
 	if x.route == nil {
 		return &refusal{status: http.StatusNotFound, reason: "no-route"}
 	}
+	if x.route.Kept && x.info.ID == "" {
+		return &refusal{status: http.StatusBadRequest, reason: "no-id", err: Error.New("a turn is kept under its request's id")}
+	}
 	return nil
 }
 
