--- /dev/null
+++ b/cmd/rookpass-plot/main.go
@@ -0,0 +1,62 @@
+// Command rookpass-plot draws what the journal of the users' bench holds.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/rookpass/rookpass/internal/plots"
+	"github.com/rookpass/rookpass/platform/runlog"
+)
+
+type options struct {
+	Journal string   `long:"journal" default:"journal" description:"folder of the runs"`
+	Out     string   `long:"out" default:"target/plots" description:"folder that takes the plots"`
+	Command []string `long:"command" default:"score" default:"hunt" description:"runs to draw, by what was asked for"`
+}
+
+func main() {
+	var opts options
+	if _, err := flags.Parse(&opts); err != nil {
+		os.Exit(2) // the parser has said why
+	}
+	if err := run(opts); err != nil {
+		fmt.Fprintln(os.Stderr, "rookpass-plot:", err)
+		os.Exit(1)
+	}
+}
+
+func run(opts options) error {
+	runs, err := runlog.Read(opts.Journal)
+	if err != nil {
+		return err
+	}
+	wanted := map[string]bool{}
+	for _, command := range opts.Command {
+		wanted[command] = true
+	}
+	var days []plots.Day
+	for _, r := range runs {
+		if !wanted[r.Command] || r.Site == "" {
+			continue
+		}
+		for _, d := range r.Days {
+			days = append(days, day(r, d))
+		}
+	}
+	files, err := plots.Draw(opts.Out, days)
+	for _, file := range files {
+		fmt.Println(file)
+	}
+	return err
+}
+
+func day(r runlog.Run, d runlog.Day) plots.Day {
+	taken := make(map[string]float64, len(d.Prices))
+	for _, price := range d.Prices {
+		taken[price.Name] += price.Worth
+	}
+	return plots.Day{At: r.At, Site: r.Site, Name: d.Name, Worth: d.Worth, VMs: d.VMs, Broken: d.Broken, Prices: taken}
+}
--- /dev/null
+++ b/internal/plots/plots.go
@@ -0,0 +1,180 @@
+// Package plots draws what runs of the users' bench measured: worth over time, what prices took, and cost by
+// size.
+package plots
+
+import (
+	"fmt"
+	"image/color"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/zeebo/errs"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("plots")
+
+const (
+	width  = 9 * vg.Inch
+	height = 5 * vg.Inch
+	// smallestPrice is the least mean price that gets a bar of its own.
+	smallestPrice = 0.0005
+)
+
+// Day is one day that was played.
+type Day struct {
+	At    time.Time
+	Site  string
+	Name  string
+	Worth float64
+	// VMs is how many VMs of our own the day had.
+	VMs    int
+	Broken bool
+	// Prices are what each thing took off the worth, by its name.
+	Prices map[string]float64
+}
+
+// Draw writes the plots of days into a folder, as PNG files, and returns their names.
+func Draw(dir string, days []Day) ([]string, error) {
+	if len(days) == 0 {
+		return nil, Error.New("no days to draw")
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	var files []string
+	for _, drawing := range []struct {
+		name string
+		draw func([]Day) (*plot.Plot, error)
+	}{{"worth", worth}, {"prices", prices}, {"cost-by-size", costBySize}} {
+		p, err := drawing.draw(days)
+		if err != nil {
+			return files, Error.New("%s: %w", drawing.name, err)
+		}
+		file := filepath.Join(dir, drawing.name+".png")
+		if err := p.Save(width, height, file); err != nil {
+			return files, Error.Wrap(err)
+		}
+		files = append(files, file)
+	}
+	return files, nil
+}
+
+// bySite groups days, the sites in the order of their names.
+func bySite(days []Day) (sites []string, grouped map[string][]Day) {
+	grouped = map[string][]Day{}
+	for _, d := range days {
+		grouped[d.Site] = append(grouped[d.Site], d)
+	}
+	for site := range grouped {
+		sites = append(sites, site)
+	}
+	slices.Sort(sites)
+	return sites, grouped
+}
+
+// worth shows each day's worth at the time when it was played; broken days are red.
+func worth(days []Day) (*plot.Plot, error) {
+	p := plot.New()
+	p.Title.Text, p.Y.Label.Text = "Worth of each day played", "worth, 1 at best"
+	p.X.Tick.Marker = plot.TimeTicks{Format: "01-02\n15:04"}
+	p.Legend.Left = true
+	sites, grouped := bySite(days)
+	var broken plotter.XYs
+	for i, site := range sites {
+		var points plotter.XYs
+		for _, d := range grouped[site] {
+			xy := plotter.XY{X: float64(d.At.Unix()), Y: d.Worth}
+			if d.Broken {
+				broken = append(broken, xy)
+				continue
+			}
+			points = append(points, xy)
+		}
+		if err := scatter(p, site, points, plotutil.Color(i)); err != nil {
+			return nil, err
+		}
+	}
+	return p, scatter(p, "a rule broken", broken, color.RGBA{R: 220, A: 255})
+}
+
+// prices shows the mean of what each thing took off a day's worth, a group of bars a site.
+func prices(days []Day) (*plot.Plot, error) {
+	p := plot.New()
+	p.Title.Text, p.Y.Label.Text = "What prices took off a day's worth, mean", "worth"
+	sites, grouped := bySite(days)
+	means := map[string]plotter.Values{}
+	for i, site := range sites {
+		for _, d := range grouped[site] {
+			for name, taken := range d.Prices {
+				if means[name] == nil {
+					means[name] = make(plotter.Values, len(sites))
+				}
+				means[name][i] += taken / float64(len(grouped[site]))
+			}
+		}
+	}
+	var names []string
+	for name, values := range means {
+		if slices.Max(values) >= smallestPrice {
+			names = append(names, name)
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int { return strings.Compare(a, b) })
+	barWidth := vg.Points(300 / float64(max(1, len(names)*len(sites))))
+	for i, name := range names {
+		bars, err := plotter.NewBarChart(means[name], barWidth)
+		if err != nil {
+			return nil, err
+		}
+		bars.Color = plotutil.Color(i)
+		bars.Offset = barWidth * vg.Length(float64(i)-float64(len(names)-1)/2)
+		p.Add(bars)
+		p.Legend.Add(name, bars)
+	}
+	p.Legend.Top = true
+	p.NominalX(sites...)
+	return p, nil
+}
+
+// costBySize shows what all prices of a day took together, by the number of VMs.
+func costBySize(days []Day) (*plot.Plot, error) {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = "Cost of a day by size", "VMs", "worth taken by all prices"
+	sites, grouped := bySite(days)
+	for i, site := range sites {
+		var points plotter.XYs
+		for _, d := range grouped[site] {
+			total := 0.0
+			for _, taken := range d.Prices {
+				total += taken
+			}
+			points = append(points, plotter.XY{X: float64(d.VMs), Y: total})
+		}
+		if err := scatter(p, site, points, plotutil.Color(i)); err != nil {
+			return nil, err
+		}
+	}
+	return p, nil
+}
+
+func scatter(p *plot.Plot, name string, points plotter.XYs, c color.Color) error {
+	if len(points) == 0 {
+		return nil
+	}
+	s, err := plotter.NewScatter(points)
+	if err != nil {
+		return err
+	}
+	s.Color = c
+	p.Add(s)
+	p.Legend.Add(fmt.Sprintf("%s (%d)", name, len(points)), s)
+	return nil
+}
