Lists of one source at a time, mirrors shared out, the first layout without a race

Mirrors kept 1,024 events, fewer than servers start, so readers listed again. Change: a mirror is asked a small question first, and the list of one that answers; each front prefers other mirrors of its data centre, by hash; mirrors keep as many events as twice their objects; disks enter themselves as objects of their own, and the first by name writes the layout once a second look shows no more. Tests: feed.TestOneSourceIsAskedForAList, ledger.TestManyDisksFormSoon, red before.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"errors"
+	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -75,26 +77,58 @@
 // nor the store can say, and nothing was seen before, it returns what a mirror knew last.
 func (f *Feed) List(ctx context.Context, prefix string) (objectapi.Snapshot, error) {
 	sources, current := f.sources()
-	snapshot, name, problem := race(ctx, f, sources, func(ctx context.Context, s source) (objectapi.Snapshot, error) {
-		snapshot, err := s.Source.List(ctx, prefix)
+	var problems []error
+	var failed sync.Map // names of sources
+	ask := func(ctx context.Context, s source) (struct{}, error) {
+		err := probe(ctx, s, prefix)
+		if err != nil && ctx.Err() == nil {
+			failed.Store(s.Name, true)
+		}
+		return struct{}{}, err
+	}
+	for len(sources) > 0 {
+		// A list may be large: one source is asked for it, one that has just answered a small question.
+		_, chosen, problem := race(ctx, f, sources, ask)
+		problems = append(problems, problem)
+		if chosen.Source == nil {
+			break
+		}
+		snapshot, err := chosen.Source.List(ctx, prefix)
 		if err == nil && !f.saw(prefix, snapshot.Version) {
 			err = errBehind
 		}
-		return snapshot, err
-	})
-	if name != "" {
-		f.settle(name, current, problem)
-		return snapshot, nil
+		if err == nil {
+			f.settle(chosen.Name, current, errors.Join(problems...))
+			return snapshot, nil
+		}
+		problems = append(problems, err)
+		f.noteFailure(chosen)
+		failed.Store(chosen.Name, true)
+		sources = slices.DeleteFunc(sources, func(s source) bool {
+			_, gone := failed.Load(s.Name)
+			return gone
+		})
 	}
+	problem := errors.Join(problems...)
 	if !f.saw(prefix, 0) {
-		return snapshot, problem
+		return objectapi.Snapshot{}, problem
 	}
 	return f.stale(ctx, prefix, problem)
 }
 
+// probe asks a mirror whether it could answer: for changes after the last version that there can be. The store
+// itself is not asked: each call to it has a price.
+func probe(ctx context.Context, s source, prefix string) error {
+	if s.direct {
+		return nil
+	}
+	_, err := s.Source.Wait(ctx, prefix, math.MaxUint64, 0)
+	return err
+}
+
 // race asks the sources in order, the next one when one fails or is silent for stagger, and returns the first
-// good answer with its source's name. Sources that failed are noted.
-func race[T any](ctx context.Context, f *Feed, sources []source, ask func(context.Context, source) (T, error)) (T, string, error) {
+// good answer with its source, which is empty where there was none. Sources that failed are noted.
+func race[T any](ctx context.Context, f *Feed, sources []source, ask func(context.Context, source) (T, error)) (T, source, error) {
 	type answer struct {
 		source source
 		value  T
@@ -126,7 +160,7 @@
 		case a := <-answers:
 			answered++
 			if a.err == nil {
-				return a.value, a.source.Name, errors.Join(problems...)
+				return a.value, a.source, errors.Join(problems...)
 			}
 			problems = append(problems, a.err)
 			f.noteFailure(a.source)
@@ -134,7 +168,7 @@
 		}
 	}
 	var none T
-	return none, "", errors.Join(problems...)
+	return none, source{}, errors.Join(problems...)
 }
 
 // stale returns the newest old content of a prefix that a mirror has.
@@ -170,17 +204,17 @@
 		}
 		sources = sources[1:]
 	}
-	changes, name, problem := race(ctx, f, sources, func(ctx context.Context, s source) (changes, error) {
+	changes, chosen, problem := race(ctx, f, sources, func(ctx context.Context, s source) (changes, error) {
 		limit := time.Duration(0)
 		if s.direct {
 			limit = wait
 		}
 		return f.changes(ctx, s, prefix, after, limit)
 	})
-	if name == "" {
+	if chosen.Source == nil {
 		return objectapi.Batch{}, problem
 	}
-	f.settle(name, current, problem)
+	f.settle(chosen.Name, current, problem)
 	return changes.unpack()
 }
 
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -167,3 +167,38 @@
 		assert.Equal(t, direct.asked, 0)
 	})
 }
+
+// counted is a source that tells how often it was asked for a list.
+type counted struct {
+	source
+	lists int
+}
+
+func (c *counted) List(ctx context.Context, prefix string) (objectapi.Snapshot, error) {
+	c.lists++
+	time.Sleep(200 * time.Millisecond) // a large one over a slow link
+	return c.source.List(ctx, prefix)
+}
+
+// TestOneSourceIsAskedForAList: a list that takes long must not be asked of every source at once.
+func TestOneSourceIsAskedForAList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		var all []*counted
+		var mirrors []feed.NamedMirror
+		for i := range 5 {
+			c := &counted{source: source{version: 5}}
+			all = append(all, c)
+			mirrors = append(mirrors, feed.NamedMirror{Name: string(rune('a' + i)), Mirror: c})
+		}
+		f := feed.New(func() []feed.NamedMirror { return mirrors }, feed.Named{Name: "direct", Source: &source{version: 9}}, log)
+		_, err := f.List(context.Background(), "k/")
+		assert.NilError(t, err)
+		lists := 0
+		for _, c := range all {
+			lists += c.lists
+		}
+		assert.Equal(t, lists, 1)
+	})
+}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -172,6 +172,18 @@
 	})
 }
 
+// TestManyDisksFormSoon: the first layout of a large system is there as soon as that of a small one.
+func TestManyDisksFormSoon(t *testing.T) {
+	testbubble.Run(t, func(t *testing.T) {
+		began := time.Now()
+		c := newCluster(t, 44, 2)
+		assert.Equal(t, c.current().Live(), 44)
+		assert.Assert(t, time.Since(began) < 3*time.Second, "formed after %v", time.Since(began))
+		keep(t, c.ledger("front-1"), programs)
+		check(t, c.ledger("front-2"), programs)
+	})
+}
+
 // TestRetirementWithoutASpare: where enough disks stay, the slot is given up, and what lay on its disk with only
 // just enough others is on enough of those that stay.
 func TestRetirementWithoutASpare(t *testing.T) {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -11,8 +11,9 @@
 	"github.com/rookpass/rookpass/internal/objectapi"
 )
 
-// historyLimit is how many past events a watch can resume over; more than a burst of new servers makes.
-const historyLimit = 1024
+// leastHistory is how many past events a watch can resume over at least. Where there are many objects, as many as
+// there are: when all servers start, a reader must not list them again and again.
+const leastHistory = 1024
 
 // Mirror is a watch.Handler that answers other daemons.
 type Mirror struct {
@@ -82,7 +83,7 @@
 	for i := len(m.events) - 1; i >= 0 && m.events[i].version == 0; i-- {
 		m.events[i].version = version
 	}
-	if len(m.events) > historyLimit {
+	if len(m.events) > max(leastHistory, 2*len(m.objects)) {
 		cut := len(m.events) / 2
 		m.trimmed = m.events[cut-1].version
 		m.events = slices.Clone(m.events[cut:])
--- a/internal/mirror/rpc.go
+++ b/internal/mirror/rpc.go
@@ -16,6 +16,9 @@
 // some tens of milliseconds.
 const answerMargin = 500 * time.Millisecond
 
+// listTimeout bounds a list: a megabyte over the slowest VM's link, 30 Mbit/s, that others use too.
+const listTimeout = 2 * time.Second
+
 // outcome is how a call ended; net/rpc carries no typed errors.
 type outcome uint8
 
@@ -140,7 +143,7 @@
 }
 
 func (c *Client) list(ctx context.Context, prefix string) (*ListReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, answerMargin)
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	reply, err := peerlink.Call[ListReply](ctx, c.link, ServiceName+".List", &ListArgs{Prefix: prefix})
 	if err != nil {
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -9,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
@@ -194,32 +196,45 @@
 	f.ledger.Learn(l)
 }
 
-// mirrors returns a function that lists the store daemons, those of this data centre first. Before the layout
-// is known, the seeds stand in.
+// mirrors returns a function that lists the store daemons, those of this data centre first; which of them comes
+// first differs from front to front, so that each serves a share. Before the layout is known, the seeds stand in.
 func (f *front) mirrors() func() []feed.NamedMirror {
 	// Apart from the ledger's: a watch that hangs must not break its calls.
 	links := peerlink.NewSet(f.host.dial).WithDetour(f.detour.Dial, mirrorPatience)
 	return func() []feed.NamedMirror {
+		source := func(name, address string) feed.NamedMirror {
+			return feed.NamedMirror{Name: name, Mirror: mirror.NewClient(links.To(address))}
+		}
 		var sources []feed.NamedMirror
 		l := f.ledger.Layout()
 		if l == nil {
 			for _, seed := range *f.seeds.Load() {
-				sources = append(sources, feed.NamedMirror{Name: seed, Mirror: mirror.NewClient(links.To(seed))})
+				sources = append(sources, source(seed, seed))
 			}
 			return sources
 		}
-		for _, disk := range l.Disks() {
-			source := feed.NamedMirror{Name: disk.Node, Mirror: mirror.NewClient(links.To(disk.Address))}
-			if disk.DataCentre == f.settings.DataCentre {
-				sources = slices.Insert(sources, 0, source)
-			} else {
-				sources = append(sources, source)
-			}
+		for _, disk := range f.preferred(l.Disks()) {
+			sources = append(sources, source(disk.Node, disk.Address))
 		}
 		return sources
 	}
 }
 
+// preferred sorts disks: those of this data centre first, else by a hash of this VM's and theirs.
+func (f *front) preferred(disks []layout.Disk) []layout.Disk {
+	rank := func(d layout.Disk) uint64 { return xxhash.Sum64String(f.settings.Node + " " + d.Node) }
+	remote := func(d layout.Disk) int {
+		if d.DataCentre == f.settings.DataCentre {
+			return 0
+		}
+		return 1
+	}
+	slices.SortFunc(disks, func(a, b layout.Disk) int {
+		return cmp.Or(remote(a)-remote(b), cmp.Compare(rank(a), rank(b)))
+	})
+	return disks
+}
+
 // single adapts the platform's store to one prefix a watch.
 type single struct{ store *platform.Store }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,6 +30,8 @@
 	// layoutPrefix and layoutKey are where the layout of disks lies in the platform's store.
 	layoutPrefix = "rookpass-layout/"
 	layoutKey    = layoutPrefix + "main"
+	// candidatesPrefix is where the first disks enter themselves there.
+	candidatesPrefix = "rookpass-disks/"
 	// connectTimeout is far above a connection between data centres, and below what a caller waits.
 	connectTimeout = 400 * time.Millisecond
 	// silenceTimeout ends connections on which sent bytes stay unacknowledged: some lost packets are borne.
--- a/internal/replica/controller.go
+++ b/internal/replica/controller.go
@@ -17,11 +17,6 @@
 const (
 	// stepPause is the time between two looks at the layout.
 	stepPause = 200 * time.Millisecond
-	// formSettle is how long no further disk must have come before the first layout is closed. VMs start
-	// within 0.3 s of each other.
-	formSettle = 1500 * time.Millisecond
-	// formTurn keeps the disks from closing the layout at the same moment.
-	formTurn = 400 * time.Millisecond
 )
 
 // Retirements tells which VMs' disks are to be emptied, and takes word of it.
@@ -40,14 +35,15 @@
 	retirements Retirements
 	log         logrus.FieldLogger
 	key         string
+	candidates  string
 	firstStart  bool
 	tolerance   int
 	diskBytes   int64
 
 	mu      sync.Mutex
 	version uint64
-	changed time.Time
 
+	forming     forming
 	silentSince map[string]time.Time
 	reported    string
 	cleaned     time.Time
@@ -62,8 +58,8 @@
 	Links       *peerlink.Set
 	Retirements Retirements
 	Log         logrus.FieldLogger
-	// Key is the layout's object.
-	Key string
+	// Key is the layout's object. Candidates is the prefix of the objects by which the first disks enter themselves.
+	Key, Candidates string
 	// FirstStart tells that the system starts with empty disks.
 	FirstStart bool
 	// Tolerance is how many disks may be lost at one time.
@@ -74,7 +70,7 @@
 
 // NewController returns the controller of a store.
 func NewController(o Options) *Controller {
-	return &Controller{store: o.Store, api: o.API, links: o.Links, retirements: o.Retirements, log: o.Log, key: o.Key,
+	return &Controller{store: o.Store, api: o.API, links: o.Links, retirements: o.Retirements, log: o.Log, key: o.Key, candidates: o.Candidates,
 		firstStart: o.FirstStart, tolerance: o.Tolerance, diskBytes: o.DiskBytes, silentSince: map[string]time.Time{}}
 }
 
@@ -87,7 +83,7 @@
 	}
 	c.mu.Lock()
 	if object.Version > c.version {
-		c.version, c.changed = object.Version, time.Now()
+		c.version = object.Version
 	}
 	c.mu.Unlock()
 	c.store.Learn(l)
@@ -107,8 +103,8 @@
 
 func (c *Controller) step(ctx context.Context) error {
 	l := c.store.Layout()
-	if l == nil || !l.Formed {
-		return c.form(ctx, l)
+	if l == nil {
+		return c.form(ctx)
 	}
 	self := c.store.Self()
 	if err := c.reportRetirement(ctx, l); err != nil {
@@ -146,36 +142,6 @@
 	}
 }
 
-// form gathers the first disks.
-func (c *Controller) form(ctx context.Context, l *layout.Layout) error {
-	self := c.store.Self()
-	mine := layout.Slot{DataCentre: self.DataCentre, Disk: self}
-	switch {
-	case l == nil && c.firstStart:
-		return c.put(ctx, &layout.Layout{Epoch: 1, Tolerance: c.tolerance, Slots: []layout.Slot{mine}})
-	case l == nil:
-		return nil
-	}
-	place := l.SlotOf(self.ID)
-	if place < 0 {
-		if !c.firstStart {
-			return nil
-		}
-		next := l.Clone()
-		next.Slots = append(next.Slots, mine)
-		return c.put(ctx, next)
-	}
-	c.mu.Lock()
-	quiet := time.Since(c.changed)
-	c.mu.Unlock()
-	if quiet < formSettle+time.Duration(place)*formTurn {
-		return nil
-	}
-	next := l.Clone()
-	next.Formed = true
-	return c.put(ctx, next)
-}
-
 // put replaces the layout if it is still the one that this disk knows.
 func (c *Controller) put(ctx context.Context, next *layout.Layout) error {
 	value, err := next.Encode()
