The first layout is whole from its first version on: no state 'formed'

Cause: since disks enter themselves apart, no layout exists that still gathers; the field that said so was always true. Change: the field is gone. The test that held 'a disk of a gathering layout is not complete' now holds the same of a disk that knows no layout yet, the only state left in which nothing may be told.

--- a/internal/layout/layout.go
+++ b/internal/layout/layout.go
@@ -47,8 +47,6 @@
 type Layout struct {
 	// Epoch rises with each change.
 	Epoch uint64 `json:"epoch"`
-	// Formed is false while the first disks still gather; nothing is stored then.
-	Formed bool `json:"formed"`
 	// Tolerance is how many disks may be lost at one time.
 	Tolerance int    `json:"tolerance"`
 	Slots     []Slot `json:"slots"`
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -12,7 +12,7 @@
 )
 
 func drawLayout(t *rapid.T) *layout.Layout {
-	l := &layout.Layout{Formed: true, Tolerance: rapid.IntRange(0, 3).Draw(t, "tolerance")}
+	l := &layout.Layout{Tolerance: rapid.IntRange(0, 3).Draw(t, "tolerance")}
 	zones := rapid.IntRange(1, 6).Draw(t, "data centres")
 	for i := range rapid.IntRange(1, 14).Draw(t, "slots") {
 		l.Slots = append(l.Slots, layout.Slot{DataCentre: fmt.Sprint(rapid.IntRange(0, zones-1).Draw(t, "data centre")),
--- a/internal/ledger/chain.go
+++ b/internal/ledger/chain.go
@@ -65,7 +65,7 @@
 // nearest of the program's group first: the next one when a disk does not answer soon or does not hold the turn.
 func (l *Ledger) fetch(ctx context.Context, program, id string) ([]turn.Record, error) {
 	current := l.layout.Load()
-	if current == nil || !current.Formed {
+	if current == nil {
 		return nil, ErrUnsure
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/ledger/cluster_test.go
+++ b/internal/ledger/cluster_test.go
@@ -76,7 +76,7 @@
 	for i := range disks {
 		c.start(node(i), true)
 	}
-	c.eventually(func() bool { l := c.current(); return l != nil && l.Formed })
+	c.eventually(func() bool { return c.current() != nil })
 	return c
 }
 
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -64,7 +64,7 @@
 			return
 		}
 		if l.layout.CompareAndSwap(current, next) {
-			l.log.WithFields(logrus.Fields{"event": "layout", "epoch": next.Epoch, "formed": next.Formed,
+			l.log.WithFields(logrus.Fields{"event": "layout", "epoch": next.Epoch,
 				"slots": len(next.Slots)}).Info("layout in force")
 			return
 		}
@@ -76,8 +76,7 @@
 
 // Ready tells whether turns can be kept.
 func (l *Ledger) Ready() bool {
-	current := l.layout.Load()
-	return current != nil && current.Formed
+	return l.layout.Load() != nil
 }
 
 // Reserve makes durable that a turn may generate up to record.Tokens, and tells whether that fits into the
@@ -144,7 +143,7 @@
 	var lastErr error
 	for ctx.Err() == nil {
 		current := l.layout.Load()
-		if current == nil || !current.Formed {
+		if current == nil {
 			return nil, false, ErrUnsure
 		}
 		round := l.send(ctx, current, record, entries)
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -273,7 +273,7 @@
 	place, moved, daemons := 0, time.Now(), 0
 	for wait.For(ctx, exchange.PauseFor(daemons)) == nil {
 		l := f.ledger.Layout()
-		if l == nil || !l.Formed {
+		if l == nil {
 			continue
 		}
 		if time.Since(moved) > exchangeReturn {
--- a/internal/replica/form.go
+++ b/internal/replica/form.go
@@ -102,7 +102,7 @@
 }
 
 func (c *Controller) firstLayout(disks []layout.Disk) *layout.Layout {
-	l := &layout.Layout{Epoch: 1, Formed: true, Tolerance: c.tolerance}
+	l := &layout.Layout{Epoch: 1, Tolerance: c.tolerance}
 	for _, disk := range disks {
 		l.Slots = append(l.Slots, layout.Slot{DataCentre: disk.DataCentre, Disk: disk})
 	}
--- a/internal/replica/identity.go
+++ b/internal/replica/identity.go
@@ -28,7 +28,7 @@
 // complete tells whether the disk holds all that its slot must hold: it got the slot when the system was
 // empty, or after it had copied the records from the other slots.
 func (id *identity) complete() bool {
-	return id.Layout != nil && id.Layout.Formed && id.Layout.SlotOf(id.Disk) >= 0
+	return id.Layout != nil && id.Layout.SlotOf(id.Disk) >= 0
 }
 
 // loadIdentity reads the identity of the disk at dir. An empty disk gets a new one.
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -81,7 +81,7 @@
 		return false
 	}
 	s.id = id
-	s.log.WithFields(logrus.Fields{"event": "layout", "epoch": l.Epoch, "formed": l.Formed,
+	s.log.WithFields(logrus.Fields{"event": "layout", "epoch": l.Epoch,
 		"slot": l.SlotOf(s.self.ID), "joining": l.SlotJoined(s.self.ID)}).Info("layout in force")
 	return true
 }
--- a/internal/replica/service_test.go
+++ b/internal/replica/service_test.go
@@ -27,7 +27,7 @@
 
 // formed returns a layout of one epoch in which the disks hold the slots.
 func formed(epoch uint64, disks ...layout.Disk) *layout.Layout {
-	l := &layout.Layout{Epoch: epoch, Formed: true, Tolerance: 1}
+	l := &layout.Layout{Epoch: epoch, Tolerance: 1}
 	for _, d := range disks {
 		l.Slots = append(l.Slots, layout.Slot{DataCentre: d.DataCentre, Disk: d})
 	}
@@ -96,14 +96,14 @@
 		assert.Equal(t, reply.Missing, "none")
 		return reply.Header.Complete
 	}
+	var unknown FetchReply
+	assert.NilError(t, NewService(s).Fetch(&FetchArgs{Target: Target{Disk: self.ID, Epoch: 1}, ID: "none"}, &unknown))
+	assert.Assert(t, !unknown.Header.Complete, "a disk that knows no layout yet")
 	joining := formed(1, others()...)
 	joining.Slots[0].Joining = &self
 	assert.Assert(t, !complete(joining))
 	assert.Assert(t, complete(formed(2, append(others(), self)...)))
 	assert.Assert(t, !complete(formed(3, others()...)))
-	gathering := formed(4, append(others(), self)...)
-	gathering.Formed = false
-	assert.Assert(t, !complete(gathering))
 }
 
 func TestWritesAreIdempotentAndStatesOnlyRise(t *testing.T) {
