A batch of server entries makes one view, not one each

Change: Change notes it, Confirm publishes; the watch confirms each batch. Two tests now confirm after their changes, as the watch does.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -90,6 +90,7 @@
 	h.Reset([]objectapi.Object{entry("a"), entry("b")}, 1)
 	h.Change(objectapi.Event{Object: entry("c")})
 	h.Change(gone("a"))
+	h.Confirm(2)
 	assert.Equal(t, len(c.Servers().Of("svc")), 2)
 	assert.Assert(t, !c.Servers().Has("a"))
 	assert.DeepEqual(t, c.Servers().Addresses(), map[string]bool{"b": true, "c": true})
@@ -121,6 +122,7 @@
 		assert.Assert(t, c.Servers().Has("back"))
 		assert.Assert(t, !c.Servers().Has("dead"))
 		h.Change(gone("back"))
+		h.Confirm(8)
 		assert.Equal(t, c.Servers().Len(), 0, "without an outage an entry that is gone is gone at once")
 	})
 }
@@ -136,3 +138,14 @@
 		assert.Equal(t, c.Servers().Len(), 0)
 	})
 }
+
+// BenchmarkManyServersStart: one batch in which 3,000 servers come.
+func BenchmarkManyServersStart(b *testing.B) {
+	for b.Loop() {
+		h := entries(catalog.New())
+		for i := range 3000 {
+			h.Change(objectapi.Event{Object: entry(strconv.Itoa(i))})
+		}
+		h.Confirm(1)
+	}
+}
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -134,8 +134,10 @@
 	entries  map[string]Server
 	held     map[string]Server
 	revision uint64
-	lostAt   time.Time
-	holding  time.Time // until when missing entries are held
+	// changed tells that entries differ from what is published.
+	changed bool
+	lostAt  time.Time
+	holding time.Time // until when missing entries are held
 }
 
 // NewServersHandler returns a handler of the servers below a prefix.
@@ -166,7 +168,8 @@
 	h.publish()
 }
 
-// Change implements watch.Handler.
+// Change implements watch.Handler. Requests see it with the Confirm that follows: a batch may hold thousands, and
+// each view is made anew from all servers.
 func (h *ServersHandler) Change(event objectapi.Event) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -177,7 +180,7 @@
 		delete(h.entries, server.ID)
 		h.gone(server, "deleted")
 	}
-	h.publish()
+	h.changed = true
 }
 
 // Confirm implements watch.Handler.
@@ -191,6 +194,9 @@
 			h.log.WithFields(logrus.Fields{"event": "server-gone", "server": server.ID, "why": "lapsed and not back"}).Info("server removed")
 		}
 		clear(h.held)
+		h.changed = true
+	}
+	if h.changed {
 		h.publish()
 	}
 }
@@ -245,6 +251,7 @@
 
 // publish makes the servers known to requests. It is called with the lock held.
 func (h *ServersHandler) publish() {
+	h.changed = false
 	view := &Servers{Revision: h.revision, At: time.Now(), byID: make(map[string]Server, len(h.entries)), services: map[string][]Server{}}
 	for _, from := range []map[string]Server{h.held, h.entries} {
 		for id, server := range from {
