Lists between daemons are packed once a version; a mirror's second list is told as changes

Change: a list travels deflated, made once for each version and shared; a list after the first is taken in as the changes between the two, so readers go on where they were. Tests: TestListAfterLostHistoryIsToldAsChanges (red before: history gone), TestPackedListIsMadeOnceForEachVersion.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -29,6 +29,10 @@
 	// API does not answer.
 	confirmed time.Time
 	changed   chan struct{}
+
+	// packing guards packed.
+	packing sync.Mutex
+	packed  packed
 }
 
 // positioned is an event with the version from which on a reader has seen it. Deletions carry no version of
@@ -47,23 +51,40 @@
 // Prefix implements watch.Handler.
 func (m *Mirror) Prefix() string { return m.prefix }
 
-// Reset implements watch.Handler.
+// Reset implements watch.Handler. A list that follows another one is taken in as the changes between the two, so
+// that readers need not list again because the API's history was lost.
 func (m *Mirror) Reset(objects []objectapi.Object, version uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.objects = make(map[string]objectapi.Object, len(objects))
+	first := m.version == 0
+	listed := make(map[string]bool, len(objects))
 	for _, object := range objects {
-		m.objects[object.Key] = object
+		listed[object.Key] = true
+		if old, known := m.objects[object.Key]; !known || old.Version != object.Version {
+			m.change(objectapi.Event{Object: object})
+		}
 	}
-	m.events = nil
-	m.trimmed, m.version = version, version
-	m.wake()
+	for key, object := range m.objects {
+		if !listed[key] {
+			m.change(objectapi.Event{Object: object, Deleted: true})
+		}
+	}
+	if first {
+		m.events = nil
+		m.trimmed = version
+	}
+	m.advance(version)
 }
 
 // Change implements watch.Handler.
 func (m *Mirror) Change(event objectapi.Event) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.change(event)
+}
+
+// change is called with the lock held.
+func (m *Mirror) change(event objectapi.Event) {
 	if event.Deleted {
 		delete(m.objects, event.Key)
 	} else {
@@ -77,6 +98,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.confirmed = time.Now()
+	m.advance(version)
+}
+
+// advance tells that every change up to version has come. It is called with the lock held.
+func (m *Mirror) advance(version uint64) {
 	if version <= m.version {
 		return
 	}
@@ -111,14 +137,14 @@
 	m.changed = make(chan struct{})
 }
 
-// List returns the copy, or ErrUnavailable while it may be stale.
-func (m *Mirror) List() (objectapi.Snapshot, error) {
+// Fresh returns nil while the copy may be told as certain, else ErrUnavailable.
+func (m *Mirror) Fresh() error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.fresh() {
-		return objectapi.Snapshot{}, objectapi.ErrUnavailable
+		return objectapi.ErrUnavailable
 	}
-	return m.snapshot(), nil
+	return nil
 }
 
 // Stale returns the copy as it was when the API answered last, and whether there is one.
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -17,13 +17,19 @@
 	return objectapi.Object{Key: "k/" + key, Version: version}
 }
 
+// list returns a mirror's copy while it may be told as certain.
+func list(m *mirror.Mirror) (objectapi.Snapshot, error) {
+	snapshot, _ := m.Stale()
+	return snapshot, m.Fresh()
+}
+
 func TestNothingIsToldWhileStale(t *testing.T) {
 	m := mirror.New("k/", time.Hour)
-	_, err := m.List()
+	_, err := list(m)
 	assert.ErrorIs(t, err, objectapi.ErrUnavailable)
 	m.Reset([]objectapi.Object{object("a", 3)}, 5)
 	m.Confirm(5)
-	snapshot, err := m.List()
+	snapshot, err := list(m)
 	assert.NilError(t, err)
 	assert.Equal(t, snapshot.Version, uint64(5))
 	m.Lost()
@@ -38,17 +44,17 @@
 		m.Reset([]objectapi.Object{object("a", 3)}, 5)
 		m.Confirm(5)
 		time.Sleep(1500 * time.Millisecond)
-		_, err := m.List()
+		_, err := list(m)
 		assert.NilError(t, err)
 		_, err = m.Wait(context.Background(), 5, time.Second)
 		assert.ErrorIs(t, err, objectapi.ErrUnavailable, "it grew too old while the reader waited")
-		_, err = m.List()
+		_, err = list(m)
 		assert.ErrorIs(t, err, objectapi.ErrUnavailable)
 		snapshot, known := m.Stale()
 		assert.Assert(t, known)
 		assert.Equal(t, snapshot.Version, uint64(5))
 		m.Confirm(6)
-		_, err = m.List()
+		_, err = list(m)
 		assert.NilError(t, err)
 	})
 }
@@ -121,3 +127,53 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(batch.Events), 99)
 }
+
+// TestListAfterLostHistoryIsToldAsChanges: readers of the mirror go on from where they were.
+func TestListAfterLostHistoryIsToldAsChanges(t *testing.T) {
+	m := mirror.New("k/", time.Hour)
+	m.Reset([]objectapi.Object{object("same", 1), object("changed", 2), object("gone", 3)}, 5)
+	m.Confirm(5)
+	m.Reset([]objectapi.Object{object("same", 1), object("changed", 8), object("new", 7)}, 9)
+	m.Confirm(9)
+	batch, err := m.Wait(context.Background(), 5, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, batch.Version, uint64(9))
+	seen := map[string]bool{}
+	for _, e := range batch.Events {
+		seen[fmt.Sprint(e.Key, " ", e.Version, " ", e.Deleted)] = true
+	}
+	assert.DeepEqual(t, seen, map[string]bool{"k/changed 8 false": true, "k/new 7 false": true, "k/gone 3 true": true})
+	snapshot, err := list(m)
+	assert.NilError(t, err)
+	assert.Equal(t, len(snapshot.Objects), 3)
+}
+
+// TestPackedListIsMadeOnceForEachVersion and holds the same as the list.
+func TestPackedListIsMadeOnceForEachVersion(t *testing.T) {
+	m := mirror.New("k/", time.Hour)
+	var objects []objectapi.Object
+	for i := range 3000 {
+		o := object(fmt.Sprint("server-", i), uint64(i+1))
+		o.Value = []byte(fmt.Sprintf(`{"service":"x","address":"10.0.0.%d:80","state":"ready"}`, i))
+		objects = append(objects, o)
+	}
+	m.Reset(objects, 4000)
+	m.Confirm(4000)
+	var first, again mirror.ListReply
+	service := mirror.NewService(m)
+	assert.NilError(t, service.List(&mirror.ListArgs{Prefix: "k/"}, &first))
+	assert.NilError(t, service.List(&mirror.ListArgs{Prefix: "k/"}, &again))
+	assert.Assert(t, &first.Packed[0] == &again.Packed[0], "packed twice")
+	assert.Assert(t, len(first.Packed) < 120_000, "%d bytes", len(first.Packed))
+	snapshot, err := mirror.Unpack(first.Packed)
+	assert.NilError(t, err)
+	assert.Equal(t, len(snapshot.Objects), 3000)
+	m.Change(objectapi.Event{Object: object("server-1", 4001)})
+	m.Confirm(4001)
+	assert.NilError(t, service.List(&mirror.ListArgs{Prefix: "k/"}, &again))
+	snapshot, err = mirror.Unpack(again.Packed)
+	assert.NilError(t, err)
+	assert.Equal(t, snapshot.Version, uint64(4001))
+	_, err = mirror.Unpack([]byte("no list"))
+	assert.ErrorContains(t, err, "mirror")
+}
--- a/internal/mirror/rpc.go
+++ b/internal/mirror/rpc.go
@@ -53,12 +53,10 @@
 // ListArgs ask for a mirror's copy.
 type ListArgs struct{ Prefix string }
 
-// ListReply holds the copy.
+// ListReply holds the copy, packed. Where the outcome is that nothing certain is known, it is an old one, or empty.
 type ListReply struct {
-	Outcome  outcome
-	Snapshot objectapi.Snapshot
-	// Stale tells, where the outcome is that nothing certain is known, that the snapshot is an old one.
-	Stale bool
+	Outcome outcome
+	Packed  []byte
 }
 
 // WaitArgs ask for the changes after a version.
@@ -93,13 +91,10 @@
 		reply.Outcome = outcomeUnavailable
 		return nil
 	}
+	reply.Outcome = outcomeOf(m.Fresh())
 	var err error
-	reply.Snapshot, err = m.List()
-	reply.Outcome = outcomeOf(err)
-	if err != nil {
-		reply.Snapshot, reply.Stale = m.Stale()
-	}
-	return nil
+	reply.Packed, err = m.Packed()
+	return err
 }
 
 // Wait answers with the changes after a version.
@@ -124,22 +119,25 @@
 // List returns the copy of a prefix.
 func (c *Client) List(ctx context.Context, prefix string) (objectapi.Snapshot, error) {
 	reply, err := c.list(ctx, prefix)
+	if err == nil {
+		err = reply.Outcome.err()
+	}
 	if err != nil {
 		return objectapi.Snapshot{}, err
 	}
-	return reply.Snapshot, reply.Outcome.err()
+	return Unpack(reply.Packed)
 }
 
 // Stale returns the copy of a prefix though it may be an old one; ErrUnavailable means that there is none.
 func (c *Client) Stale(ctx context.Context, prefix string) (objectapi.Snapshot, error) {
 	reply, err := c.list(ctx, prefix)
-	if err == nil && reply.Outcome != outcomeOK && !reply.Stale {
+	if err == nil && len(reply.Packed) == 0 {
 		err = objectapi.ErrUnavailable
 	}
 	if err != nil {
 		return objectapi.Snapshot{}, err
 	}
-	return reply.Snapshot, nil
+	return Unpack(reply.Packed)
 }
 
 func (c *Client) list(ctx context.Context, prefix string) (*ListReply, error) {
