The network in memory keeps lifted deadlines lifted; a stand-in breaks off when its caller leaves

Change: memnet sets the deadline in force again; the stand-in aborts. No check is touched, no code of the daemons.

--- a/internal/network/memnet/memnet.go
+++ b/internal/network/memnet/memnet.go
@@ -48,6 +48,15 @@
 	fabric  *Fabric
 }
 
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &timed{Conn: conn}, nil
+}
+
 // Close implements net.Listener.
 func (l *listener) Close() error {
 	l.fabric.mu.Lock()
@@ -157,7 +166,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: raw, fabric: f, from: host, to: l.host}
+	c := &conn{Conn: &timed{Conn: raw}, fabric: f, from: host, to: l.host}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.conns[c] = struct{}{}
--- a/internal/workload/server.go
+++ b/internal/workload/server.go
@@ -145,7 +145,7 @@
 		select {
 		case <-time.After(eventPause):
 		case <-r.Context().Done():
-			return
+			panic(http.ErrAbortHandler) // to return would end the answer as if it were whole
 		}
 	}
 }
