Bad input: wait until a new organisation is in force before its calls are judged

Cause: TestBadInput puts an organisation and asks the second daemon at once; a change may take up to 2 s to be in force, and until then its callers are strangers there (UNAUTHENTICATED instead of NotFound). Ruled out: a daemon that is ready before it knows its organisations; the cluster was ready before the put. Change: the test waits, at most the 2 s that the product promises, until every daemon has the change in force, so a daemon that never learns it still fails. The answers asked for are the same. Conclusion: the test raced with the propagation that the product allows.

--- a/internal/faultmatrix/badinput_test.go
+++ b/internal/faultmatrix/badinput_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
@@ -17,12 +18,14 @@
 func TestBadInput(t *testing.T) {
 	testbubble.Run(t, func(t *testing.T) {
 		c := newCluster(t, 2, 1)
-		c.put(&rookpassv1.Object{
+		changed := c.put(&rookpassv1.Object{
 			Key: &rookpassv1.ObjectKey{Kind: rookpassv1.Kind_KIND_ORGANISATION, Name: "other"},
 			Spec: &rookpassv1.Object_Organisation{Organisation: &rookpassv1.Organisation{
 				SecretHashes: []string{callerHash}, Definitions: []string{"agent"},
 			}},
 		})
+		// A daemon that has not learnt of an organisation yet can't tell its callers from strangers.
+		c.await(2*time.Second, "the organisation is known to every daemon", func() bool { return c.inForce(changed) })
 		a := newAgent(c, c.nodes[0])
 		id, err := a.start("key", 0)
 		assert.NilError(t, err)
@@ -33,7 +36,7 @@
 		assert.NilError(t, a.end(ended))
 		assert.NilError(t, a.readAll())
 		before, served := proto.CloneOf(a.history.programs[id]), len(c.engines[0].Served())+len(c.engines[1].Served())
-		changed := func(edit func(*rookpassv1.CallRequest)) *rookpassv1.CallRequest {
+		edited := func(edit func(*rookpassv1.CallRequest)) *rookpassv1.CallRequest {
 			call := modelCall(id, 2)
 			edit(call)
 			return call
@@ -48,16 +51,16 @@
 			{"unknown organisation", c.connect(c.nodes[0], "nobody", callerSecret), modelCall(id, 2), verdict.Unauthenticated},
 			{"another organisation's program", c.connect(c.nodes[1], "other", callerSecret), modelCall(id, 2), verdict.NotFound},
 			{"a program that does not exist", a.client, modelCall("0123", 1), verdict.NotFound},
-			{"no sequence", a.client, changed(func(r *rookpassv1.CallRequest) { r.Sequence = 0 }), verdict.Invalid},
-			{"no request id", a.client, changed(func(r *rookpassv1.CallRequest) { r.RequestId = "" }), verdict.Invalid},
-			{"no kind", a.client, changed(func(r *rookpassv1.CallRequest) { r.Kind = 0 }), verdict.Invalid},
-			{"no target", a.client, changed(func(r *rookpassv1.CallRequest) { r.Target = "" }), verdict.Invalid},
-			{"oversize input", a.client, changed(func(r *rookpassv1.CallRequest) { r.Input = make([]byte, 300<<10) }), verdict.Invalid},
-			{"a model that the definition does not name", a.client, changed(func(r *rookpassv1.CallRequest) { r.Target = "x" }), verdict.Forbidden},
+			{"no sequence", a.client, edited(func(r *rookpassv1.CallRequest) { r.Sequence = 0 }), verdict.Invalid},
+			{"no request id", a.client, edited(func(r *rookpassv1.CallRequest) { r.RequestId = "" }), verdict.Invalid},
+			{"no kind", a.client, edited(func(r *rookpassv1.CallRequest) { r.Kind = 0 }), verdict.Invalid},
+			{"no target", a.client, edited(func(r *rookpassv1.CallRequest) { r.Target = "" }), verdict.Invalid},
+			{"oversize input", a.client, edited(func(r *rookpassv1.CallRequest) { r.Input = make([]byte, 300<<10) }), verdict.Invalid},
+			{"a model that the definition does not name", a.client, edited(func(r *rookpassv1.CallRequest) { r.Target = "x" }), verdict.Forbidden},
 			{"a gap in the sequence", a.client, modelCall(id, 3), verdict.OutOfOrder},
-			{"a sequence that is used up", a.client, changed(func(r *rookpassv1.CallRequest) { r.Sequence = 1 }), verdict.OutOfOrder},
+			{"a sequence that is used up", a.client, edited(func(r *rookpassv1.CallRequest) { r.Sequence = 1 }), verdict.OutOfOrder},
 			{"a call after the end", a.client, modelCall(ended, 1), verdict.Ended},
-			{"more tokens than the budget", a.client, changed(func(r *rookpassv1.CallRequest) {
+			{"more tokens than the budget", a.client, edited(func(r *rookpassv1.CallRequest) {
 				r.Kind, r.Target, r.ChildBudgetTokens = rookpassv1.CallKind_CALL_KIND_SUB_AGENT, "agent", 2_000_000
 			}), verdict.BudgetExhausted},
 		} {
--- a/internal/faultmatrix/cluster_test.go
+++ b/internal/faultmatrix/cluster_test.go
@@ -198,6 +198,16 @@
 	return written.Version
 }
 
+// inForce tells whether every live daemon has a change in force.
+func (c *cluster) inForce(version uint64) bool {
+	for _, n := range c.nodes {
+		if n.alive() && n.life.daemon.Config().AsOf() < version {
+			return false
+		}
+	}
+	return true
+}
+
 func (c *cluster) settings(n *node) settings.Settings {
 	s := settings.Default()
 	s.Name, s.DataCentre, s.Plaintext, s.Partitions = n.name, "dc", true, partitions
