Streams are turns: budgets for every program's stream, events as they come, resumption

Cause: only routes that keep history were taken as turns. Change: what a request is decides its way: every stream is relayed event by event; one that carries a budget is reserved and settled, one whose route keeps history is read and recorded. Turns that are not kept write counts and no text, and settle beside the answer (state 'settled'). Where the route allows it, a stream that breaks off goes on at another server behind its last whole event, inside the same answer.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -25,16 +25,34 @@
 	Session string
 	// PreviousTurn is the ID of the turn that this one goes on from; empty at the start of a line.
 	PreviousTurn string
+	// LastEvent is the id of the last event that the caller got of a stream that broke off; the answer goes on
+	// behind it. Empty for an answer from its start.
+	LastEvent string
+	// FinishIn is how long from now the whole program should take at most; 0 where that is not said.
+	FinishIn time.Duration
 	// HasBudget tells whether TokenBudget, the tokens that all turns of the program may generate, is set.
 	HasBudget   bool
 	TokenBudget int64
 	// PromptTokens and MaxOutputTokens are the size of a turn.
 	PromptTokens    int64
 	MaxOutputTokens int64
+	// LikelyOutputTokens is the caller's guess of the tokens out: right in the median and often far off; 0 where
+	// there is none.
+	LikelyOutputTokens int64
 	// Parts are the prompt's parts in order.
 	Parts []Part
 }
 
+// Address is what rookpass says to the one server that it sends a request to.
+type Address struct {
+	// Left is how long the server may work; 0 means no bound.
+	Left time.Duration
+	// Server is the incarnation that is meant.
+	Server string
+	// LastEvent is the id of the event behind which a stream is to go on; empty from its start.
+	LastEvent string
+}
+
 // Reply is what the headers of a backend server's answer say.
 type Reply struct {
 	// ID is the request that the answer belongs to.
@@ -54,9 +72,8 @@
 	// Outgoing returns the headers that go along to a server: not those of one connection, nor those that
 	// only rookpass may set.
 	Outgoing(header http.Header) http.Header
-	// Address sets what rookpass says to the one server that it sends to: the time left and the incarnation
-	// that it means.
-	Address(outgoing http.Header, left time.Duration, server string)
+	// Address adds what only the one server that is sent to is told.
+	Address(outgoing http.Header, to Address)
 	// Reply decodes a server's answer.
 	Reply(header http.Header, status int) Reply
 	// Echo names the request in an answer of rookpass's own.
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -18,7 +18,7 @@
 	AtMostOnce Kind = iota
 	// Idempotent requests may run more than once.
 	Idempotent
-	// Stream requests are answered by events; they run at most once too.
+	// Stream requests are answered by events; they run at most once too, unless the route is Resumable.
 	Stream
 )
 
@@ -57,6 +57,10 @@
 	// Kept routes carry turns whose history rookpass keeps for Retention after their end.
 	Kept      bool
 	Retention time.Duration
+	// Resumable streams may be sent again, and go on at another server behind the last event that came.
+	Resumable bool
+	// MaxGap is the longest pause between two events of an answer that is in time; 0 means no bound.
+	MaxGap time.Duration
 	// PreferCached is set where a server that has seen the same data answers sooner.
 	PreferCached bool
 }
@@ -97,6 +101,9 @@
 	Draining   bool
 }
 
+// Repeatable tells whether a request of the route may run more than once.
+func (r *Route) Repeatable() bool { return r.Kind == Idempotent || r.Kind == Stream && r.Resumable }
+
 // Table finds the route of a request in one version of the configuration. It is immutable.
 type Table struct {
 	Config   Config
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -39,10 +39,10 @@
 }
 
 // try sends the request to one chosen server. It returns an answer that the server signed, or a failure.
-// NotRun answers are failures too.
-func (x *exchange) try(ctx context.Context, choice *balance.Choice, body [][]byte) (*upstream.Answer, *upstream.Failure) {
+// NotRun answers are failures too. A stream goes on behind lastEvent.
+func (x *exchange) try(ctx context.Context, choice *balance.Choice, body [][]byte, lastEvent string) (*upstream.Answer, *upstream.Failure) {
 	header := maps.Clone(x.header)
-	x.g.dialect.Address(header, x.left(), choice.Server.ID)
+	x.g.dialect.Address(header, x.address(choice.Server.ID, lastEvent))
 	request := &upstream.Request{
 		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: header, Body: body, ID: x.info.ID,
 	}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -9,11 +9,12 @@
 // maxEventBytes bounds one event of a stream.
 const maxEventBytes = 4 << 20
 
-// event is one server-sent event: its bytes as they came, and its data.
+// event is one server-sent event: its bytes as they came, its data and its id.
 type event struct {
 	raw     []byte
 	data    []byte
 	hasData bool
+	id      string
 }
 
 // eventReader cuts a text/event-stream into events.
@@ -53,6 +54,10 @@
 
 // field takes over one line of an event. Several data lines are joined by line feeds.
 func (ev *event) field(line []byte) {
+	if id, isID := bytes.CutPrefix(line, []byte("id:")); isID {
+		ev.id = string(bytes.TrimSpace(id))
+		return
+	}
 	value, isData := bytes.CutPrefix(line, []byte("data:"))
 	if !isData {
 		return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,7 +1,8 @@
 // Package gateway takes callers' HTTP requests, sends them to backend servers and returns their answers.
 //
-// A request passes a row of steps that each may refuse it. What is left is sent either as a plain request or
-// as a turn of an agent program, whose history and token budget the ledger keeps.
+// A request passes a row of steps that each may refuse it. What is left is either a plain request, whose answer
+// is read before it is passed on, or a stream, whose events are passed on as they come. Most streams are turns of
+// agent programs, whose token budgets and, on routes that keep it, history lie with the ledger.
 package gateway
 
 import (
@@ -31,7 +32,7 @@
 	Chain(ctx context.Context, program, id string) ([]*turn.Record, error)
 	Reserve(ctx context.Context, record *turn.Record, budget int64) (spent int64, err error)
 	Finish(ctx context.Context, record *turn.Record) error
-	Void(record *turn.Record)
+	Settle(record *turn.Record)
 }
 
 // Sender sends one request to one server.
@@ -140,8 +141,8 @@
 	}
 	x.service = x.route.Pick(random())
 	var refused *refusal
-	if x.route.Kept {
-		refused = x.serveTurn()
+	if x.route.Kept || x.route.Kind == catalog.Stream {
+		refused = x.serveStream()
 	} else {
 		refused = x.servePlain()
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -35,7 +35,7 @@
 type dialect struct{}
 
 func (dialect) Info(h http.Header) (call.Info, error) {
-	info := call.Info{ID: h.Get("Id"), Program: h.Get("Program"), PreviousTurn: h.Get("Previous"), MaxOutputTokens: 100}
+	info := call.Info{ID: h.Get("Id"), Program: h.Get("Program"), PreviousTurn: h.Get("Previous"), LastEvent: h.Get("After"), MaxOutputTokens: 100}
 	if h.Get("Budget") != "" {
 		info.HasBudget = true
 		_, err := fmt.Sscan(h.Get("Budget"), &info.TokenBudget)
@@ -49,9 +49,10 @@
 	return info, nil
 }
 func (dialect) Outgoing(h http.Header) http.Header { return platform.Headers{}.Outgoing(h) }
-func (dialect) Address(h http.Header, left time.Duration, server string) {
-	h.Set("Left", left.String())
-	h.Set("Server", server)
+func (dialect) Address(h http.Header, to call.Address) {
+	h.Set("Left", to.Left.String())
+	h.Set("Server", to.Server)
+	h.Set("Last-Event", to.LastEvent)
 }
 func (dialect) Reply(h http.Header, status int) call.Reply {
 	return call.Reply{ID: h.Get("Id"), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "" || status == 421}
@@ -64,6 +65,8 @@
 	turns  map[string]*turn.Record
 	spent  int64
 	voided []string
+	// settled are the turns that were whole on routes that keep no history.
+	settled []*turn.Record
 	// fail is returned by the method that it names.
 	fail map[string]error
 }
@@ -111,10 +114,15 @@
 	return nil
 }
 
-func (b *books) Void(r *turn.Record) {
+func (b *books) Settle(r *turn.Record) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.voided = append(b.voided, r.ID)
+	if r.State == turn.Void {
+		b.voided = append(b.voided, r.ID)
+		return
+	}
+	b.settled = append(b.settled, r)
+	b.spent += r.Tokens
 }
 
 // rig is a gateway before backend servers, each a handler.
@@ -174,8 +182,10 @@
 	}
 	config := catalog.Config{Version: 1, Services: []catalog.Service{{Name: "svc", TokensPerEvent: 3}},
 		Limits: catalog.Limits{MaxBodyBytes: 1000},
-		Routes: []catalog.Route{route("/twice/", catalog.Idempotent, 3), route("/once/", catalog.AtMostOnce, 3), route("/turn/", catalog.Stream, 2)}}
+		Routes: []catalog.Route{route("/twice/", catalog.Idempotent, 3), route("/once/", catalog.AtMostOnce, 3), route("/turn/", catalog.Stream, 2),
+			route("/stream/", catalog.Stream, 2), route("/resume/", catalog.Stream, 2)}}
 	config.Routes[2].Kept, config.Routes[2].Retention = true, time.Minute
+	config.Routes[4].Resumable = true
 	handler := catalog.NewConfigHandler(r.catalog, "c/", func(objectapi.Object) (catalog.Config, bool, error) { return config, true, nil }, log)
 	handler.Reset([]objectapi.Object{{Key: "c/main"}}, 1)
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -138,7 +138,7 @@
 // that another server could still be asked: then a failed answer to an idempotent request is a failure.
 func (x *exchange) fetch(ctx context.Context, choice *balance.Choice, replace bool) *try {
 	t := &try{choice: choice, began: time.Now()}
-	answer, failure := x.try(ctx, choice, [][]byte{x.body})
+	answer, failure := x.try(ctx, choice, [][]byte{x.body}, x.info.LastEvent)
 	if failure != nil {
 		t.failure = failure
 		return t
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -54,8 +54,8 @@
 	if x.route == nil {
 		return &refusal{status: http.StatusNotFound, reason: "no-route"}
 	}
-	if x.route.Kept && x.info.ID == "" {
-		return &refusal{status: http.StatusBadRequest, reason: "no-id", err: Error.New("a turn is kept under its request's id")}
+	if (x.route.Kept || x.info.HasBudget) && x.info.ID == "" {
+		return &refusal{status: http.StatusBadRequest, reason: "no-id", err: Error.New("a turn is recorded under its request's id")}
 	}
 	return nil
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -81,7 +81,7 @@
 
 // Reserve makes durable that a turn may generate up to record.Tokens, and tells whether that fits into the
 // budget beside all that the program's other turns have generated or reserved. ErrBudget and ErrUnsure mean
-// that the turn must not run; Void then takes the reservation back.
+// that the turn must not run; Settle then takes the reservation back.
 //
 // Of turns that reserve at the same moment, one must see all others. Where every disk of the group has
 // answered, the one that came last to any one disk does. Where only a quorum has, two that meet on one disk
@@ -121,15 +121,14 @@
 	return nil
 }
 
-// Void takes a reservation back, for a turn that no server has run nor will. It is tried for a while beside
-// the caller's work: a reservation that stays only counts too much.
-func (l *Ledger) Void(record *turn.Record) {
-	void := &turn.Record{State: turn.Void, ID: record.ID, Program: record.Program, Retention: record.Retention}
+// Settle lowers what a reserved turn counts: to nothing where no server has run it nor will, or to what it
+// generated. It is tried for a while beside the caller's work: a reservation that stays only counts too much.
+func (l *Ledger) Settle(record *turn.Record) {
 	l.background.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 2*callTimeout)
 		defer cancel()
-		if _, _, err := l.write(ctx, void, false); err != nil {
-			l.log.WithFields(logrus.Fields{"event": "void-failed", "turn": record.ID, "error": err}).Warn("reservation stays")
+		if _, _, err := l.write(ctx, record, false); err != nil {
+			l.log.WithFields(logrus.Fields{"event": "settle-failed", "turn": record.ID, "state": record.State.String(), "error": err}).Warn("reservation stays")
 		}
 	})
 }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -14,6 +14,7 @@
 	"github.com/rookpass/rookpass/internal/layout"
 	"github.com/rookpass/rookpass/internal/ledger"
 	"github.com/rookpass/rookpass/internal/testbubble"
+	"github.com/rookpass/rookpass/internal/turn"
 )
 
 // texts returns a chain's inputs and outputs as one text.
@@ -314,13 +315,35 @@
 		record := reserved("p", "t1", 100)
 		_, err := l.Reserve(within(t, time.Second), record, 100)
 		assert.NilError(t, err)
-		l.Void(record)
+		record.State = turn.Void
+		l.Settle(record)
 		assert.NilError(t, l.Flush(within(t, time.Second)))
 		_, err = c.ledger("front-2").Reserve(within(t, time.Second), reserved("p", "t2", 100), 100)
 		assert.NilError(t, err)
 	})
 }
 
+// TestSettledTurnsCountAndAreNotKept: what they generated counts on every daemon, and no turn goes on from them.
+func TestSettledTurnsCountAndAreNotKept(t *testing.T) {
+	testbubble.Run(t, func(t *testing.T) {
+		c := newCluster(t, 3, 1)
+		l := c.ledger("front-1")
+		record := reserved("p", "t1", 100)
+		_, err := l.Reserve(within(t, time.Second), record, 100)
+		assert.NilError(t, err)
+		l.Settle(&turn.Record{State: turn.Settled, ID: "t1", Program: "p", Tokens: 30, Retention: time.Minute})
+		assert.NilError(t, l.Flush(within(t, time.Second)))
+		other := c.ledger("front-2")
+		_, err = other.Chain(within(t, time.Second), "p", "t1")
+		assert.ErrorIs(t, err, ledger.ErrNoTurn)
+		spent, err := other.Reserve(within(t, time.Second), reserved("p", "t2", 71), 100)
+		assert.ErrorIs(t, err, ledger.ErrBudget)
+		assert.Equal(t, spent, int64(30))
+		_, err = other.Reserve(within(t, time.Second), reserved("p", "t3", 70), 171)
+		assert.NilError(t, err, "30 are spent and 71 reserved")
+	})
+}
+
 // TestReservationsOutliveTheirDaemons: a budget counts what was reserved before every process was killed and
 // one disk was lost.
 func TestReservationsOutliveTheirDaemons(t *testing.T) {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -21,6 +21,9 @@
 	Counts map[string]int
 }
 
+// questionShare: one caller in so many asks for turns that are not kept.
+const questionShare = 3
+
 // Run plays a plan and checks the promises.
 func Run(ctx context.Context, plan Plan, binary, dir string, network int) (Result, error) {
 	w, err := NewWorld(plan, binary, dir, network)
@@ -42,7 +45,11 @@
 	for i := range plan.Callers {
 		c := workload.NewCaller(fronts, w.checker, plan.Seed*1000+uint64(i), nil)
 		all = append(all, c)
-		callers.Go(func() { c.Run(workload.Programs, stop) })
+		work := workload.Programs
+		if i%questionShare == 0 {
+			work = workload.Questions
+		}
+		callers.Go(func() { c.Run(work, stop) })
 	}
 	w.play(ctx)
 	close(stop)
--- a/internal/turn/turn.go
+++ b/internal/turn/turn.go
@@ -21,8 +21,10 @@
 	Reserved State = iota + 1
 	// Void turns never reached a server and never will; they count nothing.
 	Void
-	// Finished turns were answered whole; they count what they generated.
+	// Finished turns were answered whole; they count what they generated, and others may go on from them.
 	Finished
+	// Settled turns were answered whole too, on a route that keeps no history: they only count.
+	Settled
 )
 
 // String returns the state's name for logs.
@@ -34,6 +36,8 @@
 		return "void"
 	case Finished:
 		return "finished"
+	case Settled:
+		return "settled"
 	default:
 		return "unknown"
 	}
@@ -92,7 +96,7 @@
 	r.Server = string(d.bytes())
 	r.Input = d.bytes()
 	r.Output = d.bytes()
-	if d.bad || len(d.rest) > 0 || r.State < Reserved || r.State > Finished {
+	if d.bad || len(d.rest) > 0 || r.State < Reserved || r.State > Settled {
 		return Record{}, Error.New("malformed record of %d bytes", len(b))
 	}
 	return r, nil
--- a/internal/turn/turn_test.go
+++ b/internal/turn/turn_test.go
@@ -14,7 +14,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		text := rapid.SliceOfN(rapid.Byte(), 0, 300)
 		r := turn.Record{
-			State: turn.State(rapid.IntRange(1, 3).Draw(t, "state")), ID: rapid.String().Draw(t, "id"),
+			State: turn.State(rapid.IntRange(1, 4).Draw(t, "state")), ID: rapid.String().Draw(t, "id"),
 			Program: rapid.String().Draw(t, "program"), Previous: rapid.String().Draw(t, "previous"),
 			Tokens: rapid.Int64().Draw(t, "tokens"), Retention: time.Duration(rapid.Int64().Draw(t, "retention")),
 			Server: rapid.String().Draw(t, "server"), Input: text.Draw(t, "input"), Output: text.Draw(t, "output"),
@@ -26,7 +26,7 @@
 }
 
 func TestOnlyVoidTurnsCountNothing(t *testing.T) {
-	for state, counts := range map[turn.State]int64{turn.Reserved: 5, turn.Void: 0, turn.Finished: 5} {
+	for state, counts := range map[turn.State]int64{turn.Reserved: 5, turn.Void: 0, turn.Finished: 5, turn.Settled: 5} {
 		r := turn.Record{State: state, Tokens: 5}
 		assert.Equal(t, r.Counts(), counts, "%s", state)
 	}
--- a/internal/workload/caller.go
+++ b/internal/workload/caller.go
@@ -71,6 +71,8 @@
 const (
 	// Programs are turns with calls of tools between them; every fourth program has a scarce budget.
 	Programs Work = "programs"
+	// Questions are programs whose turns are not kept and may be resumed; every fourth has a scarce budget.
+	Questions Work = "questions"
 	// Turns are two lines of turns that fork from one, side by side.
 	Turns Work = "turns"
 	// Budgets are two lines side by side, with a budget for fewer turns.
@@ -92,6 +94,8 @@
 		switch work {
 		case Programs:
 			c.program()
+		case Questions:
+			c.questions()
 		case Turns, Budgets:
 			c.fork(work == Budgets)
 		case Calls:
@@ -177,12 +181,17 @@
 	return false
 }
 
+// budgetOf returns a program's token budget.
+func budgetOf(scarce bool) int64 {
+	if scarce {
+		return scarceTurns * mostTokens
+	}
+	return 100 * mostTokens
+}
+
 // turn sends the line's next turn once, and returns how it was answered; 0 where it broke off.
 func (c *Caller) turn(l *line) int {
-	budget := int64(100 * mostTokens)
-	if l.scarce {
-		budget = scarceTurns * mostTokens
-	}
+	budget := budgetOf(l.scarce)
 	id := fmt.Sprintf("t%d", ids.Add(1))
 	input := fmt.Sprintf("[%s turn %d]", l.program, l.turns)
 	c.checker.Sent(id, l.history+input, false)
@@ -195,12 +204,11 @@
 	if status != http.StatusOK || err != nil {
 		return c.failed(id, status, err)
 	}
-	var want, output string
+	var output string
 	for n := 1; n <= eventsPerTurn; n++ {
-		want += fmt.Sprintf("id: %d\ndata: %s\n\n", n, eventData(id, n))
 		output += eventData(id, n) + "\n"
 	}
-	if string(body) != want || !platformtest.Signed(header, id) {
+	if string(body) != eventText(id, 1, eventsPerTurn) || !platformtest.Signed(header, id) {
 		c.checker.Fail("turn %s was answered whole with %.120q", id, body)
 	}
 	c.checker.Ended("turn whole")
--- a/internal/workload/server.go
+++ b/internal/workload/server.go
@@ -125,21 +125,41 @@
 	}
 	platformtest.Sign(w.Header(), id)
 	if entry.Service == modelService {
-		s.stream(w, r, id, fault)
+		s.stream(w, r, streamKey(r, id, string(body)), fault)
 		return
 	}
 	s.tool(w, id, fault)
 }
 
-// eventData returns the data of a turn's event.
-func eventData(id string, n int) string { return fmt.Sprintf("%s/%d", id, n) }
+// streamKey returns what the events of an answer depend on: an answer that may be resumed is the same under every
+// id that its caller asks again with.
+func streamKey(r *http.Request, id, body string) string {
+	if strings.HasPrefix(r.URL.Path, questionPath) {
+		return body
+	}
+	return id
+}
+
+// eventData returns the data of an answer's event.
+func eventData(key string, n int) string { return fmt.Sprintf("%s/%d", key, n) }
+
+// eventText returns some events of an answer as they are sent.
+func eventText(key string, from, to int) string {
+	var text strings.Builder
+	for n := from; n <= to; n++ {
+		fmt.Fprintf(&text, "id: %d\ndata: %s\n\n", n, eventData(key, n))
+	}
+	return text.String()
+}
 
-func (s *Server) stream(w http.ResponseWriter, r *http.Request, id string, fault Fault) {
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, key string, fault Fault) {
 	w.Header().Set("Content-Type", "text/event-stream")
-	for n := 1; n <= eventsPerTurn; n++ {
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, eventData(id, n)) // the caller may have left
+	for n := platformtest.LastEvent(r.Header) + 1; n <= eventsPerTurn; n++ {
+		_, _ = io.WriteString(w, eventText(key, n, n)) // the caller may have left
 		w.(http.Flusher).Flush()
 		if fault == Cut && n == eventsPerTurn/2 {
+			_, _ = io.WriteString(w, "id: 9\nda") // half an event, which must not reach the caller
+			w.(http.Flusher).Flush()
 			panic(http.ErrAbortHandler)
 		}
 		select {
