Where prompts are in cache travels with the budget

What binds: a third of the prompt tokens that engines read they, or another engine, had read before. Hypothesis: a front that knows what other fronts' turns left where sends turns there. Change: records of whole turns name the server, the last part of the prompt and how many tokens of it are held; the nearest disk returns them with a reservation's answer (no bytes between data centres, no further call). A server that holds a part holds all before it. What a server has of a session's part is what it read, not what the session has by now. Tests: TestTurnsGoWhereOthersSentThem, TestSessionsPartGrows, TestPlacesTravelWithTheBudget, TestRecordsWithoutAPlaceAreRead; the two tests of placement that named a holder now teach one, and ask the same.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/rookpass/rookpass/internal/call"
 	"github.com/rookpass/rookpass/internal/catalog"
 	"github.com/rookpass/rookpass/internal/policy"
 )
@@ -85,14 +86,10 @@
 	Servers []catalog.Server
 	// Tried servers are passed over.
 	Tried map[string]bool
-	// Holder is the server that holds Cached tokens of the prompt; empty where none is known.
-	Holder string
-	Cached int64
 	// PromptTokens is the size of the prompt; 0 for plain requests.
 	PromptTokens int64
 	// Parts are the prompt's parts in order.
-	Parts []string
-	Sizes []int64
+	Parts []call.Part
 }
 
 // Choice is the server chosen. Done must be called once.
@@ -133,9 +130,7 @@
 	s.inFlight++
 	s.waiting = append(s.waiting, now)
 	s.waitingRoute = ask.Route
-	if len(ask.Parts) > 0 {
-		s.read(ask.Parts)
-	}
+	s.parts.read(ask.Parts)
 	return c, true
 }
 
@@ -185,10 +180,7 @@
 		}
 		return cost * slowness
 	}
-	cached := s.cached(ask.Parts, ask.Sizes)
-	if ask.Holder == server.ID {
-		cached = max(cached, ask.Cached)
-	}
+	cached := s.parts.cached(ask.Parts)
 	engine := policy.Engine{InFlight: s.inFlight, Capacity: 1 << 30, CachedTokens: cached, Remote: remote}
 	return policy.Expected(engine, ask.PromptTokens, engineCosts)*slowness + 0.05*(slowness-1)
 }
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -9,7 +9,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/rookpass/rookpass/internal/balance"
+	"github.com/rookpass/rookpass/internal/call"
 	"github.com/rookpass/rookpass/internal/catalog"
+	"github.com/rookpass/rookpass/internal/turn"
 )
 
 func servers(n int) []catalog.Server {
@@ -92,7 +94,8 @@
 // TestTurnsGoWhereTheirPromptIs: unless that server is far busier.
 func TestTurnsGoWhereTheirPromptIs(t *testing.T) {
 	b := balance.New("here")
-	ask := balance.Ask{Servers: servers(4), PromptTokens: 4000, Holder: "2", Cached: 3800}
+	b.Learn(turn.Place{Server: "2", Part: "own", Held: 3800})
+	ask := balance.Ask{Servers: servers(4), PromptTokens: 4000, Parts: []call.Part{{ID: "own", Tokens: 4000}}}
 	for range 4 {
 		assert.Equal(t, pick(t, b, ask).Server.ID, "2")
 	}
@@ -108,10 +111,10 @@
 
 func TestSharedPartsAreRemembered(t *testing.T) {
 	b := balance.New("here")
-	ask := balance.Ask{Servers: servers(6), PromptTokens: 3000, Parts: []string{"shared", "own"}, Sizes: []int64{2500, 500}}
+	ask := balance.Ask{Servers: servers(6), PromptTokens: 3000, Parts: []call.Part{{ID: "shared", Tokens: 2500}, {ID: "own", Tokens: 500}}}
 	first := pick(t, b, ask)
 	first.Done(balance.Answered)
-	ask.Parts = []string{"shared", "another"}
+	ask.Parts = []call.Part{{ID: "shared", Tokens: 2500}, {ID: "another", Tokens: 500}}
 	assert.Equal(t, pick(t, b, ask).Server.ID, first.Server.ID)
 }
 
--- a/internal/balance/parts_test.go
+++ b/internal/balance/parts_test.go
@@ -5,19 +5,56 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/rookpass/rookpass/internal/call"
+	"github.com/rookpass/rookpass/internal/catalog"
+	"github.com/rookpass/rookpass/internal/turn"
 )
 
 // TestPartsInUseAreNotForgotten: a shared part that comes with every prompt outlives the private ones, however
 // many of those there are.
 func TestPartsInUseAreNotForgotten(t *testing.T) {
-	s := &state{parts: newPartSet()}
+	p := newPartSet()
+	private := func(i int) []call.Part {
+		return []call.Part{{ID: "shared", Tokens: 500}, {ID: fmt.Sprint("private-", i), Tokens: 100}}
+	}
 	for i := range 3 * partLimit {
-		s.read([]string{"shared", fmt.Sprint("private-", i)})
+		p.read(private(i))
+	}
+	assert.Equal(t, p.cached(private(3*partLimit-1)), int64(600))
+	assert.Equal(t, p.cached(private(0)), int64(500), "the one used longest ago is forgotten")
+	assert.Equal(t, p.order.Len(), partLimit)
+}
+
+// TestSessionsPartGrows: what a server has of a session's part is what it read last, not what the session has now.
+func TestSessionsPartGrows(t *testing.T) {
+	p := newPartSet()
+	prompt := func(tokens int64) []call.Part {
+		return []call.Part{{ID: "shared", Tokens: 500}, {ID: "session", Tokens: tokens}}
+	}
+	p.read(prompt(300))
+	assert.Equal(t, p.cached(prompt(900)), int64(800))
+	p.hold("session", 380) // the answer
+	assert.Equal(t, p.cached(prompt(900)), int64(880))
+	p.read(prompt(900))
+	assert.Equal(t, p.cached(prompt(900)), int64(1400))
+	assert.Equal(t, p.cached([]call.Part{{ID: "other", Tokens: 400}, {ID: "new", Tokens: 100}}), int64(0))
+}
+
+// TestTurnsGoWhereOthersSentThem: what another daemon says of a session's server decides where its next turn goes,
+// though this daemon has never sent that server any part of the prompt.
+func TestTurnsGoWhereOthersSentThem(t *testing.T) {
+	list := []catalog.Server{{ID: "a", Slots: 8}, {ID: "b", Slots: 8}, {ID: "c", Slots: 8}}
+	prompt := []call.Part{{ID: "shared", Tokens: 500}, {ID: "parent", Tokens: 2000}, {ID: "session", Tokens: 700}}
+	for range 20 {
+		b := New("")
+		b.Learn(turn.Place{Server: "b", Part: "parent", Held: 2000})
+		b.Learn(turn.Place{Server: "c", Part: "session", Held: 400})
+		choice, found := b.Pick(&Ask{Servers: list, PromptTokens: 3200, Parts: prompt})
+		assert.Assert(t, found)
+		assert.Equal(t, choice.Server.ID, "c")
+		first, found := b.Pick(&Ask{Servers: list, PromptTokens: 2600, Parts: append(prompt[:2:2], call.Part{ID: "helper", Tokens: 100})})
+		assert.Assert(t, found)
+		assert.Equal(t, first.Server.ID, "b", "a helper's prompt begins with its parent's")
 	}
-	sizes := []int64{500, 100}
-	last := fmt.Sprint("private-", 3*partLimit-1)
-	assert.Equal(t, s.cached([]string{"shared", last}, sizes), int64(600))
-	assert.Equal(t, s.cached([]string{"shared", "private-0"}, sizes), int64(500), "the one used longest ago is forgotten")
-	assert.Equal(t, s.cached([]string{"unknown", last}, sizes), int64(0), "only what stands at the start is of use")
-	assert.Equal(t, s.parts.order.Len(), partLimit)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/rookpass/rookpass/internal/balance"
 	"github.com/rookpass/rookpass/internal/call"
 	"github.com/rookpass/rookpass/internal/catalog"
+	"github.com/rookpass/rookpass/internal/ledger"
 	"github.com/rookpass/rookpass/internal/turn"
 	"github.com/rookpass/rookpass/internal/upstream"
 )
@@ -30,7 +31,7 @@
 type Ledger interface {
 	Ready() bool
 	Chain(ctx context.Context, program, id string) ([]*turn.Record, error)
-	Reserve(ctx context.Context, record *turn.Record, budget int64) (spent int64, err error)
+	Reserve(ctx context.Context, record *turn.Record, budget int64) (ledger.Account, error)
 	Finish(ctx context.Context, record *turn.Record) error
 	Settle(record *turn.Record)
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -91,16 +91,16 @@
 	return chain, nil
 }
 
-func (b *books) Reserve(_ context.Context, r *turn.Record, budget int64) (int64, error) {
+func (b *books) Reserve(_ context.Context, r *turn.Record, budget int64) (ledger.Account, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if err := b.fail["reserve"]; err != nil {
-		return 0, err
+		return ledger.Account{}, err
 	}
 	if b.spent+r.Tokens > budget {
-		return b.spent, ledger.ErrBudget
+		return ledger.Account{Spent: b.spent}, ledger.ErrBudget
 	}
-	return b.spent, nil
+	return ledger.Account{Spent: b.spent}, nil
 }
 
 func (b *books) Finish(_ context.Context, r *turn.Record) error {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -74,15 +74,7 @@
 
 func (x *exchange) newStream(p prepared) *stream {
 	s := &stream{x: x, body: x.prompt(p.chain), events: relayed{last: x.info.LastEvent}}
-	s.ask = balance.Ask{Route: x.route.Name, Tried: map[string]bool{}, PromptTokens: max(1, x.info.PromptTokens)}
-	for _, part := range x.info.Parts {
-		s.ask.Parts = append(s.ask.Parts, part.ID)
-		s.ask.Sizes = append(s.ask.Sizes, part.Tokens)
-	}
-	if n := len(p.chain); n > 0 {
-		s.ask.Holder = p.chain[n-1].Server
-		s.ask.Cached = x.info.PromptTokens - int64(len(x.body))
-	}
+	s.ask = balance.Ask{Route: x.route.Name, Tried: map[string]bool{}, PromptTokens: max(1, x.info.PromptTokens), Parts: x.info.Parts}
 	s.last = upstream.NewFailure(verdict.NotRun, "no-server", Error.New("no server of the route's service is known"))
 	return s
 }
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -63,17 +63,23 @@
 		}
 	}()
 	p := prepared{}
-	var spent int64
+	var account ledger.Account
 	var reserveErr error
 	if x.info.HasBudget {
 		p.reservation = x.record(turn.Reserved, x.info.MaxOutputTokens)
-		spent, reserveErr = x.g.ledger.Reserve(ctx, p.reservation, x.info.TokenBudget)
+		account, reserveErr = x.g.ledger.Reserve(ctx, p.reservation, x.info.TokenBudget)
 	}
 	<-read
 	p.chain = chain
 	x.g.log.WithFields(logrus.Fields{"event": "turn", "id": x.info.ID, "program": x.info.Program, "previous": x.info.PreviousTurn,
-		"before": len(chain), "spent": spent, "reserve": x.info.MaxOutputTokens, "budget": x.info.TokenBudget,
+		"before": len(chain), "spent": account.Spent, "places": len(account.Places), "reserve": x.info.MaxOutputTokens, "budget": x.info.TokenBudget,
 		"ms": time.Since(x.arrived).Milliseconds()}).Info("turn prepared")
+	x.g.balancer.Learn(account.Places...)
+	if n := len(chain); n > 0 {
+		if place, known := chain[n-1].Place(); known {
+			x.g.balancer.Learn(place)
+		}
+	}
 	refused := refusalOf(chainErr, reserveErr)
 	if refused != nil {
 		x.void(p.reservation)
@@ -116,14 +122,24 @@
 	if service := x.table.Service(server.Service); service != nil {
 		tokens *= int64(max(1, service.TokensPerEvent))
 	}
+	state := turn.Settled
+	if x.route.Kept {
+		state = turn.Finished
+	}
+	record := x.record(state, tokens)
+	record.Server = server.ID
+	if n := len(x.info.Parts); n > 0 {
+		last := x.info.Parts[n-1]
+		record.Part, record.Held = last.ID, last.Tokens+tokens
+		x.g.balancer.Learn(turn.Place{Server: server.ID, Part: record.Part, Held: record.Held})
+	}
 	if !x.route.Kept {
 		if p.reservation != nil {
-			x.g.ledger.Settle(x.record(turn.Settled, tokens))
+			x.g.ledger.Settle(record)
 		}
 		return nil
 	}
-	record := x.record(turn.Finished, tokens)
-	record.Input, record.Output, record.Server = x.body, events.output, server.ID
+	record.Input, record.Output = x.body, events.output
 	x.link(record, p.chain)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), finishWait)
 	defer cancel()
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -87,34 +87,43 @@
 // answered, the one that came last to any one disk does. Where only a quorum has, two that meet on one disk
 // each may miss a third, so the disks are asked again once the reservation is durable: the one whose
 // reservation became durable last then sees all.
-func (l *Ledger) Reserve(ctx context.Context, record *turn.Record, budget int64) (spent int64, err error) {
-	entries, all, err := l.write(ctx, record, true)
+func (l *Ledger) Reserve(ctx context.Context, record *turn.Record, budget int64) (Account, error) {
+	r, err := l.write(ctx, record, true)
 	if err != nil {
-		return 0, err
+		return Account{}, err
 	}
-	if !all {
-		again, _, err := l.write(ctx, record, true)
+	if !r.all() {
+		again, err := l.write(ctx, record, true)
 		if err != nil {
-			return 0, err
+			return Account{}, err
 		}
-		for _, e := range again {
-			merge(entries, e)
+		for _, e := range again.known {
+			merge(r.known, e)
 		}
 	}
-	for id, e := range entries {
+	account := Account{Places: r.places}
+	for id, e := range r.known {
 		if id != record.ID {
-			spent += e.Tokens
+			account.Spent += e.Tokens
 		}
 	}
-	if spent+record.Tokens > budget {
-		return spent, ErrBudget
+	if account.Spent+record.Tokens > budget {
+		return account, ErrBudget
 	}
-	return spent, nil
+	return account, nil
+}
+
+// Account is what the disks know of a program.
+type Account struct {
+	// Spent are the tokens of its other turns, those reserved among them.
+	Spent int64
+	// Places are where its prompts are in cache, as the nearest disk knows them; none where that did not answer.
+	Places []turn.Place
 }
 
 // Finish makes a whole turn durable.
 func (l *Ledger) Finish(ctx context.Context, record *turn.Record) error {
-	if _, _, err := l.write(ctx, record, false); err != nil {
+	if _, err := l.write(ctx, record, false); err != nil {
 		return err
 	}
 	l.cache.add(record)
@@ -127,7 +136,7 @@
 	l.background.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 2*callTimeout)
 		defer cancel()
-		if _, _, err := l.write(ctx, record, false); err != nil {
+		if _, err := l.write(ctx, record, false); err != nil {
 			l.log.WithFields(logrus.Fields{"event": "settle-failed", "turn": record.ID, "state": record.State.String(), "error": err}).Warn("reservation stays")
 		}
 	})
@@ -136,26 +145,26 @@
 // Flush waits for the writes that still go on, until ctx ends.
 func (l *Ledger) Flush(ctx context.Context) error { return wait.Group(ctx, &l.background) }
 
-// write sends a record to the disks of its group until a quorum has it. With entries it returns the program's
-// turns as those disks know them, and whether every disk of the group has answered.
-func (l *Ledger) write(ctx context.Context, record *turn.Record, entries bool) (map[string]replica.Entry, bool, error) {
+// write sends a record to the disks of its group until a quorum has it. With account the answers tell what the
+// disks know of the program.
+func (l *Ledger) write(ctx context.Context, record *turn.Record, account bool) (*round, error) {
 	var lastErr error
 	for ctx.Err() == nil {
 		current := l.layout.Load()
 		if current == nil {
-			return nil, false, ErrUnsure
+			return nil, ErrUnsure
 		}
-		round := l.send(ctx, current, record, entries)
-		err := round.gather(ctx, l, entries)
+		round := l.send(ctx, current, record, account)
+		err := round.gather(ctx, l, account)
 		if err == nil {
-			return round.known, round.all(), nil
+			return round, nil
 		}
 		lastErr = err
 		if l.layout.Load() == current {
 			_ = wait.For(ctx, retryPause)
 		}
 	}
-	return nil, false, errors.Join(ErrUnsure, lastErr)
+	return nil, errors.Join(ErrUnsure, lastErr)
 }
 
 // ack is one disk's answer to a write.
@@ -175,18 +184,20 @@
 	held   int
 	quorum int
 	known  map[string]replica.Entry
+	places []turn.Place
 }
 
 func (r *round) all() bool { return r.held == len(r.open) }
 
 // send asks each disk of the record's group. The calls go on after the round has been left.
-func (l *Ledger) send(ctx context.Context, current *layout.Layout, record *turn.Record, entries bool) *round {
-	group := current.Group(record.Program)
+func (l *Ledger) send(ctx context.Context, current *layout.Layout, record *turn.Record, account bool) *round {
+	group := l.nearestFirst(current, current.Group(record.Program))
 	r := &round{answers: make(chan ack, 2*len(group)), open: map[int]int{}, quorum: current.Quorum(), known: map[string]replica.Entry{}}
 	ask := func(slot int, disk layout.Disk) {
 		r.sent++
 		r.open[slot]++
-		args := &replica.WriteArgs{Target: replica.Target{Disk: disk.ID, Epoch: current.Epoch}, Record: *record, Entries: entries}
+		args := &replica.WriteArgs{Target: replica.Target{Disk: disk.ID, Epoch: current.Epoch}, Record: *record,
+			Entries: account, Places: account && slot == group[0]}
 		l.background.Go(func() {
 			callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 			defer cancel()
@@ -252,6 +263,7 @@
 	for _, e := range a.reply.Entries {
 		merge(r.known, e)
 	}
+	r.places = append(r.places, a.reply.Places...)
 	r.open[a.slot]--
 	if r.open[a.slot] == 0 {
 		r.held++
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -201,9 +202,9 @@
 		assert.Equal(t, c.current().Live(), 4)
 		c.wipe(node(1))
 		check(t, c.ledger("front-2"), programs)
-		spent, err := c.ledger("front-2").Reserve(within(t, 5*time.Second), reserved("p0", "p0-s", 40), 100)
+		account, err := c.ledger("front-2").Reserve(within(t, 5*time.Second), reserved("p0", "p0-s", 40), 100)
 		assert.ErrorIs(t, err, ledger.ErrBudget)
-		assert.Equal(t, spent, int64(90), "two turns of 10 and the reservation of 70")
+		assert.Equal(t, account.Spent, int64(90), "two turns of 10 and the reservation of 70")
 		// A daemon with the layout of before finds its way.
 		assert.NilError(t, old.Finish(within(t, 5*time.Second), finished("p0", "p0-r", "p0-b", "late")))
 		// One more disk may be lost, and one more is given up; then no further one.
@@ -302,9 +303,9 @@
 			assert.NilError(t, err)
 			assert.NilError(t, l.Finish(within(t, time.Second), finished("p", id, "", id)))
 		}
-		spent, err := c.ledger("front-2").Reserve(within(t, time.Second), reserved("p", "last", 20), 100)
+		account, err := c.ledger("front-2").Reserve(within(t, time.Second), reserved("p", "last", 20), 100)
 		assert.ErrorIs(t, err, ledger.ErrBudget)
-		assert.Equal(t, spent, int64(90))
+		assert.Equal(t, account.Spent, int64(90))
 	})
 }
 
@@ -336,14 +337,38 @@
 		other := c.ledger("front-2")
 		_, err = other.Chain(within(t, time.Second), "p", "t1")
 		assert.ErrorIs(t, err, ledger.ErrNoTurn)
-		spent, err := other.Reserve(within(t, time.Second), reserved("p", "t2", 71), 100)
+		account, err := other.Reserve(within(t, time.Second), reserved("p", "t2", 71), 100)
 		assert.ErrorIs(t, err, ledger.ErrBudget)
-		assert.Equal(t, spent, int64(30))
+		assert.Equal(t, account.Spent, int64(30))
 		_, err = other.Reserve(within(t, time.Second), reserved("p", "t3", 70), 171)
 		assert.NilError(t, err, "30 are spent and 71 reserved")
 	})
 }
 
+// TestPlacesTravelWithTheBudget: a daemon that reserves learns where turns that ran through others left their
+// prompts in cache, and of each part what the last turn left.
+func TestPlacesTravelWithTheBudget(t *testing.T) {
+	testbubble.Run(t, func(t *testing.T) {
+		c := newCluster(t, 3, 1)
+		l := c.ledger("front-1")
+		ran := func(id, server, part string, held int64) *turn.Record {
+			return &turn.Record{State: turn.Settled, ID: id, Program: "p", Tokens: 5, Retention: time.Minute, Server: server, Part: part, Held: held}
+		}
+		for _, r := range []*turn.Record{ran("t1", "a", "main", 300), ran("t2", "b", "main", 700), ran("t3", "a", "helper", 90)} {
+			l.Settle(r)
+			assert.NilError(t, l.Flush(within(t, time.Second)))
+		}
+		kept := finished("p", "t4", "", "text")
+		kept.Server, kept.Part, kept.Held = "c", "kept", 40
+		assert.NilError(t, l.Finish(within(t, time.Second), kept))
+		account, err := c.ledger("front-2").Reserve(within(t, time.Second), reserved("p", "t5", 20), 100)
+		assert.NilError(t, err)
+		slices.SortFunc(account.Places, func(a, b turn.Place) int { return strings.Compare(a.Part, b.Part) })
+		assert.DeepEqual(t, account.Places, []turn.Place{{Server: "a", Part: "helper", Held: 90}, {Server: "c", Part: "kept", Held: 40},
+			{Server: "b", Part: "main", Held: 700}})
+	})
+}
+
 // TestReservationsOutliveTheirDaemons: a budget counts what was reserved before every process was killed and
 // one disk was lost.
 func TestReservationsOutliveTheirDaemons(t *testing.T) {
--- a/internal/replica/index.go
+++ b/internal/replica/index.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -26,8 +27,10 @@
 }
 
 type program struct {
-	name      string
-	turns     []*entry
+	name  string
+	turns []*entry
+	// places holds where its prompts are in cache, by part: what the turn said that ended last.
+	places    map[string]turn.Place
 	touched   time.Time
 	retention time.Duration
 }
@@ -60,7 +63,7 @@
 	defer x.mu.Unlock()
 	p := x.programs[r.Program]
 	if p == nil {
-		p = &program{name: r.Program}
+		p = &program{name: r.Program, places: map[string]turn.Place{}}
 		x.programs[r.Program] = p
 	}
 	p.touched = now
@@ -75,6 +78,9 @@
 	} else {
 		x.live[e.position.Segment]--
 	}
+	if place, known := r.Place(); known {
+		p.places[place.Part] = place
+	}
 	x.sequence++
 	e.state, e.tokens, e.previous, e.position, e.sequence = r.State, r.Counts(), r.Previous, position, x.sequence
 	x.live[position.Segment]++
@@ -96,6 +102,17 @@
 	return list
 }
 
+// places returns where a program's prompts are in cache.
+func (x *index) places(name string) []turn.Place {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	p := x.programs[name]
+	if p == nil {
+		return nil
+	}
+	return slices.Collect(maps.Values(p.places))
+}
+
 // chain returns where the finished turns lie from id backwards, and the first that is missing.
 func (x *index) chain(id string, now time.Time) ([]turnlog.Position, string) {
 	x.mu.Lock()
--- a/internal/replica/messages.go
+++ b/internal/replica/messages.go
@@ -51,14 +51,16 @@
 type WriteArgs struct {
 	Target Target
 	Record turn.Record
-	// Entries asks for the program's other turns.
+	// Entries asks for the program's other turns, Places for where its prompts are in cache.
 	Entries bool
+	Places  bool
 }
 
 // WriteReply tells that the record is on the disk.
 type WriteReply struct {
 	Header  Header
 	Entries []Entry
+	Places  []turn.Place
 }
 
 // FetchArgs ask for a finished turn and those before it.
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -160,6 +160,9 @@
 	if args.Entries {
 		reply.Entries = s.index.entries(args.Record.Program)
 	}
+	if args.Places {
+		reply.Places = s.index.places(args.Record.Program)
+	}
 	return nil
 }
 
--- a/internal/turn/turn.go
+++ b/internal/turn/turn.go
@@ -58,8 +58,24 @@
 	// for Finished turns.
 	Input  []byte
 	Output []byte
-	// Server is the incarnation that ran the turn and so holds its prompt in cache.
+	// Server is the incarnation that ran the turn and so holds its prompt in cache: Held tokens of Part, the last
+	// part of the prompt, and all parts before it. Part is empty where the prompt's parts are not known.
 	Server string
+	Part   string
+	Held   int64
+}
+
+// Place tells what a server has in cache after a turn.
+type Place struct {
+	Server string
+	// Part is a part of a prompt, Held how many of its tokens are in cache.
+	Part string
+	Held int64
+}
+
+// Place returns where the turn's prompt is in cache, or false where that is not known.
+func (r *Record) Place() (Place, bool) {
+	return Place{Server: r.Server, Part: r.Part, Held: r.Held}, r.Part != "" && r.Server != ""
 }
 
 // Counts returns what the record counts against the program's budget.
@@ -71,7 +87,7 @@
 }
 
 // Append appends the record's encoding to b: the state, numbers as varints, texts with their length before
-// them.
+// them. Part and Held stand last: records of before they existed end without them.
 func (r *Record) Append(b []byte) []byte {
 	b = append(b, byte(r.State))
 	b = binary.AppendVarint(b, r.Tokens)
@@ -81,7 +97,12 @@
 	b = appendBytes(b, r.Previous)
 	b = appendBytes(b, r.Server)
 	b = appendBytes(b, r.Input)
-	return appendBytes(b, r.Output)
+	b = appendBytes(b, r.Output)
+	if r.Part == "" && r.Held == 0 {
+		return b
+	}
+	b = appendBytes(b, r.Part)
+	return binary.AppendVarint(b, r.Held)
 }
 
 // Decode returns the record that b encodes.
@@ -96,6 +117,10 @@
 	r.Server = string(d.bytes())
 	r.Input = d.bytes()
 	r.Output = d.bytes()
+	if len(d.rest) > 0 {
+		r.Part = string(d.bytes())
+		r.Held = d.varint()
+	}
 	if d.bad || len(d.rest) > 0 || r.State < Reserved || r.State > Settled {
 		return Record{}, Error.New("malformed record of %d bytes", len(b))
 	}
--- a/internal/turn/turn_test.go
+++ b/internal/turn/turn_test.go
@@ -17,7 +17,8 @@
 			State: turn.State(rapid.IntRange(1, 4).Draw(t, "state")), ID: rapid.String().Draw(t, "id"),
 			Program: rapid.String().Draw(t, "program"), Previous: rapid.String().Draw(t, "previous"),
 			Tokens: rapid.Int64().Draw(t, "tokens"), Retention: time.Duration(rapid.Int64().Draw(t, "retention")),
-			Server: rapid.String().Draw(t, "server"), Input: text.Draw(t, "input"), Output: text.Draw(t, "output"),
+			Server: rapid.String().Draw(t, "server"),
+			Part:   rapid.String().Draw(t, "part"), Held: rapid.Int64().Draw(t, "held"), Input: text.Draw(t, "input"), Output: text.Draw(t, "output"),
 		}
 		back, err := turn.Decode(r.Append(nil))
 		assert.NilError(t, err)
@@ -32,6 +33,22 @@
 	}
 }
 
+// TestRecordsWithoutAPlaceAreRead: disks hold records of before there were places.
+func TestRecordsWithoutAPlaceAreRead(t *testing.T) {
+	r := turn.Record{State: turn.Finished, ID: "id", Program: "p", Server: "s", Tokens: 3, Output: []byte("out")}
+	before := len(r.Append(nil))
+	r.Part, r.Held = "part", 7
+	now := r.Append(nil)
+	back, err := turn.Decode(now[:before])
+	assert.NilError(t, err)
+	assert.Equal(t, back.Part, "")
+	_, known := back.Place()
+	assert.Assert(t, !known)
+	place, known := r.Place()
+	assert.Assert(t, known)
+	assert.Equal(t, place, turn.Place{Server: "s", Part: "part", Held: 7})
+}
+
 func FuzzDecode(f *testing.F) {
 	r := turn.Record{State: turn.Finished, ID: "id", Program: "p", Tokens: 3, Input: []byte("in"), Output: []byte("out")}
 	f.Add(r.Append(nil))
