--- a/cmd/rookpass-plot/main.go
+++ b/cmd/rookpass-plot/main.go
@@ -1,12 +1,15 @@
-// Command rookpass-plot draws what the journal of the users' bench holds.
+// Command rookpass-plot draws what the journal of the users' bench holds, or prints how busy backend servers were by
+// the logs of front daemons.
 package main
 
 import (
 	"fmt"
 	"os"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/rookpass/rookpass/internal/loadlog"
 	"github.com/rookpass/rookpass/internal/plots"
 	"github.com/rookpass/rookpass/platform/runlog"
 )
@@ -15,6 +18,8 @@
 	Journal string   `long:"journal" default:"journal" description:"folder of the runs"`
 	Out     string   `long:"out" default:"target/plots" description:"folder that takes the plots"`
 	Command []string `long:"command" default:"score" default:"hunt" description:"runs to draw, by what was asked for"`
+	Log     string   `long:"log" description:"file with the logs of all front daemons of a run: print the turns under way on each server"`
+	StepMS  int      `long:"step-ms" default:"500" description:"time between two lines of that table, in milliseconds"`
 }
 
 func main() {
@@ -29,6 +34,9 @@
 }
 
 func run(opts options) error {
+	if opts.Log != "" {
+		return printLoad(opts.Log, time.Duration(opts.StepMS)*time.Millisecond)
+	}
 	runs, err := runlog.Read(opts.Journal)
 	if err != nil {
 		return err
@@ -53,6 +61,22 @@
 	return err
 }
 
+func printLoad(name string, step time.Duration) error {
+	if step <= 0 {
+		return fmt.Errorf("--step-ms must be above 0")
+	}
+	file, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = file.Close() }() // it was only read
+	turns, err := loadlog.Read(file)
+	if err != nil {
+		return err
+	}
+	return loadlog.Write(os.Stdout, turns, step)
+}
+
 func day(r runlog.Run, d runlog.Day) plots.Day {
 	taken := make(map[string]float64, len(d.Prices))
 	for _, price := range d.Prices {
--- /dev/null
+++ b/internal/loadlog/loadlog.go
@@ -0,0 +1,163 @@
+// Package loadlog works out of front daemons' logs how busy backend servers were: how many turns each had at a
+// time, and what turns took then.
+package loadlog
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("loadlog")
+
+// Turn is the last try of a turn, as a front daemon logged it.
+type Turn struct {
+	Server string
+	// Began and Ended bound the try; Arrived is when the request came.
+	Arrived, Began, Ended time.Time
+}
+
+// maxLine bounds a line of the log, in bytes.
+const maxLine = 1 << 20
+
+var field = regexp.MustCompile(`(\w+)=("(?:[^"\\]|\\.)*"|\S*)`)
+
+// Read returns the turns that the lines of a log tell of. Lines of other events are passed over, and so is what
+// stands before a line's first field.
+func Read(r io.Reader) ([]Turn, error) {
+	turnIDs := map[string]bool{}
+	requests := map[string]Turn{}
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLine)
+	for n := 1; scanner.Scan(); n++ {
+		fields := parse(scanner.Text())
+		switch fields["event"] {
+		case "turn":
+			turnIDs[fields["id"]] = true
+		case "request":
+			turn, tried, err := decode(fields)
+			if err != nil {
+				return nil, Error.New("line %d: %w", n, err)
+			}
+			if tried {
+				requests[fields["id"]] = turn
+			}
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	var turns []Turn
+	for id, turn := range requests {
+		if turnIDs[id] {
+			turns = append(turns, turn)
+		}
+	}
+	slices.SortFunc(turns, func(a, b Turn) int { return a.Ended.Compare(b.Ended) })
+	return turns, nil
+}
+
+func parse(line string) map[string]string {
+	fields := map[string]string{}
+	for _, m := range field.FindAllStringSubmatch(line, -1) {
+		value := m[2]
+		if unquoted, err := strconv.Unquote(value); err == nil {
+			value = unquoted
+		}
+		fields[m[1]] = value
+	}
+	return fields
+}
+
+// decode returns the last try of a request; false where it was never sent.
+func decode(fields map[string]string) (Turn, bool, error) {
+	if fields["attempts"] == "" {
+		return Turn{}, false, nil
+	}
+	tries := strings.Split(fields["attempts"], ",")
+	last := strings.Split(tries[len(tries)-1], "/")
+	if len(last) < 3 {
+		return Turn{}, false, Error.New("attempt %q is not server/outcome/time", tries[len(tries)-1])
+	}
+	took, err := time.ParseDuration(last[2])
+	if err != nil {
+		return Turn{}, false, err
+	}
+	ended, err := time.Parse(time.RFC3339Nano, fields["time"])
+	if err != nil {
+		return Turn{}, false, err
+	}
+	ms, err := strconv.ParseInt(fields["ms"], 10, 64)
+	if err != nil {
+		return Turn{}, false, err
+	}
+	return Turn{Server: last[0], Ended: ended, Began: ended.Add(-took), Arrived: ended.Add(-time.Duration(ms) * time.Millisecond)}, true, nil
+}
+
+// Write prints a line for each step: the turns under way in all and on each server, and the median and the ninth
+// decile of what those took that ended in the step, in milliseconds.
+func Write(w io.Writer, turns []Turn, step time.Duration) error {
+	if len(turns) == 0 {
+		return Error.New("the log tells of no turn")
+	}
+	servers := map[string]int{}
+	for _, t := range turns {
+		servers[t.Server] = 0
+	}
+	start := slices.MinFunc(turns, func(a, b Turn) int { return a.Began.Compare(b.Began) }).Began
+	end := turns[len(turns)-1].Ended
+	if _, err := fmt.Fprintln(w, "second  turns  ended  p50 ms  p90 ms  turns on each server"); err != nil {
+		return err
+	}
+	for at := start; at.Before(end); at = at.Add(step) {
+		counts, took := underWay(turns, servers, at, step)
+		total := 0
+		for _, n := range counts {
+			total += n
+		}
+		_, err := fmt.Fprintf(w, "%6.1f  %5d  %5d  %6d  %6d  %v\n", at.Sub(start).Seconds(), total, len(took), share(took, 0.5), share(took, 0.9), counts)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// underWay returns how many turns each server has at a time, the least busy first, and how long those took that end
+// within the step.
+func underWay(turns []Turn, servers map[string]int, at time.Time, step time.Duration) ([]int, []time.Duration) {
+	clear(servers)
+	var took []time.Duration
+	for _, t := range turns {
+		servers[t.Server] += 0
+		if !t.Began.After(at) && t.Ended.After(at) {
+			servers[t.Server]++
+		}
+		if !t.Ended.Before(at) && t.Ended.Before(at.Add(step)) {
+			took = append(took, t.Ended.Sub(t.Arrived))
+		}
+	}
+	var counts []int
+	for _, n := range servers {
+		counts = append(counts, n)
+	}
+	slices.Sort(counts)
+	slices.Sort(took)
+	return counts, took
+}
+
+// share returns the value below which a share of the sorted times lies, in milliseconds.
+func share(times []time.Duration, of float64) int64 {
+	if len(times) == 0 {
+		return 0
+	}
+	return times[min(len(times)-1, int(of*float64(len(times))))].Milliseconds()
+}
