Turns wait at the front while engines are full, by how their programs stand

What binds: beyond what the engines can do (370 to 410 turns a second here) all turns are sent at once and each server takes them in the order in which they come, so nearly every program ends late: with three to six times the usual load for 7 s, 1 of 327 programs begun in the worst two seconds was in time, and 12% failed. Hypothesis: what waits must wait where its program is known. Change: package dispatch, on the extended policy.Queue. A front lets as many turns go as its share of the slots (its demand against all fronts', swapped each 300 ms; without word from the others it holds nothing back). Turns of programs that have begun and can end in time go first, the one with least time to lose before all; then those that will be late; then new programs, by priority. A new program is refused at once where its turn would come too late at the rate of the last second, with a time to come back from that rate. How long a program can wait is learnt: what share of their time programs of the route need while nothing waits (records carry the time that a program was given). Loads of other fronts on a server count 0.3 of own ones, smoothed over a second. Tests: package dispatch (who goes first, falls behind, is refused at once, leaves), policy.TestShare..., gateway.TestTurnWithoutAPlaceIsRefused. Benchmark: 0.43 us a call with 10 waiting, 2.9 us with 1,000.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -47,7 +47,12 @@
 
 // state is what was seen of one server. It is guarded by Balancer.mu.
 type state struct {
-	inFlight     int
+	inFlight int
+	// area is the sum of the calls in flight over time since the last report, in call-seconds, up to changed.
+	area    float64
+	changed time.Time
+	// others are the calls of other daemons, smoothed over their reports.
+	others       float64
 	failures     int
 	ejectedUntil time.Time
 	busyUntil    time.Time
@@ -75,9 +80,11 @@
 	// models learn what turns take, by service.
 	models map[string]*policy.CostModel
 	// peers are the other daemons that send to the same servers. Each is taken to have as many calls there as this
-	// one. What each has on a single server is not asked: a report is older than a turn takes, and daemons that
-	// go by it turn to one server together (3 to 41 calls a server at a moment, against 15 to 25 without).
+	// one.
 	peers int
+	// othersMean is the mean of the others' calls on a server; reportedAt is when this daemon last told of its own.
+	othersMean float64
+	reportedAt time.Time
 }
 
 // New returns a balancer of a daemon in a data centre.
@@ -147,7 +154,7 @@
 			InFlight: float64(s.inFlight), MeanInFlight: ask.mean}
 		c.Uncached = c.observed.Uncached
 	}
-	s.inFlight++
+	s.count(now, 1)
 	s.waiting = append(s.waiting, now)
 	s.waitingRoute = ask.Route
 	s.parts.read(ask.Parts)
@@ -201,7 +208,8 @@
 		return cost * slowness
 	}
 	cached := s.parts.cached(ask.Parts)
-	engine := policy.Engine{InFlight: s.inFlight, Capacity: 1 << 30, CachedTokens: cached, Remote: remote, Others: ask.mean * float64(b.peers)}
+	engine := policy.Engine{InFlight: s.inFlight, Capacity: 1 << 30, CachedTokens: cached, Remote: remote, Others: ask.mean * float64(b.peers),
+		Surplus: s.others - b.othersMean}
 	return policy.Expected(engine, ask.PromptTokens, b.model(server.Service).Costs())*slowness + 0.05*(slowness-1)
 }
 
@@ -268,7 +276,7 @@
 func (b *Balancer) state(id string) *state {
 	s := b.states[id]
 	if s == nil {
-		s = &state{parts: newPartSet()}
+		s = &state{parts: newPartSet(), changed: time.Now()}
 		b.states[id] = s
 	}
 	return s
--- a/internal/balance/outcome.go
+++ b/internal/balance/outcome.go
@@ -56,7 +56,7 @@
 	defer b.mu.Unlock()
 	now := time.Now()
 	s := c.state
-	s.inFlight--
+	s.count(now, -1)
 	c.stopWaiting()
 	switch outcome {
 	case Answered:
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,220 @@
+package dispatch_test
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/rookpass/rookpass/internal/dispatch"
+)
+
+// turn returns a call of a program that has begun, with so much time left; each turn takes 100 ms alone.
+func turn(left time.Duration) *dispatch.Call {
+	return &dispatch.Call{Service: "m", Route: "r", Slots: 4, Begun: true, Aim: 2 * time.Second, Finish: time.Now().Add(left),
+		Alone: 100 * time.Millisecond, Until: time.Now().Add(2 * time.Second)}
+}
+
+// first returns the first call of a program.
+func first(left time.Duration) *dispatch.Call {
+	c := turn(left)
+	c.Begun, c.Aim = false, left
+	return c
+}
+
+// fill lets as many calls go as there is room for.
+func fill(t *testing.T, g *dispatch.Gate) []*dispatch.Call {
+	t.Helper()
+	g.SetOthers(map[string]int{"m": 1000})
+	c := turn(time.Minute)
+	assert.NilError(t, g.Enter(t.Context(), c))
+	assert.Equal(t, g.Running(), 1, "this daemon's share")
+	return []*dispatch.Call{c}
+}
+
+func TestNothingWaitsWhileThereIsRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := dispatch.New()
+		g.SetOthers(map[string]int{"m": 1})
+		for range 4 {
+			assert.NilError(t, g.Enter(t.Context(), turn(time.Second)))
+		}
+		assert.Equal(t, g.Running(), 4)
+		assert.DeepEqual(t, g.Demand(), map[string]int{"m": 4})
+	})
+}
+
+// TestWhoLosesMostGoesFirst: calls that wait are let go by how their programs stand, not by when they came.
+func TestWhoLosesMostGoesFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := dispatch.New()
+		running := fill(t, g)
+		var mu sync.Mutex
+		var order []string
+		var wg sync.WaitGroup
+		enter := func(name string, c *dispatch.Call) {
+			wg.Go(func() {
+				if g.Enter(t.Context(), c) != nil {
+					name += " refused"
+				}
+				mu.Lock()
+				order = append(order, name)
+				mu.Unlock()
+			})
+			synctest.Wait()
+		}
+		enter("new", first(1500*time.Millisecond))
+		enter("behind", turn(50*time.Millisecond))
+		enter("at ease", turn(1500*time.Millisecond))
+		enter("pressed", turn(400*time.Millisecond))
+		for range 4 {
+			g.Leave(running[0])
+			synctest.Wait()
+		}
+		wg.Wait()
+		assert.DeepEqual(t, order, []string{"pressed", "at ease", "behind", "new"})
+	})
+}
+
+// TestProgramFallsBehindWhileItWaits: from then on it gives way to those that can still end in time.
+func TestProgramFallsBehindWhileItWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := dispatch.New()
+		running := fill(t, g)
+		var order []string
+		enter := func(name string, c *dispatch.Call) {
+			go func() {
+				assert.Check(t, g.Enter(t.Context(), c) == nil)
+				order = append(order, name)
+			}()
+			synctest.Wait()
+		}
+		enter("falls behind", turn(300*time.Millisecond))
+		enter("in time", turn(1500*time.Millisecond))
+		time.Sleep(250 * time.Millisecond)
+		for range 2 {
+			g.Leave(running[0])
+			synctest.Wait()
+		}
+		assert.DeepEqual(t, order, []string{"in time", "falls behind"})
+	})
+}
+
+// TestRefusedAtOnce: a new program behind others whose turn would come too late is told so without waiting; the
+// next in line waits, and is given up when its program can't end in time any more.
+func TestRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := dispatch.New()
+		fill(t, g)
+		began := time.Now()
+		waited := make(chan time.Duration, 1)
+		go func() {
+			assert.Check(t, g.Enter(t.Context(), first(time.Second)) == dispatch.ErrNoPlace)
+			waited <- time.Since(began)
+		}()
+		synctest.Wait()
+		late := first(time.Second)
+		assert.ErrorIs(t, g.Enter(t.Context(), late), dispatch.ErrNoPlace)
+		assert.Equal(t, time.Since(began), time.Duration(0))
+		assert.Equal(t, g.ComeBack(late), 400*time.Millisecond)
+		assert.Equal(t, <-waited, 400*time.Millisecond, "60% of its second are needed, as long as nothing else was seen")
+		assert.Equal(t, g.Waiting(), 0)
+	})
+}
+
+// TestCallerThatLeavesLeavesTheQueue, and a place that was given up goes to the next.
+func TestCallerThatLeavesLeavesTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := dispatch.New()
+		running := fill(t, g)
+		ctx, cancel := context.WithCancel(t.Context())
+		gone := make(chan error, 1)
+		go func() { gone <- g.Enter(ctx, turn(time.Second)) }()
+		synctest.Wait()
+		assert.Equal(t, g.Waiting(), 1)
+		cancel()
+		assert.ErrorIs(t, <-gone, dispatch.ErrNoPlace)
+		assert.Equal(t, g.Waiting(), 0)
+		g.Leave(running[0])
+		assert.Equal(t, g.Running(), 0)
+	})
+}
+
+// TestNoWaitBeyondUse: a call whose caller would not get its first event any more is refused.
+func TestNoWaitBeyondUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := dispatch.New()
+		fill(t, g)
+		began := time.Now()
+		assert.ErrorIs(t, g.Enter(t.Context(), turn(time.Minute)), dispatch.ErrNoPlace)
+		assert.Equal(t, time.Since(began), 1900*time.Millisecond)
+	})
+}
+
+// TestUnknownOthersHoldNothingBack: where no daemon tells, turns go as they come.
+func TestUnknownOthersHoldNothingBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := dispatch.New()
+		fill(t, g)
+		done := make(chan error, 1)
+		go func() { done <- g.Enter(t.Context(), turn(time.Second)) }()
+		synctest.Wait()
+		g.SetOthers(nil)
+		assert.NilError(t, <-done)
+	})
+}
+
+// TestProgramsTellWhatTheyNeed: a new program may wait for what others of its kind did not need of their time, and
+// only calm times tell.
+func TestProgramsTellWhatTheyNeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := dispatch.New()
+		time.Sleep(3 * time.Second)
+		for i := range 2000 {
+			c := turn(2 * time.Second)
+			assert.NilError(t, g.Enter(t.Context(), c))
+			time.Sleep(time.Duration(i%10) * 60 * time.Millisecond) // ends after up to 27% of the program's time
+			g.Learn(c)
+			g.Leave(c)
+		}
+		fill(t, g)
+		began := time.Now()
+		assert.ErrorIs(t, g.Enter(t.Context(), first(2*time.Second)), dispatch.ErrNoPlace)
+		waited := time.Since(began)
+		assert.Assert(t, waited > 1300*time.Millisecond && waited < 1600*time.Millisecond, "waited %v", waited)
+	})
+}
+
+// TestEveryCallEndsOnce: under a crowd of callers every call is let go or refused, and none is left.
+func TestEveryCallEndsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := dispatch.New()
+		g.SetOthers(map[string]int{"m": 8})
+		var mu sync.Mutex
+		var outcomes []bool
+		var wg sync.WaitGroup
+		for i := range 200 {
+			wg.Go(func() {
+				time.Sleep(time.Duration(i%20) * 10 * time.Millisecond)
+				c := turn(time.Duration(100+10*(i%50)) * time.Millisecond)
+				c.Begun = i%3 > 0
+				err := g.Enter(t.Context(), c)
+				if err == nil {
+					time.Sleep(90 * time.Millisecond)
+					g.Leave(c)
+				}
+				mu.Lock()
+				outcomes = append(outcomes, err == nil)
+				mu.Unlock()
+			})
+		}
+		wg.Wait()
+		assert.Equal(t, len(outcomes), 200)
+		assert.Assert(t, slices.Contains(outcomes, true) && slices.Contains(outcomes, false))
+		assert.Equal(t, g.Running()+g.Waiting(), 0)
+	})
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -33,6 +33,10 @@
 	From string
 	// Suspects are servers that look dead to it.
 	Suspects []string
+	// Demand are the turns that it has under way or waiting, by service, Loads those that were at each model server
+	// since its last report, in the mean and in tenths.
+	Demand map[string]int
+	Loads  map[string]int
 }
 
 // Reply is what the others have seen.
@@ -42,12 +46,15 @@
 	Daemons int
 	// Suspects tells how many of them suspect a server.
 	Suspects map[string]int
+	// Demand and Loads are the sums over the others.
+	Demand map[string]int
+	Loads  map[string]int
 }
 
 // report is what one daemon said last.
 type report struct {
-	at       time.Time
-	suspects []string
+	at   time.Time
+	said *Args
 }
 
 // Service answers daemons. Its exported methods are net/rpc methods.
@@ -64,8 +71,8 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.reports[args.From] = report{at: now, suspects: args.Suspects}
-	reply.Suspects = map[string]int{}
+	s.reports[args.From] = report{at: now, said: args}
+	reply.Suspects, reply.Demand, reply.Loads = map[string]int{}, map[string]int{}, map[string]int{}
 	for from, r := range s.reports {
 		if now.Sub(r.at) > memory {
 			delete(s.reports, from)
@@ -78,13 +85,21 @@
 		if len(reply.Peers) < maxPeers { // the order of a map's keys differs each time
 			reply.Peers = append(reply.Peers, from)
 		}
-		for _, id := range r.suspects {
+		for _, id := range r.said.Suspects {
 			reply.Suspects[id]++
 		}
+		addAll(reply.Demand, r.said.Demand)
+		addAll(reply.Loads, r.said.Loads)
 	}
 	return nil
 }
 
+func addAll(sums, values map[string]int) {
+	for name, n := range values {
+		sums[name] += n
+	}
+}
+
 // PauseFor returns the time until the next call of one of so many daemons.
 func PauseFor(daemons int) time.Duration {
 	return Pause * time.Duration(max(1, (daemons+crowd-1)/crowd))
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -26,11 +26,13 @@
 		swap(t, s, "a", "s1", "s2")
 		swap(t, s, "b", "s2")
 		got := swap(t, s, "c")
-		assert.DeepEqual(t, got, exchange.Reply{Peers: []string{"a", "b"}, Daemons: 2, Suspects: map[string]int{"s1": 1, "s2": 2}})
+		assert.DeepEqual(t, got, exchange.Reply{Peers: []string{"a", "b"}, Daemons: 2, Suspects: map[string]int{"s1": 1, "s2": 2},
+			Demand: map[string]int{}, Loads: map[string]int{}})
 		// A daemon's own word does not come back to it, and only its newest counts.
-		assert.DeepEqual(t, swap(t, s, "a"), exchange.Reply{Peers: []string{"b", "c"}, Daemons: 2, Suspects: map[string]int{"s2": 1}})
+		assert.DeepEqual(t, swap(t, s, "a"), exchange.Reply{Peers: []string{"b", "c"}, Daemons: 2, Suspects: map[string]int{"s2": 1},
+			Demand: map[string]int{}, Loads: map[string]int{}})
 		time.Sleep(7 * time.Second)
-		assert.DeepEqual(t, swap(t, s, "c"), exchange.Reply{Suspects: map[string]int{}})
+		assert.DeepEqual(t, swap(t, s, "c"), exchange.Reply{Suspects: map[string]int{}, Demand: map[string]int{}, Loads: map[string]int{}})
 	})
 }
 
@@ -47,3 +49,14 @@
 	assert.Equal(t, exchange.PauseFor(56), exchange.Pause)
 	assert.Equal(t, exchange.PauseFor(300), 5*exchange.Pause)
 }
+
+func TestDemandAndLoadsAreSummed(t *testing.T) {
+	s := exchange.NewService()
+	var reply exchange.Reply
+	assert.NilError(t, s.Swap(&exchange.Args{From: "a", Demand: map[string]int{"m": 3}, Loads: map[string]int{"s1": 25}}, &reply))
+	assert.NilError(t, s.Swap(&exchange.Args{From: "b", Demand: map[string]int{"m": 4}, Loads: map[string]int{"s1": 5, "s2": 10}}, &reply))
+	reply = exchange.Reply{}
+	assert.NilError(t, s.Swap(&exchange.Args{From: "c", Demand: map[string]int{"m": 100}}, &reply))
+	assert.DeepEqual(t, reply.Demand, map[string]int{"m": 7})
+	assert.DeepEqual(t, reply.Loads, map[string]int{"s1": 30, "s2": 10})
+}
--- /dev/null
+++ b/internal/gateway/enter.go
@@ -0,0 +1,70 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/rookpass/rookpass/internal/dispatch"
+)
+
+const (
+	// leastSilence is how long every caller waits for the first event of a stream. A caller waits for silentObjectives
+	// times the route's objective and silentGaps times its longest pause too, where those are longer: so the users'
+	// pages say.
+	leastSilence     = 2 * time.Second
+	silentObjectives = 4
+	silentGaps       = 8
+	// lowestPriority is the route's rank that goes last.
+	lowestPriority = 9
+	// waitWorthALine is the shortest wait that is logged: most turns do not wait.
+	waitWorthALine = time.Millisecond
+)
+
+// call returns what the dispatcher goes by.
+func (s *stream) call(p prepared) *dispatch.Call {
+	x := s.x
+	servers := x.servers()
+	c := &dispatch.Call{Service: x.service, Route: x.route.Name, Begun: p.begun, Aim: p.aim,
+		Priority: int32(max(0, lowestPriority-x.route.Priority))}
+	for i := range servers {
+		if !servers[i].Draining {
+			c.Slots += servers[i].Slots
+		}
+	}
+	s.ask.Servers = servers
+	c.Alone = x.g.balancer.Alone(&s.ask, x.info.LikelyOutputTokens)
+	if x.info.FinishIn > 0 {
+		c.Finish = x.arrived.Add(x.info.FinishIn)
+	}
+	c.Until = x.arrived.Add(max(leastSilence, silentObjectives*x.route.Objective, silentGaps*x.route.MaxGap))
+	if !x.until.IsZero() && x.until.Before(c.Until) {
+		c.Until = x.until
+	}
+	return c
+}
+
+// enter waits until the request may go to a server, or refuses it.
+func (x *exchange) enter(c *dispatch.Call) *refusal {
+	began := time.Now()
+	err := x.g.gate.Enter(x.ctx, c)
+	waited := time.Since(began)
+	if waited < waitWorthALine && err == nil {
+		return nil
+	}
+	x.g.stats.wait(x.route.Name, waited)
+	fields := logrus.Fields{"event": "wait", "id": x.info.ID, "route": x.route.Name, "begun": c.Begun, "ms": waited.Milliseconds(),
+		"alone_ms": c.Alone.Milliseconds(), "waiting": x.g.gate.Waiting(), "running": x.g.gate.Running(), "outcome": "let-go"}
+	if !c.Finish.IsZero() {
+		fields["slack_ms"] = time.Until(c.Finish.Add(-c.Alone)).Milliseconds()
+	}
+	if err != nil {
+		fields["outcome"] = "refused"
+	}
+	x.g.log.WithFields(fields).Info("turn waited for a place")
+	if err != nil {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "no-place-in-time", retryAfter: jitter(x.g.gate.ComeBack(c)), err: err}
+	}
+	return nil
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/rookpass/rookpass/internal/balance"
 	"github.com/rookpass/rookpass/internal/call"
 	"github.com/rookpass/rookpass/internal/catalog"
+	"github.com/rookpass/rookpass/internal/dispatch"
 	"github.com/rookpass/rookpass/internal/ledger"
 	"github.com/rookpass/rookpass/internal/turn"
 	"github.com/rookpass/rookpass/internal/upstream"
@@ -52,6 +53,7 @@
 	stats    *Stats
 	// bodies are the bytes that bodies of requests may hold together.
 	bodies   *semaphore.Weighted
+	gate     *dispatch.Gate
 	steps    []step
 	stopping atomic.Bool
 	active   atomic.Int64
@@ -66,6 +68,8 @@
 	Dialect  call.Dialect
 	Log      logrus.FieldLogger
 	Stats    *Stats
+	// Gate decides which turns go to model servers when.
+	Gate *dispatch.Gate
 	// BodyBytes bounds what bodies of requests hold together, in bytes.
 	BodyBytes int64
 }
@@ -73,7 +77,7 @@
 // New returns a gateway.
 func New(o Options) *Gateway {
 	g := &Gateway{catalog: o.Catalog, balancer: o.Balancer, sender: o.Sender, ledger: o.Ledger, dialect: o.Dialect,
-		log: o.Log, stats: o.Stats, bodies: semaphore.NewWeighted(o.BodyBytes)}
+		log: o.Log, stats: o.Stats, gate: o.Gate, bodies: semaphore.NewWeighted(o.BodyBytes)}
 	g.steps = []step{withCallInfo, withConfig, withRoute, withDeadline, withBody}
 	return g
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -21,6 +21,7 @@
 	"github.com/rookpass/rookpass/internal/balance"
 	"github.com/rookpass/rookpass/internal/call"
 	"github.com/rookpass/rookpass/internal/catalog"
+	"github.com/rookpass/rookpass/internal/dispatch"
 	"github.com/rookpass/rookpass/internal/gateway"
 	"github.com/rookpass/rookpass/internal/ledger"
 	"github.com/rookpass/rookpass/internal/metrics"
@@ -36,6 +37,13 @@
 
 func (dialect) Info(h http.Header) (call.Info, error) {
 	info := call.Info{ID: h.Get("Id"), Program: h.Get("Program"), PreviousTurn: h.Get("Previous"), LastEvent: h.Get("After"), MaxOutputTokens: 100}
+	if h.Get("Finish") != "" {
+		d, err := time.ParseDuration(h.Get("Finish"))
+		if err != nil {
+			return info, err
+		}
+		info.FinishIn = d
+	}
 	if h.Get("Budget") != "" {
 		info.HasBudget = true
 		_, err := fmt.Sscan(h.Get("Budget"), &info.TokenBudget)
@@ -131,6 +139,7 @@
 	books   *books
 	catalog *catalog.Catalog
 	gateway *gateway.Gateway
+	gate    *dispatch.Gate
 	// entries holds the servers, numbered in the order of their handlers.
 	entries *catalog.ServersHandler
 	objects []objectapi.Object
@@ -151,7 +160,7 @@
 }
 
 func newRig(t *testing.T, servers ...http.HandlerFunc) *rig {
-	r := &rig{t: t, books: &books{turns: map[string]*turn.Record{}, fail: map[string]error{}}, catalog: catalog.New(),
+	r := &rig{t: t, gate: dispatch.New(), books: &books{turns: map[string]*turn.Record{}, fail: map[string]error{}}, catalog: catalog.New(),
 		ended: make(chan string, 1000)}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -168,7 +177,7 @@
 	r.configure(log)
 	dial := (&net.Dialer{}).DialContext
 	r.gateway = gateway.New(gateway.Options{Catalog: r.catalog, Balancer: balance.New("here"), Sender: upstream.NewPool(dial, dialect{}, 100),
-		Ledger: r.books, Dialect: dialect{}, Log: log, Stats: gateway.NewStats(metrics.New()), BodyBytes: 1500})
+		Ledger: r.books, Dialect: dialect{}, Log: log, Stats: gateway.NewStats(metrics.New()), Gate: r.gate, BodyBytes: 1500})
 	front := httptest.NewServer(r.gateway)
 	t.Cleanup(front.Close)
 	r.url = front.URL
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -22,4 +22,8 @@
 	s.observer.Observe("rookpass_request_seconds", outcome, took)
 }
 
+func (s *Stats) wait(route string, waited time.Duration) {
+	s.observer.Observe("rookpass_wait_seconds", route, waited)
+}
+
 func (s *Stats) attempt(outcome string) { s.observer.Count("rookpass_attempts_total", outcome) }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -28,6 +28,12 @@
 		return refused
 	}
 	s := x.newStream(p)
+	c := s.call(p)
+	if refused := x.enter(c); refused != nil {
+		x.void(p.reservation)
+		return refused
+	}
+	defer x.g.gate.Leave(c)
 	if refused := s.run(); refused != nil {
 		if !s.mayHaveRun && !x.begun {
 			x.void(p.reservation)
@@ -37,6 +43,7 @@
 	if !s.whole {
 		return nil // a server's own failure was passed on; it may have generated tokens
 	}
+	x.g.gate.Learn(c)
 	return x.end(p, s.try.choice.Server, s.events)
 }
 
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -171,3 +171,28 @@
 		})
 	}
 }
+
+// TestTurnWithoutAPlaceIsRefused: at once where it could not be served in time, as not run, with a time to come
+// back, and its reservation is taken back.
+func TestTurnWithoutAPlaceIsRefused(t *testing.T) {
+	release := make(chan struct{})
+	held := make(chan struct{}, 10)
+	r := newRig(t, func(w http.ResponseWriter, r *http.Request) {
+		held <- struct{}{}
+		<-release
+		counting(w, r)
+	})
+	r.gate.SetOthers(map[string]int{"svc": 1000})
+	running := make(chan reply, 1)
+	go func() {
+		running <- r.send("/stream/x", "one", "Program", "p", "Budget", "1000", "Id", "t1", "Finish", "60s")
+	}()
+	<-held
+	got := r.send("/stream/x", "two", "Program", "q", "Budget", "1000", "Id", "t2", "Finish", "10ms")
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	assert.DeepEqual(t, r.books.voided, []string{"t2"})
+	close(release)
+	assert.Equal(t, (<-running).body, events(1, 6))
+	assert.Equal(t, len(held), 0, "no server saw the other turn")
+}
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -31,6 +31,10 @@
 	reservation *turn.Record
 	// chain is the history that goes before the turn's input, the oldest first.
 	chain []*turn.Record
+	// begun is set where the disks know of other turns of the program.
+	begun bool
+	// aim is the time that the whole program was given; 0 where that was not said.
+	aim time.Duration
 }
 
 // program returns the key under which the turn is kept: a turn outside any program stands for itself.
@@ -67,10 +71,13 @@
 	var reserveErr error
 	if x.info.HasBudget {
 		p.reservation = x.record(turn.Reserved, x.info.MaxOutputTokens)
+		p.reservation.Aim = x.info.FinishIn
 		account, reserveErr = x.g.ledger.Reserve(ctx, p.reservation, x.info.TokenBudget)
 	}
 	<-read
 	p.chain = chain
+	p.begun = len(chain) > 0 || account.Turns > 0
+	p.aim = max(account.Aim, x.info.FinishIn)
 	x.g.log.WithFields(logrus.Fields{"event": "turn", "id": x.info.ID, "program": x.info.Program, "previous": x.info.PreviousTurn,
 		"before": len(chain), "spent": account.Spent, "places": len(account.Places), "reserve": x.info.MaxOutputTokens, "budget": x.info.TokenBudget,
 		"ms": time.Since(x.arrived).Milliseconds()}).Info("turn prepared")
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -101,7 +101,10 @@
 			merge(r.known, e)
 		}
 	}
-	account := Account{Places: r.places}
+	account := Account{Places: r.places, Aim: r.aim, Turns: len(r.known)}
+	if _, known := r.known[record.ID]; known {
+		account.Turns--
+	}
 	for id, e := range r.known {
 		if id != record.ID {
 			account.Spent += e.Tokens
@@ -119,6 +122,10 @@
 	Spent int64
 	// Places are where its prompts are in cache, as the nearest disk knows them; none where that did not answer.
 	Places []turn.Place
+	// Aim is the time that it was given; 0 where that was not said, or where the nearest disk did not answer.
+	Aim time.Duration
+	// Turns is how many other turns of it the disks know of.
+	Turns int
 }
 
 // Finish makes a whole turn durable.
@@ -185,6 +192,7 @@
 	quorum int
 	known  map[string]replica.Entry
 	places []turn.Place
+	aim    time.Duration
 }
 
 func (r *round) all() bool { return r.held == len(r.open) }
@@ -263,6 +271,7 @@
 	for _, e := range a.reply.Entries {
 		merge(r.known, e)
 	}
+	r.aim = max(r.aim, a.reply.Aim)
 	r.places = append(r.places, a.reply.Places...)
 	r.open[a.slot]--
 	if r.open[a.slot] == 0 {
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -16,6 +16,7 @@
 
 	"github.com/rookpass/rookpass/internal/balance"
 	"github.com/rookpass/rookpass/internal/catalog"
+	"github.com/rookpass/rookpass/internal/dispatch"
 	"github.com/rookpass/rookpass/internal/exchange"
 	"github.com/rookpass/rookpass/internal/feed"
 	"github.com/rookpass/rookpass/internal/gateway"
@@ -73,6 +74,7 @@
 	*base
 	catalog  *catalog.Catalog
 	balancer *balance.Balancer
+	gate     *dispatch.Gate
 	pool     *upstream.Pool
 	ledger   *ledger.Ledger
 	gateway  *gateway.Gateway
@@ -92,18 +94,20 @@
 }
 
 func newFront(b *base) *front {
-	f := &front{base: b, catalog: catalog.New(), balancer: balance.New(b.settings.DataCentre)}
+	f := &front{base: b, catalog: catalog.New(), balancer: balance.New(b.settings.DataCentre), gate: dispatch.New()}
 	f.pool = upstream.NewPool(b.host.dial, platform.Headers{}, int(serverShare*float64(b.settings.MaxDescriptors)))
 	f.detour = tunnel.NewDialer(b.host.dial, b.settings.PeerAddress())
 	b.links.WithDetour(f.detour.Dial, diskPatience)
 	f.ledger = ledger.New(b.links, b.settings.DataCentre, int(cacheShare*float64(b.settings.MemoryBytes)), b.log)
 	f.gateway = gateway.New(gateway.Options{
 		Catalog: f.catalog, Balancer: f.balancer, Sender: f.pool, Ledger: f.ledger, Dialect: platform.Headers{},
-		Log: b.log, Stats: gateway.NewStats(b.metrics), BodyBytes: int64(bodyShare * float64(b.settings.MemoryBytes)),
+		Log: b.log, Stats: gateway.NewStats(b.metrics), Gate: f.gate, BodyBytes: int64(bodyShare * float64(b.settings.MemoryBytes)),
 	})
 	b.metrics.Gauge("rookpass_connections_opened_total", func() float64 { return float64(f.pool.Opened()) })
 	b.metrics.Gauge("rookpass_connections_reused_total", func() float64 { return float64(f.pool.Reused()) })
 	b.metrics.Gauge("rookpass_requests_active", func() float64 { return float64(f.gateway.Active()) })
+	b.metrics.Gauge("rookpass_turns_waiting", func() float64 { return float64(f.gate.Waiting()) })
+	b.metrics.Gauge("rookpass_turns_running", func() float64 { return float64(f.gate.Running()) })
 	b.metrics.Gauge("rookpass_servers", func() float64 { return float64(f.catalog.Servers().Len()) })
 	return f
 }
@@ -282,19 +286,23 @@
 		if time.Since(moved) > exchangeReturn {
 			place = 0
 		}
-		args := &exchange.Args{From: f.settings.PeerAddress(), Suspects: f.balancer.Suspects()}
+		args := &exchange.Args{From: f.settings.PeerAddress(), Suspects: f.balancer.Suspects(),
+			Demand: f.gate.Demand(), Loads: f.balancer.Loads()}
 		disks := l.Disks()
 		reply, err := exchange.Swap(ctx, f.links.To(disks[place%len(disks)].Address), args)
 		if err != nil {
 			place++
 			moved = time.Now()
 			f.balancer.SetReported(nil)
+			f.gate.SetOthers(nil)
 			f.log.WithFields(logrus.Fields{"event": "exchange-failed", "place": place, "error": err}).Info("asking another daemon")
 			continue
 		}
 		daemons = reply.Daemons
 		f.balancer.SetReported(reply.Suspects)
 		f.balancer.SetPeers(daemons)
+		f.balancer.SetOthers(reply.Loads)
+		f.gate.SetOthers(reply.Demand)
 		f.detour.SetHelpers(reply.Peers)
 	}
 	return ctx.Err()
--- a/internal/policy/place.go
+++ b/internal/policy/place.go
@@ -11,6 +11,8 @@
 	// Others are the calls that other daemons are thought to have on it, for want of a report the same on each
 	// engine: it weighs what a prompt that is read holds up, not one engine against another.
 	Others float64
+	// Surplus are the calls that others had on it over the last second, above their mean on the service's engines.
+	Surplus float64
 	// Excluded engines are draining, ejected, or broke this call off before.
 	Excluded bool
 	// Remote engines stand in another data centre.
@@ -48,6 +50,12 @@
 	return best
 }
 
+// surplusWeight is what a call of another daemon counts against one of this daemon's own. Reports are as old as a
+// call takes, so daemons that trust them whole turn to one engine and leave it together: with 1.0 worth falls by
+// 0.03 under three to six times the usual load, with 0.3 it rises by 0.012, as it does under a burst (eight paired
+// runs each).
+const surplusWeight = 0.3
+
 // Expected returns what a call of promptTokens is expected to cost on an engine: the seconds that reading its
 // prompt takes, once for the call itself and once for each that is held up beside it, and those that the calls
 // already there add to its own time. Leaving the calls beside it out loses worth where engines are busy: under a
@@ -55,7 +63,7 @@
 func Expected(engine Engine, promptTokens int64, costs Costs) float64 {
 	uncached := max(0, promptTokens-engine.CachedTokens)
 	cost := float64(uncached+1) * costs.PrefillPerToken * (1 + float64(engine.InFlight) + engine.Others)
-	cost += costs.SlowdownPerCall * float64(engine.InFlight)
+	cost += costs.SlowdownPerCall * (float64(engine.InFlight) + surplusWeight*engine.Surplus)
 	if engine.Remote {
 		cost += costs.CrossDataCentre
 	}
--- a/internal/policy/queue.go
+++ b/internal/policy/queue.go
@@ -2,13 +2,48 @@
 
 import (
 	"container/heap"
+	"time"
 )
 
+// Standing is how a call's program stands. Calls of a lower one go first.
+type Standing int32
+
+// The standings. To let new programs begin before those under way are served makes all of them late: under six
+// times the usual load worth is 0.51 where calls go in the order in which they come, and 0.65 with these.
+const (
+	// OnTime programs have begun and can still end in time. The zero value.
+	OnTime Standing = iota
+	// Behind programs have begun and will end late.
+	Behind
+	// New programs have not begun.
+	New
+	// NewBehind programs have not begun and would end late.
+	NewBehind
+)
+
+// StandingOf returns the standing of a call whose program has begun or not, and can't end in time or can.
+func StandingOf(begun, late bool) Standing {
+	switch {
+	case begun && late:
+		return Behind
+	case begun:
+		return OnTime
+	case late:
+		return NewBehind
+	default:
+		return New
+	}
+}
+
 // Waiting is one call that waits for an engine.
 type Waiting struct {
 	Organisation string
 	// Weight is the organisation's share of busy engines; at least 1.
 	Weight int32
+	// Standing and Due come before priority: of OnTime calls the one goes first whose program has the least time to
+	// lose. Due is from when on that program can't end in time; zero where that is not known.
+	Standing Standing
+	Due      time.Time
 	// Priority is the program's, 0 to 9.
 	Priority int32
 	// Attained is the service in tokens that the whole program has had.
@@ -26,9 +61,9 @@
 // is never overtaken for ever.
 const agingTurns = 64
 
-// Queue orders waiting calls: fair between organisations by weighted service received, inside one by
-// priority and then by least attained service of the program, with ageing. It is not safe for concurrent
-// use. The zero value is empty.
+// Queue orders waiting calls: fair between organisations by weighted service received, inside one by how the
+// program stands, by priority, and then by least attained service of the program, with ageing. It is not safe for
+// concurrent use. The zero value is empty.
 type Queue struct {
 	organisations map[string]*tenant
 	ready         tenantHeap
@@ -103,6 +138,21 @@
 	q.settle(t)
 }
 
+// Ahead returns how many calls of the same organisation and standing are to be served before one in the queue.
+func (q *Queue) Ahead(w *Waiting) int {
+	t := q.organisations[w.Organisation]
+	if t == nil {
+		return 0
+	}
+	n := 0
+	for _, other := range t.calls {
+		if other.Standing == w.Standing && other != w && other.before(w) {
+			n++
+		}
+	}
+	return n
+}
+
 // settle puts an organisation in its place after its calls or its service changed, and forgets one that
 // waits for nothing and is not ahead of the others.
 func (q *Queue) settle(t *tenant) {
@@ -121,6 +171,20 @@
 	}
 }
 
+// before tells whether a call goes before another of its organisation.
+func (w *Waiting) before(other *Waiting) bool {
+	if w.Standing != other.Standing {
+		return w.Standing < other.Standing
+	}
+	if w.Standing == OnTime && !w.Due.Equal(other.Due) {
+		return other.Due.IsZero() || !w.Due.IsZero() && w.Due.Before(other.Due)
+	}
+	if w.Priority != other.Priority {
+		return w.Priority > other.Priority
+	}
+	return w.rank() < other.rank()
+}
+
 // rank returns what a call is ordered by after its priority: lower goes first.
 func (w *Waiting) rank() float64 {
 	return log2(w.Attained+1)*agingTurns + float64(w.arrival)
@@ -140,10 +204,7 @@
 
 func (h callHeap) Len() int { return len(h) }
 func (h callHeap) Less(i, j int) bool {
-	if h[i].Priority != h[j].Priority {
-		return h[i].Priority > h[j].Priority
-	}
-	return h[i].rank() < h[j].rank()
+	return h[i].before(h[j])
 }
 func (h callHeap) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
--- /dev/null
+++ b/internal/policy/share_test.go
@@ -0,0 +1,124 @@
+package policy_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/rookpass/rookpass/internal/policy"
+)
+
+func TestShare(t *testing.T) {
+	for _, c := range []struct{ slots, own, others, want int }{
+		{16, 5, 0, 5}, {16, 10, 10, 10}, {16, 20, 20, 10}, {16, 1, 1000, 1}, {0, 3, 0, 1}, {160, 100, 300, 50},
+	} {
+		assert.Equal(t, policy.Share(c.slots, c.own, c.others), c.want, "%+v", c)
+	}
+}
+
+// TestSharesFit: what daemons that know of one another let go together fits the slots, but for one each.
+func TestSharesFit(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		slots := rapid.IntRange(1, 500).Draw(r, "slots")
+		wants := rapid.SliceOfN(rapid.IntRange(1, 100), 1, 60).Draw(r, "wants")
+		all, sum := 0, 0
+		for _, w := range wants {
+			all += w
+		}
+		for _, w := range wants {
+			share := policy.Share(slots, w, all-w)
+			if share > w && share > 1 {
+				r.Fatalf("%d of %d wanted", share, w)
+			}
+			sum += share
+		}
+		if float64(sum) > 1.25*float64(slots)+float64(len(wants)) {
+			r.Fatalf("%d calls on %d slots", sum, slots)
+		}
+	})
+}
+
+func TestInTime(t *testing.T) {
+	assert.Assert(t, policy.InTime(0, 0, time.Second), "the next one always can")
+	assert.Assert(t, !policy.InTime(1, 0, time.Second))
+	assert.Assert(t, policy.InTime(5, 10, 500*time.Millisecond))
+	assert.Assert(t, !policy.InTime(6, 10, 500*time.Millisecond))
+	assert.Assert(t, !policy.InTime(1, 10, -time.Second))
+}
+
+func TestWaitFor(t *testing.T) {
+	assert.Equal(t, policy.WaitFor(1, 0, time.Second), time.Second)
+	assert.Equal(t, policy.WaitFor(1, 10, time.Second), 100*time.Millisecond)
+	assert.Equal(t, policy.WaitFor(100, 10, time.Second), time.Second)
+}
+
+func TestAimShareIsLearnt(t *testing.T) {
+	var s policy.AimShare
+	assert.Equal(t, s.Need(time.Second), 600*time.Millisecond)
+	for i := range 5000 {
+		s.Observe(0.4 * float64(i%100) / 100)
+	}
+	need := s.Need(time.Second)
+	assert.Assert(t, need > 350*time.Millisecond && need < 420*time.Millisecond, "%v", need)
+	for range 5000 {
+		s.Observe(3)
+	}
+	assert.Equal(t, s.Need(time.Second), 950*time.Millisecond)
+}
+
+func TestQueueByStanding(t *testing.T) {
+	var q policy.Queue
+	now := time.Unix(100, 0)
+	add := func(standing policy.Standing, due time.Time, priority int32) *policy.Waiting {
+		w := &policy.Waiting{Standing: standing, Due: due, Priority: priority, Weight: 1, Cost: 1}
+		q.Push(w)
+		return w
+	}
+	fresh := add(policy.New, now, 0)
+	freshUrgent := add(policy.New, now.Add(time.Hour), 9)
+	behind := add(policy.Behind, now.Add(-time.Hour), 0)
+	unknown := add(policy.OnTime, time.Time{}, 9)
+	later := add(policy.OnTime, now.Add(time.Second), 9)
+	soon := add(policy.OnTime, now, 0)
+	lost := add(policy.NewBehind, now, 9)
+	assert.Equal(t, q.Ahead(unknown), 2)
+	assert.Equal(t, q.Ahead(fresh), 1)
+	for i, want := range []*policy.Waiting{soon, later, unknown, behind, freshUrgent, fresh, lost} {
+		assert.Assert(t, q.Pop() == want, "place %d", i)
+	}
+	assert.Equal(t, policy.StandingOf(true, false), policy.OnTime)
+	assert.Equal(t, policy.StandingOf(true, true), policy.Behind)
+	assert.Equal(t, policy.StandingOf(false, false), policy.New)
+	assert.Equal(t, policy.StandingOf(false, true), policy.NewBehind)
+}
+
+// BenchmarkDispatch is one call's way: it joins a queue, sees how many are ahead, the next one is taken out and
+// placed on one of 45 engines: 0.43 µs with 10 waiting, 2.9 µs with 1,000, no allocation but the call's. A front
+// daemon passes some hundred turns a second.
+func BenchmarkDispatch(b *testing.B) {
+	for _, waiting := range []int{10, 1000} {
+		b.Run(fmt.Sprint(waiting, " waiting"), func(b *testing.B) {
+			var q policy.Queue
+			engines := make([]policy.Engine, 45)
+			for i := range engines {
+				engines[i] = policy.Engine{InFlight: i % 8, Capacity: 16, CachedTokens: int64(i * 10)}
+			}
+			push := func(i int) *policy.Waiting {
+				w := &policy.Waiting{Standing: policy.Standing(i % 3), Due: time.Unix(int64(i%977), 0), Weight: 1, Cost: 1}
+				q.Push(w)
+				return w
+			}
+			for i := range waiting {
+				push(i)
+			}
+			for i := 0; b.Loop(); i++ {
+				q.Ahead(push(i))
+				q.Pop()
+				policy.Place(engines, 1000, policy.DefaultCosts())
+			}
+		})
+	}
+}
--- a/internal/replica/index.go
+++ b/internal/replica/index.go
@@ -30,7 +30,9 @@
 	name  string
 	turns []*entry
 	// places holds where its prompts are in cache, by part: what the turn said that ended last.
-	places    map[string]turn.Place
+	places map[string]turn.Place
+	// aim is the longest time that a turn of the program had left when it came: that of its first.
+	aim       time.Duration
 	touched   time.Time
 	retention time.Duration
 }
@@ -67,6 +69,7 @@
 		x.programs[r.Program] = p
 	}
 	p.touched = now
+	p.aim = max(p.aim, r.Aim)
 	p.retention = max(p.retention, r.Retention)
 	e := x.turns[r.ID]
 	if e == nil {
@@ -102,15 +105,15 @@
 	return list
 }
 
-// places returns where a program's prompts are in cache.
-func (x *index) places(name string) []turn.Place {
+// places returns where a program's prompts are in cache, and the time that it was given.
+func (x *index) places(name string) ([]turn.Place, time.Duration) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	p := x.programs[name]
 	if p == nil {
-		return nil
+		return nil, 0
 	}
-	return slices.Collect(maps.Values(p.places))
+	return slices.Collect(maps.Values(p.places)), p.aim
 }
 
 // chain returns where the finished turns lie from id backwards, and the first that is missing.
--- a/internal/replica/messages.go
+++ b/internal/replica/messages.go
@@ -3,6 +3,8 @@
 package replica
 
 import (
+	"time"
+
 	"github.com/rookpass/rookpass/internal/layout"
 	"github.com/rookpass/rookpass/internal/turn"
 )
@@ -61,6 +63,8 @@
 	Header  Header
 	Entries []Entry
 	Places  []turn.Place
+	// Aim is the time that the program was given at most by any of its turns; it comes with Places.
+	Aim time.Duration
 }
 
 // FetchArgs ask for a finished turn and those before it.
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -161,7 +161,7 @@
 		reply.Entries = s.index.entries(args.Record.Program)
 	}
 	if args.Places {
-		reply.Places = s.index.places(args.Record.Program)
+		reply.Places, reply.Aim = s.index.places(args.Record.Program)
 	}
 	return nil
 }
--- a/internal/turn/turn.go
+++ b/internal/turn/turn.go
@@ -63,6 +63,9 @@
 	Server string
 	Part   string
 	Held   int64
+	// Aim is the time that the program had left when the turn came; 0 where that was not said. It is told with a
+	// reservation.
+	Aim time.Duration
 }
 
 // Place tells what a server has in cache after a turn.
@@ -87,7 +90,8 @@
 }
 
 // Append appends the record's encoding to b: the state, numbers as varints, texts with their length before
-// them. Part and Held stand last: records of before they existed end without them.
+// them. Part, Held and Aim stand last: records of before they
+// existed end without them.
 func (r *Record) Append(b []byte) []byte {
 	b = append(b, byte(r.State))
 	b = binary.AppendVarint(b, r.Tokens)
@@ -98,11 +102,12 @@
 	b = appendBytes(b, r.Server)
 	b = appendBytes(b, r.Input)
 	b = appendBytes(b, r.Output)
-	if r.Part == "" && r.Held == 0 {
+	if r.Part == "" && r.Held == 0 && r.Aim == 0 {
 		return b
 	}
 	b = appendBytes(b, r.Part)
-	return binary.AppendVarint(b, r.Held)
+	b = binary.AppendVarint(b, r.Held)
+	return binary.AppendVarint(b, int64(r.Aim))
 }
 
 // Decode returns the record that b encodes.
@@ -120,6 +125,7 @@
 	if len(d.rest) > 0 {
 		r.Part = string(d.bytes())
 		r.Held = d.varint()
+		r.Aim = time.Duration(d.varint())
 	}
 	if d.bad || len(d.rest) > 0 || r.State < Reserved || r.State > Settled {
 		return Record{}, Error.New("malformed record of %d bytes", len(b))
--- a/internal/turn/turn_test.go
+++ b/internal/turn/turn_test.go
@@ -18,7 +18,7 @@
 			Program: rapid.String().Draw(t, "program"), Previous: rapid.String().Draw(t, "previous"),
 			Tokens: rapid.Int64().Draw(t, "tokens"), Retention: time.Duration(rapid.Int64().Draw(t, "retention")),
 			Server: rapid.String().Draw(t, "server"),
-			Part:   rapid.String().Draw(t, "part"), Held: rapid.Int64().Draw(t, "held"), Input: text.Draw(t, "input"), Output: text.Draw(t, "output"),
+			Part:   rapid.String().Draw(t, "part"), Held: rapid.Int64().Draw(t, "held"), Aim: time.Duration(rapid.Int64().Draw(t, "aim")), Input: text.Draw(t, "input"), Output: text.Draw(t, "output"),
 		}
 		back, err := turn.Decode(r.Append(nil))
 		assert.NilError(t, err)
