Watches log the loss and the return of their source, and tell the age of what they know

Change: one line at the loss (version, age, error) and one at the return (outage, attempts, the last pause, how long the call that got through took); rookpass_watch_age_seconds by prefix. Test: watch.TestOutageIsLoggedOnce.

--- a/deploy/days/draw/main.go
+++ b/deploy/days/draw/main.go
@@ -18,6 +18,7 @@
 	Faults  int     `long:"faults" default:"6" description:"how many faults"`
 	Grown   bool    `long:"grown" description:"also the troubles that only the grown sites know"`
 	Plans   int     `long:"plans" default:"3" description:"how many pieces of planned work"`
+	Outages bool    `long:"outages" description:"a day of outages of the platform's store instead: changes queue up and are acknowledged at its return, daemons are killed meanwhile, servers leave right after"`
 }
 
 // trouble is one kind with the ranges of its figures; a zero range leaves a figure out.
@@ -102,6 +103,10 @@
 	if _, err := flags.Parse(&opts); err != nil {
 		os.Exit(2) // the parser has said why
 	}
+	if opts.Outages {
+		fmt.Print(drawOutages(opts))
+		return
+	}
 	fmt.Print(draw(opts))
 }
 
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -168,7 +168,7 @@
 // as the layout names them.
 func (f *front) watch(ctx context.Context, group *errgroup.Group) {
 	source := feed.New(f.mirrors(), feed.Named{Name: "platform", Source: single{f.store}}, f.log)
-	run := func(h watch.Handler) error { return watch.New(source, watchPace, h).WithWait(frontWait).Run(ctx) }
+	run := func(h watch.Handler) error { return f.watcher(source, frontWait, h).Run(ctx) }
 	group.Go(func() error {
 		if f.settings.FirstStart {
 			_ = wait.For(ctx, formingTime)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -20,6 +21,7 @@
 	"github.com/rookpass/rookpass/internal/objectapi"
 	"github.com/rookpass/rookpass/internal/peerlink"
 	"github.com/rookpass/rookpass/internal/telemetry"
+	"github.com/rookpass/rookpass/internal/watch"
 	"github.com/rookpass/rookpass/platform"
 )
 
@@ -116,6 +118,14 @@
 	return listener, Error.Wrap(err)
 }
 
+// watcher returns a watch of a handler's prefix that logs its outages and tells the age of what it knows.
+func (b *base) watcher(source watch.Source, d time.Duration, h watch.Handler) *watch.Watcher {
+	w := watch.New(source, watchPace, h).WithWait(d).WithLog(b.log)
+	gauge := fmt.Sprintf("rookpass_watch_age_seconds{prefix=%q}", h.Prefix())
+	b.metrics.Gauge(gauge, func() float64 { return w.Age().Seconds() })
+	return w
+}
+
 // handler is a watch.Handler made of functions.
 type handler struct {
 	prefix string
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -65,11 +65,11 @@
 		mirror.New(layoutPrefix, rareWait+answerSlack),
 	}
 	layouts := &handler{prefix: layoutPrefix, apply: controller.Observe}
-	layoutWatcher := watch.New(b.store, watchPace, both{mirrors[2], layouts}).WithWait(rareWait)
+	layoutWatcher := b.watcher(b.store, rareWait, both{mirrors[2], layouts})
 	watchers := []*watch.Watcher{
-		watch.New(b.store, watchPace, mirrors[0]).WithWait(storeWait),
-		watch.New(b.store, watchPace, mirrors[1]).WithWait(storeWait),
-		watch.New(b.store, watchPace, retiring.handler()).WithWait(rareWait),
+		b.watcher(b.store, storeWait, mirrors[0]),
+		b.watcher(b.store, storeWait, mirrors[1]),
+		b.watcher(b.store, rareWait, retiring.handler()),
 	}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return b.servePages(ctx, storeStatus(s.Node, store)) })
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -4,10 +4,12 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/sirupsen/logrus"
 
 	"github.com/rookpass/rookpass/internal/objectapi"
 	"github.com/rookpass/rookpass/internal/wait"
@@ -56,12 +58,35 @@
 	waitTime time.Duration
 	version  uint64
 	calls    atomic.Int64
+	// answered is when the API answered last, in nanoseconds of Unix time; 0 before the first answer.
+	answered atomic.Int64
+	log      logrus.FieldLogger
+	outage   outage
+}
+
+// outage is what is logged of a time without answers.
+type outage struct {
+	began    time.Time // zero while the API answers
+	attempts int
+	pause    time.Duration // before the latest attempt
 }
 
 // New returns a watcher of the handlers' prefixes. pace is the least time between two calls to the API: the
 // first change after a quiet time is seen at once, while a stream of changes costs one call for each pace.
 func New(api Source, pace time.Duration, handlers ...Handler) *Watcher {
-	return &Watcher{api: api, pace: pace, waitTime: waitTime, handlers: handlers}
+	return &Watcher{api: api, pace: pace, waitTime: waitTime, handlers: handlers, log: discard()}
+}
+
+func discard() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+// WithLog makes the watcher log when its source stops answering and when it answers again, and returns it.
+func (w *Watcher) WithLog(log logrus.FieldLogger) *Watcher {
+	w.log = log
+	return w
 }
 
 // WithWait sets how long one call waits for a change, and returns the watcher.
@@ -70,6 +95,16 @@
 	return w
 }
 
+// Age returns how long ago the API answered last, or a negative time before its first answer. An idle watch is up to
+// its wait old.
+func (w *Watcher) Age() time.Duration {
+	answered := w.answered.Load()
+	if answered == 0 {
+		return -1
+	}
+	return time.Since(time.Unix(0, answered))
+}
+
 // Calls returns how many calls to the API the watcher has made.
 func (w *Watcher) Calls() int64 { return w.calls.Load() }
 
@@ -89,6 +124,7 @@
 		if err == nil {
 			listed = true
 			pauses.Reset()
+			w.noteAnswer(began)
 			_ = wait.For(ctx, w.pace-time.Since(began))
 			continue
 		}
@@ -96,14 +132,50 @@
 			listed = false
 			continue
 		}
+		if ctx.Err() != nil {
+			break // the watch ends; its source has not failed
+		}
 		for _, handler := range w.handlers {
 			handler.Lost()
 		}
-		_ = wait.For(ctx, pauses.NextBackOff())
+		w.noteFailure(err)
+		w.outage.pause = pauses.NextBackOff()
+		_ = wait.For(ctx, w.outage.pause)
 	}
 	return ctx.Err()
 }
 
+// noteFailure logs the first failure of an outage.
+func (w *Watcher) noteFailure(err error) {
+	w.outage.attempts++
+	if w.outage.attempts > 1 {
+		return
+	}
+	w.outage.began = time.Now()
+	w.log.WithFields(logrus.Fields{"event": "watch-lost", "prefix": w.prefixes(), "version": w.version, "age_ms": w.Age().Milliseconds(),
+		"error": err}).Warn("source no longer answers")
+}
+
+// noteAnswer logs the end of an outage; callBegan is when the answered call was sent.
+func (w *Watcher) noteAnswer(callBegan time.Time) {
+	w.answered.Store(time.Now().UnixNano())
+	if w.outage.attempts == 0 {
+		return
+	}
+	w.log.WithFields(logrus.Fields{"event": "watch-regained", "prefix": w.prefixes(), "version": w.version,
+		"outage_ms": time.Since(w.outage.began).Milliseconds(), "attempts": w.outage.attempts,
+		"pause_ms": w.outage.pause.Milliseconds(), "call_ms": time.Since(callBegan).Milliseconds()}).Info("source answers again")
+	w.outage = outage{}
+}
+
+func (w *Watcher) prefixes() []string {
+	prefixes := make([]string, len(w.handlers))
+	for i, handler := range w.handlers {
+		prefixes[i] = handler.Prefix()
+	}
+	return prefixes
+}
+
 // list reads every prefix. The watch goes on from the oldest of the lists, so nothing between them is
 // missed; handlers see some changes twice.
 func (w *Watcher) list(ctx context.Context) error {
@@ -129,14 +201,10 @@
 }
 
 func (w *Watcher) wait(ctx context.Context) error {
-	prefixes := make([]string, len(w.handlers))
-	for i, handler := range w.handlers {
-		prefixes[i] = handler.Prefix()
-	}
 	ctx, cancel := context.WithTimeout(ctx, w.waitTime+answerMargin)
 	defer cancel()
 	w.calls.Add(1)
-	batch, err := w.api.Wait(ctx, prefixes, w.version, w.waitTime)
+	batch, err := w.api.Wait(ctx, w.prefixes(), w.version, w.waitTime)
 	if err != nil {
 		return err
 	}
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	logtest "github.com/sirupsen/logrus/hooks/test"
 	"gotest.tools/v3/assert"
 
 	"github.com/rookpass/rookpass/internal/objectapi"
@@ -79,6 +80,33 @@
 	}
 }
 
+// TestOutageIsLoggedOnce: one line when the source is lost, one when it answers again, none when the watch ends.
+func TestOutageIsLoggedOnce(t *testing.T) {
+	testbubble.Run(t, func(t *testing.T) {
+		api := apitest.New(memapi.New())
+		c := &copied{}
+		log, lines := logtest.NewNullLogger()
+		w := watch.New(api, 100*time.Millisecond, c).WithLog(log)
+		assert.Assert(t, w.Age() < 0)
+		stop := run(t, w)
+		<-time.After(time.Second)
+		api.Set(apitest.Down)
+		<-time.After(20 * time.Second)
+		assert.Assert(t, w.Age() > 10*time.Second, "%v", w.Age())
+		api.Set(apitest.None)
+		<-time.After(10 * time.Second)
+		lost := c.lost
+		stop()
+		assert.Equal(t, c.lost, lost)
+		var events []any
+		for _, line := range lines.AllEntries() {
+			events = append(events, line.Data["event"])
+		}
+		assert.DeepEqual(t, events, []any{"watch-lost", "watch-regained"})
+		assert.Assert(t, lines.LastEntry().Data["attempts"].(int) > 1)
+	})
+}
+
 func TestWatchIsPaced(t *testing.T) {
 	testbubble.Run(t, func(t *testing.T) {
 		store := memapi.New()
