Watchers of one source share its loss and its return; pauses stay short

Cause: a watch that failed paused for longer and longer, up to 3 s with its jitter; a front that reads through a store daemon paused on its own, so that the two added up. The first call that got through waited for a change before it counted, and a call that a silent store had swallowed held its watch until its time-out (5.6 s for the layout and retirements). Ruled out: a mirror that passes for fresh (late fronts had logged watch-lost); a front alone with the platform as its source is part of it (third point). Change: (1) watch.Link, shared by a daemon's watchers: while the source is lost one question at a time asks for what there is now, every 0.1 to 0.3 s and without waiting for earlier ones; the first answer lets all go on and ends calls from before it. (2) The first call after an outage does not wait for a change. (3) A feed asks the store itself without waiting until it is the source in use, and sooner (0.5 s, not 3 s) where no mirror is in reach; a call that its reader gave up is no failure; while nobody answers three mirrors are asked at a time. The product's own daemon has the same watch. TestOutageIsLoggedOnce asks for the outage's length now, not for a count of attempts.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/rookpass/rookpass/internal/objectapi"
+	"github.com/rookpass/rookpass/internal/peerlink"
 )
 
 // Source answers lists and watches of one prefix.
@@ -47,9 +48,16 @@
 // milliseconds, while a connection to a VM without power takes forever.
 const stagger = 30 * time.Millisecond
 
-// directPause is how long the store itself is left alone after it has failed, where mirrors ask it too: they
-// say when it is back.
-const directPause = 3 * time.Second
+// How long the store itself is left alone after it has failed. Where mirrors answer that they have lost it too, they say
+// when it is back; where none answers at all, only the store can.
+const (
+	directPause      = 3 * time.Second
+	directAlonePause = 500 * time.Millisecond
+)
+
+// lostSample is how many mirrors are asked at a time while nobody can say, others each time: with 30 of them before 200
+// readers that ask 5 times a second, each mirror gets 100 questions a second and not 1,000.
+const lostSample = 3
 
 // Feed implements watch.Source. It stays with a source as long as that one answers.
 type Feed struct {
@@ -61,8 +69,10 @@
 	// current is the source that answered last, newest the highest version seen of each prefix.
 	current string
 	newest  map[string]uint64
-	// directFailed is when the store itself failed last.
-	directFailed time.Time
+	// directFailed is when the store itself failed last, mirrorAnswered when a mirror said last that it can't say.
+	directFailed, mirrorAnswered time.Time
+	// unanswered counts the latest watches that no source answered.
+	unanswered int
 }
 
 // New returns a feed. mirrors returns the daemons to ask, the best first.
@@ -102,7 +112,7 @@
 			return snapshot, nil
 		}
 		problems = append(problems, err)
-		f.noteFailure(chosen)
+		f.noteFailure(chosen, err)
 		failed.Store(chosen.Name, true)
 		sources = slices.DeleteFunc(sources, func(s source) bool {
 			_, gone := failed.Load(s.Name)
@@ -134,7 +144,7 @@
 		value  T
 		err    error
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	asking, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan answer, len(sources))
 	asked := 0
@@ -145,7 +155,7 @@
 		s := sources[asked]
 		asked++
 		go func() {
-			value, err := ask(ctx, s)
+			value, err := ask(asking, s)
 			answers <- answer{s, value, err}
 		}()
 	}
@@ -163,7 +173,9 @@
 				return a.value, a.source, errors.Join(problems...)
 			}
 			problems = append(problems, a.err)
-			f.noteFailure(a.source)
+			if ctx.Err() == nil { // a call that its caller gave up says nothing of its source
+				f.noteFailure(a.source, a.err)
+			}
 			askNext()
 		}
 	}
@@ -192,12 +204,12 @@
 
 // Wait returns the changes of exactly one prefix. ErrGone is an answer.
 //
-// The mirror that answered last may keep the watch waiting. Where it fails, the others are asked for what they
-// have at once, so that several VMs that went dark together cost no more than one.
+// The source that answered last may keep the watch waiting. Where it fails, and where wait is 0, the others are asked for
+// what they have at once, so that several VMs that went dark together cost no more than one.
 func (f *Feed) Wait(ctx context.Context, prefixes []string, after uint64, wait time.Duration) (objectapi.Batch, error) {
 	prefix := prefixes[0]
 	sources, current := f.sources()
-	if first := sources[0]; first.Name == current && !first.direct {
+	if first := sources[0]; wait > 0 && first.Name == current && !first.direct {
 		changes, err := f.changes(ctx, first, prefix, after, min(wait, mirrorWait))
 		if err == nil {
 			return changes.unpack()
@@ -206,11 +218,14 @@
 	}
 	changes, chosen, problem := race(ctx, f, sources, func(ctx context.Context, s source) (changes, error) {
 		limit := time.Duration(0)
-		if s.direct {
+		if s.direct && s.Name == current {
 			limit = wait
 		}
 		return f.changes(ctx, s, prefix, after, limit)
 	})
+	if ctx.Err() == nil {
+		f.noteRound(chosen.Source != nil)
+	}
 	if chosen.Source == nil {
 		return objectapi.Batch{}, problem
 	}
@@ -261,11 +276,15 @@
 }
 
 // sources returns whom to ask, in order: the one that answered last, the other mirrors, the store itself unless
-// it failed just now. It also returns who answered last.
+// it failed just now. While nobody answers, it names a few of the mirrors only. It also returns who answered last.
 func (f *Feed) sources() ([]source, string) {
 	mirrors := f.mirrors()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.unanswered > 0 && len(mirrors) > lostSample {
+		from := f.unanswered * lostSample % len(mirrors)
+		mirrors = slices.Concat(mirrors[from:], mirrors[:from])[:lostSample]
+	}
 	sources := make([]source, 0, len(mirrors)+1)
 	for _, m := range mirrors {
 		sources = append(sources, source{Named: Named{Name: m.Name, Source: m.Mirror}})
@@ -273,20 +292,41 @@
 			sources[0], sources[last] = sources[last], sources[0]
 		}
 	}
-	if len(mirrors) == 0 || time.Since(f.directFailed) >= directPause {
+	if len(mirrors) == 0 || time.Since(f.directFailed) >= f.directPause() {
 		sources = append(sources, source{Named: f.direct, direct: true})
 	}
 	return sources, f.current
 }
 
-// noteFailure remembers that the store itself failed.
-func (f *Feed) noteFailure(s source) {
-	if !s.direct {
-		return
+// directPause returns how long the store is left alone after it failed. It is called with the lock held.
+func (f *Feed) directPause() time.Duration {
+	if f.mirrorAnswered.Before(f.directFailed.Add(-directPause)) {
+		return directAlonePause
+	}
+	return directPause
+}
+
+// noteFailure remembers that the store itself failed, or that a mirror that is in reach can't say.
+func (f *Feed) noteFailure(s source, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case s.direct:
+		f.directFailed = time.Now()
+	case !errors.Is(err, peerlink.ErrUnreachable):
+		f.mirrorAnswered = time.Now()
 	}
+}
+
+// noteRound remembers whether any source answered a watch.
+func (f *Feed) noteRound(answered bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.directFailed = time.Now()
+	if answered {
+		f.unanswered = 0
+	} else {
+		f.unanswered++
+	}
 }
 
 // settle notes which source answered; problem tells why those before it did not.
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"testing"
 	"testing/synctest"
@@ -13,6 +14,7 @@
 
 	"github.com/rookpass/rookpass/internal/feed"
 	"github.com/rookpass/rookpass/internal/objectapi"
+	"github.com/rookpass/rookpass/internal/peerlink"
 )
 
 // source answers with a version, or fails.
@@ -202,3 +204,92 @@
 		assert.Equal(t, lists, 1)
 	})
 }
+
+// TestNewsIsSoughtBesideASilentStore: a reader of the store itself asks, after an outage, what there is now; mirrors that
+// are back answer although the store's connection is dead.
+func TestNewsIsSoughtBesideASilentStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		direct, a := &source{version: 5}, &source{err: objectapi.ErrUnavailable}
+		f := newFeed(direct, a)
+		_, err := f.List(context.Background(), "k/")
+		assert.NilError(t, err)
+		direct.silent, a.err, a.version = true, nil, 7
+		began := time.Now()
+		batch, err := f.Wait(context.Background(), []string{"k/"}, 5, 0)
+		assert.NilError(t, err)
+		assert.Equal(t, batch.Version, uint64(7))
+		assert.Assert(t, time.Since(began) <= 30*time.Millisecond)
+	})
+}
+
+// TestStoreIsAskedSoonWhereNoMirrorAnswers: all store daemons are down when the store returns, so nobody else says so.
+func TestStoreIsAskedSoonWhereNoMirrorAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		direct, a := &source{err: objectapi.ErrUnavailable}, &source{err: fmt.Errorf("%w: %w", objectapi.ErrUnavailable, peerlink.ErrUnreachable)}
+		f := newFeed(direct, a)
+		for range 60 {
+			_, err := f.Wait(context.Background(), []string{"k/"}, 5, 0)
+			assert.ErrorIs(t, err, objectapi.ErrUnavailable)
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Equal(t, direct.asked, 12)
+		direct.err, direct.version = nil, 7
+		returned := time.Now()
+		for {
+			if _, err := f.Wait(context.Background(), []string{"k/"}, 5, 0); err == nil {
+				break
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Assert(t, time.Since(returned) <= 500*time.Millisecond)
+	})
+}
+
+// TestGivenUpCallIsNoFailure: a watch that its reader ends must not leave the store alone for seconds.
+func TestGivenUpCallIsNoFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		direct, a := &source{version: 5}, &source{err: objectapi.ErrUnavailable}
+		f := newFeed(direct, a)
+		_, err := f.List(context.Background(), "k/")
+		assert.NilError(t, err)
+		direct.silent = true
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		defer cancel()
+		_, err = f.Wait(ctx, []string{"k/"}, 5, time.Second)
+		assert.ErrorIs(t, err, objectapi.ErrUnavailable)
+		direct.silent = false
+		_, err = f.Wait(context.Background(), []string{"k/"}, 5, 0)
+		assert.NilError(t, err)
+	})
+}
+
+// TestFewMirrorsAreAskedWhileNobodyAnswers, and all of them in turn.
+func TestFewMirrorsAreAskedWhileNobodyAnswers(t *testing.T) {
+	direct := &source{err: objectapi.ErrUnavailable}
+	var mirrors []*source
+	for range 30 {
+		mirrors = append(mirrors, &source{err: objectapi.ErrUnavailable})
+	}
+	f := newFeed(direct, mirrors...)
+	asked := func() (sum int) {
+		for _, m := range mirrors {
+			sum += m.asked
+		}
+		return sum
+	}
+	for range 11 {
+		_, err := f.Wait(context.Background(), []string{"k/"}, 5, 0)
+		assert.ErrorIs(t, err, objectapi.ErrUnavailable)
+	}
+	assert.Equal(t, asked(), 30+10*3)
+	for _, m := range mirrors {
+		assert.Equal(t, m.asked, 2)
+	}
+	mirrors[17].err, mirrors[17].version = nil, 6
+	for range 10 {
+		if _, err := f.Wait(context.Background(), []string{"k/"}, 5, 0); err == nil {
+			return
+		}
+	}
+	t.Fatal("a mirror that is back was not found")
+}
--- a/internal/ledger/cluster_test.go
+++ b/internal/ledger/cluster_test.go
@@ -102,7 +102,7 @@
 	go func() {
 		_ = peerlink.Serve(listener, map[string]any{replica.ServiceName: replica.NewService(store)})
 	}()
-	go func() { _ = watch.New(c.api, 0, observer{controller}).WithWait(time.Second).Run(ctx) }()
+	go func() { _ = watch.New(watch.NewLink(c.api), 0, observer{controller}).WithWait(time.Second).Run(ctx) }()
 	go func() {
 		defer close(d.ended)
 		_ = controller.Run(ctx)
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -34,8 +34,9 @@
 )
 
 const (
-	// frontWait is how long a front daemon's watch waits at the platform's store, where no mirror answers.
-	frontWait = 1500 * time.Millisecond
+	// frontWait is how long a front daemon's watch waits at the platform's store, where no mirror answers: with the
+	// client's margin of 0.6 s it bounds how late a silent connection is noticed, and changes must be in force after 2 s.
+	frontWait = time.Second
 	// diskPatience is when a call to a disk is sent over another front daemon as well: many times a usual answer.
 	diskPatience = 120 * time.Millisecond
 	// mirrorPatience is the same for watches, which wait up to a second for a change.
@@ -168,7 +169,8 @@
 // as the layout names them.
 func (f *front) watch(ctx context.Context, group *errgroup.Group) {
 	source := feed.New(f.mirrors(), feed.Named{Name: "platform", Source: single{f.store}}, f.log)
-	run := func(h watch.Handler) error { return f.watcher(source, frontWait, h).Run(ctx) }
+	link := watch.NewLink(source)
+	run := func(h watch.Handler) error { return f.watcher(link, frontWait, h).Run(ctx) }
 	group.Go(func() error {
 		if f.settings.FirstStart {
 			_ = wait.For(ctx, formingTime)
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -65,11 +65,12 @@
 		mirror.New(layoutPrefix, rareWait+answerSlack),
 	}
 	layouts := &handler{prefix: layoutPrefix, apply: controller.Observe}
-	layoutWatcher := b.watcher(b.store, rareWait, both{mirrors[2], layouts})
+	link := watch.NewLink(b.store)
+	layoutWatcher := b.watcher(link, rareWait, both{mirrors[2], layouts})
 	watchers := []*watch.Watcher{
-		b.watcher(b.store, storeWait, mirrors[0]),
-		b.watcher(b.store, storeWait, mirrors[1]),
-		b.watcher(b.store, rareWait, retiring.handler()),
+		b.watcher(link, storeWait, mirrors[0]),
+		b.watcher(link, storeWait, mirrors[1]),
+		b.watcher(link, rareWait, retiring.handler()),
 	}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return b.servePages(ctx, storeStatus(s.Node, store)) })
--- /dev/null
+++ b/internal/watch/link.go
@@ -0,0 +1,144 @@
+package watch
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/rookpass/rookpass/internal/objectapi"
+	"github.com/rookpass/rookpass/internal/wait"
+)
+
+// Pauses between attempts while the source does not answer. They stay short however long an outage lasts: what is
+// changed at its end must be in force soon, and pauses of daemons that read through one another add up. With pauses of up
+// to 3 s a front learnt of a change 3.4 s after the end of an outage; it must be in force after 2 s. A store daemon makes
+// some 5 calls a second while its source is away.
+const (
+	firstPause = 50 * time.Millisecond
+	maxPause   = 200 * time.Millisecond
+)
+
+// probeTimeout bounds one question whether the source is back. Further ones are asked meanwhile: a silent source must
+// not hold up the notice of its return, and a slow one, with 0.4 s an answer, must not pass for a silent one.
+const probeTimeout = time.Second
+
+// errReturned ends calls that were sent before their source was back.
+var errReturned = errors.New("the source is back")
+
+// Link is what the watchers of one source share: whether it answers. While it does not, one of them at a time is asked
+// for, in turn; all go on at the first answer. So an outage costs a daemon the calls of one watcher, and watches that
+// wait long learn of its end as soon as the others. Use NewLink.
+type Link struct {
+	source Source
+
+	mu sync.Mutex
+	// lost are the questions of the watchers that wait for the source, the next to be asked first.
+	lost []question
+	// returned is closed, and replaced, when a source that was lost answers.
+	returned chan struct{}
+}
+
+// question asks a source for the changes of a prefix after a version.
+type question struct {
+	prefix  string
+	version uint64
+}
+
+// NewLink returns the link of a source that counts as answering.
+func NewLink(source Source) *Link { return &Link{source: source, returned: make(chan struct{})} }
+
+func newPauses() *backoff.ExponentialBackOff {
+	pauses := backoff.NewExponentialBackOff()
+	pauses.InitialInterval, pauses.MaxInterval = firstPause, maxPause
+	return pauses
+}
+
+// cancelAtReturn returns a context that ends with errReturned when the source is back after having been lost.
+func (l *Link) cancelAtReturn(parent context.Context) (context.Context, context.CancelFunc) {
+	l.mu.Lock()
+	returned := l.returned
+	l.mu.Unlock()
+	ctx, cancel := context.WithCancelCause(parent)
+	go func() {
+		select {
+		case <-returned:
+			cancel(errReturned)
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, func() { cancel(nil) }
+}
+
+// await returns when the source answers again, or ctx ends. It waits for pause at least.
+func (l *Link) await(ctx context.Context, prefix string, version uint64, pause time.Duration) {
+	if wait.For(ctx, pause) != nil {
+		return
+	}
+	l.mu.Lock()
+	l.lost = append(l.lost, question{prefix, version})
+	first, returned := len(l.lost) == 1, l.returned
+	l.mu.Unlock()
+	if first {
+		l.probe(ctx)
+		return
+	}
+	select {
+	case <-returned:
+	case <-ctx.Done():
+	}
+}
+
+// probe asks again and again, and tells every watcher when there is an answer, or when ctx ends.
+func (l *Link) probe(ctx context.Context) {
+	defer l.tellReturned()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answered := make(chan struct{}, 1)
+	pauses := newPauses()
+	for ctx.Err() == nil {
+		go l.ask(ctx, l.next(), answered)
+		timer := time.NewTimer(pauses.NextBackOff())
+		select {
+		case <-answered:
+			timer.Stop()
+			return
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+		}
+	}
+}
+
+// ask puts one question. That the history is gone is an answer too.
+func (l *Link) ask(ctx context.Context, q question, answered chan<- struct{}) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	_, err := l.source.Wait(ctx, []string{q.prefix}, q.version, 0)
+	if err != nil && !errors.Is(err, objectapi.ErrGone) {
+		return // the watchers that wait have logged the loss
+	}
+	select {
+	case answered <- struct{}{}:
+	default: // another question was answered first
+	}
+}
+
+// next returns the question whose turn it is.
+func (l *Link) next() question {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	q := l.lost[0]
+	l.lost = append(l.lost[1:], q)
+	return q
+}
+
+func (l *Link) tellReturned() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lost = nil
+	close(l.returned)
+	l.returned = make(chan struct{})
+}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/sirupsen/logrus"
 
 	"github.com/rookpass/rookpass/internal/objectapi"
@@ -44,15 +43,9 @@
 // connection that went silent is noticed only by this.
 const answerMargin = time.Second
 
-// Pauses between attempts while the API does not answer.
-const (
-	firstPause = 50 * time.Millisecond
-	maxPause   = 2 * time.Second
-)
-
 // Watcher feeds handlers. Use New, then Run.
 type Watcher struct {
-	api      Source
+	link     *Link
 	handlers []Handler
 	pace     time.Duration
 	waitTime time.Duration
@@ -61,20 +54,16 @@
 	// answered is when the API answered last, in nanoseconds of Unix time; 0 before the first answer.
 	answered atomic.Int64
 	log      logrus.FieldLogger
-	outage   outage
+	// listed tells that the handlers have a list to which changes can be applied.
+	listed bool
+	// lostAt is when the source failed first; zero while it answers.
+	lostAt time.Time
 }
 
-// outage is what is logged of a time without answers.
-type outage struct {
-	began    time.Time // zero while the API answers
-	attempts int
-	pause    time.Duration // before the latest attempt
-}
-
-// New returns a watcher of the handlers' prefixes. pace is the least time between two calls to the API: the
+// New returns a watcher of the handlers' prefixes over a link, which it may share with others. pace is the least time between two calls to the API: the
 // first change after a quiet time is seen at once, while a stream of changes costs one call for each pace.
-func New(api Source, pace time.Duration, handlers ...Handler) *Watcher {
-	return &Watcher{api: api, pace: pace, waitTime: waitTime, handlers: handlers, log: discard()}
+func New(link *Link, pace time.Duration, handlers ...Handler) *Watcher {
+	return &Watcher{link: link, pace: pace, waitTime: waitTime, handlers: handlers, log: discard()}
 }
 
 func discard() logrus.FieldLogger {
@@ -110,48 +99,62 @@
 
 // Run watches until ctx ends.
 func (w *Watcher) Run(ctx context.Context) error {
-	pauses := backoff.NewExponentialBackOff()
-	pauses.InitialInterval, pauses.MaxInterval = firstPause, maxPause
-	listed := false
+	pauses := newPauses()
+	limit := w.waitTime
 	for ctx.Err() == nil {
-		var err error
 		began := time.Now()
-		if listed {
-			err = w.wait(ctx)
-		} else {
-			err = w.list(ctx)
-		}
-		if err == nil {
-			listed = true
+		err := w.step(ctx, limit)
+		limit = w.waitTime
+		switch {
+		case err == nil:
 			pauses.Reset()
 			w.noteAnswer(began)
 			_ = wait.For(ctx, w.pace-time.Since(began))
-			continue
+		case ctx.Err() != nil: // the watch ends; its source has not failed
+		case errors.Is(err, objectapi.ErrGone):
+			w.listed = false
+		case errors.Is(err, errReturned):
+			limit = 0
+		default:
+			w.fail(err)
+			w.link.await(ctx, w.handlers[0].Prefix(), w.version, pauses.NextBackOff())
+			limit = 0
 		}
-		if errors.Is(err, objectapi.ErrGone) {
-			listed = false
-			continue
-		}
-		if ctx.Err() != nil {
-			break // the watch ends; its source has not failed
-		}
-		for _, handler := range w.handlers {
-			handler.Lost()
-		}
-		w.noteFailure(err)
-		w.outage.pause = pauses.NextBackOff()
-		_ = wait.For(ctx, w.outage.pause)
 	}
 	return ctx.Err()
 }
 
+// step makes one call, or one for each list. It ends with errReturned where the source was lost and is back
+// meanwhile: a call from before then may never be answered.
+func (w *Watcher) step(ctx context.Context, limit time.Duration) error {
+	ctx, cancel := w.link.cancelAtReturn(ctx)
+	defer cancel()
+	var err error
+	if w.listed {
+		err = w.wait(ctx, limit)
+	} else {
+		err = w.list(ctx)
+	}
+	if cause := context.Cause(ctx); err != nil && errors.Is(cause, errReturned) {
+		return cause
+	}
+	return err
+}
+
+// fail tells the handlers and the log that the source does not answer.
+func (w *Watcher) fail(err error) {
+	for _, handler := range w.handlers {
+		handler.Lost()
+	}
+	w.noteFailure(err)
+}
+
 // noteFailure logs the first failure of an outage.
 func (w *Watcher) noteFailure(err error) {
-	w.outage.attempts++
-	if w.outage.attempts > 1 {
+	if !w.lostAt.IsZero() {
 		return
 	}
-	w.outage.began = time.Now()
+	w.lostAt = time.Now()
 	w.log.WithFields(logrus.Fields{"event": "watch-lost", "prefix": w.prefixes(), "version": w.version, "age_ms": w.Age().Milliseconds(),
 		"error": err}).Warn("source no longer answers")
 }
@@ -159,13 +162,12 @@
 // noteAnswer logs the end of an outage; callBegan is when the answered call was sent.
 func (w *Watcher) noteAnswer(callBegan time.Time) {
 	w.answered.Store(time.Now().UnixNano())
-	if w.outage.attempts == 0 {
+	if w.lostAt.IsZero() {
 		return
 	}
 	w.log.WithFields(logrus.Fields{"event": "watch-regained", "prefix": w.prefixes(), "version": w.version,
-		"outage_ms": time.Since(w.outage.began).Milliseconds(), "attempts": w.outage.attempts,
-		"pause_ms": w.outage.pause.Milliseconds(), "call_ms": time.Since(callBegan).Milliseconds()}).Info("source answers again")
-	w.outage = outage{}
+		"outage_ms": time.Since(w.lostAt).Milliseconds(), "call_ms": time.Since(callBegan).Milliseconds()}).Info("source answers again")
+	w.lostAt = time.Time{}
 }
 
 func (w *Watcher) prefixes() []string {
@@ -184,7 +186,7 @@
 	snapshots := make([]objectapi.Snapshot, len(w.handlers))
 	for i, handler := range w.handlers {
 		w.calls.Add(1)
-		snapshot, err := w.api.List(ctx, handler.Prefix())
+		snapshot, err := w.link.source.List(ctx, handler.Prefix())
 		if err != nil {
 			return err
 		}
@@ -197,14 +199,17 @@
 		oldest = min(oldest, snapshots[i].Version)
 	}
 	w.version = oldest
+	w.listed = true
 	return nil
 }
 
-func (w *Watcher) wait(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, w.waitTime+answerMargin)
+// wait asks for changes, and waits up to limit for one. A limit of 0 asks whether there is one now: after an outage the
+// answer itself is news, and must not wait for a change.
+func (w *Watcher) wait(ctx context.Context, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit+answerMargin)
 	defer cancel()
 	w.calls.Add(1)
-	batch, err := w.api.Wait(ctx, w.prefixes(), w.version, w.waitTime)
+	batch, err := w.link.source.Wait(ctx, w.prefixes(), w.version, limit)
 	if err != nil {
 		return err
 	}
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -1,8 +1,10 @@
 package watch_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,12 +20,13 @@
 
 // copied is a handler that keeps a copy.
 type copied struct {
+	prefix  string // "a/" where empty
 	objects map[string]uint64
 	version uint64
 	lost    int
 }
 
-func (c *copied) Prefix() string { return "a/" }
+func (c *copied) Prefix() string { return cmp.Or(c.prefix, "a/") }
 
 func (c *copied) Reset(objects []objectapi.Object, _ uint64) {
 	c.objects = map[string]uint64{}
@@ -59,7 +62,7 @@
 				store := memapi.New()
 				api := apitest.New(store)
 				c := &copied{}
-				stop := run(t, watch.New(api, 100*time.Millisecond, c))
+				stop := run(t, watch.New(watch.NewLink(api), 100*time.Millisecond, c))
 				first, err := store.Put(t.Context(), "a/1", nil, objectapi.MustNotExist)
 				assert.NilError(t, err)
 				<-time.After(time.Second)
@@ -86,7 +89,7 @@
 		api := apitest.New(memapi.New())
 		c := &copied{}
 		log, lines := logtest.NewNullLogger()
-		w := watch.New(api, 100*time.Millisecond, c).WithLog(log)
+		w := watch.New(watch.NewLink(api), 100*time.Millisecond, c).WithLog(log)
 		assert.Assert(t, w.Age() < 0)
 		stop := run(t, w)
 		<-time.After(time.Second)
@@ -103,7 +106,8 @@
 			events = append(events, line.Data["event"])
 		}
 		assert.DeepEqual(t, events, []any{"watch-lost", "watch-regained"})
-		assert.Assert(t, lines.LastEntry().Data["attempts"].(int) > 1)
+		outage := lines.LastEntry().Data["outage_ms"].(int64)
+		assert.Assert(t, outage > 15_000 && outage < 20_300, "%d ms", outage)
 	})
 }
 
@@ -111,7 +115,7 @@
 	testbubble.Run(t, func(t *testing.T) {
 		store := memapi.New()
 		c := &copied{}
-		w := watch.New(store, 100*time.Millisecond, c)
+		w := watch.New(watch.NewLink(store), 100*time.Millisecond, c)
 		stop := run(t, w)
 		<-time.After(2 * time.Second)
 		before := w.Calls()
@@ -127,6 +131,129 @@
 	})
 }
 
+// TestReturnIsNoticedSoon: however long the outage was, and whether the source refuses or is silent.
+func TestReturnIsNoticedSoon(t *testing.T) {
+	for name, fault := range map[string]apitest.Fault{"refuses": apitest.Down, "is silent": apitest.Hang} {
+		for _, length := range []time.Duration{time.Second, 5 * time.Second, time.Minute, 20 * time.Minute} {
+			t.Run(fmt.Sprint(name, "/", length), func(t *testing.T) {
+				testbubble.Run(t, func(t *testing.T) {
+					api := apitest.New(memapi.New())
+					c := &copied{}
+					stop := run(t, watch.New(watch.NewLink(api), 0, c))
+					defer stop()
+					for range 5 {
+						<-time.After(time.Second)
+						api.Set(fault)
+						<-time.After(length)
+						object, err := api.API.Put(t.Context(), "a/1", nil, c.objects["a/1"])
+						assert.NilError(t, err)
+						api.Set(apitest.None)
+						<-time.After(400 * time.Millisecond)
+						assert.Equal(t, c.objects["a/1"], object.Version)
+						assert.Equal(t, c.version, object.Version)
+					}
+				})
+			})
+		}
+	}
+}
+
+// swallowed is a source that never answers calls that were under way in a time of silence.
+type swallowed struct {
+	*apitest.API
+	broken   string // lists and watches of this prefix fail
+	waits    atomic.Int64
+	silent   atomic.Bool
+	silences atomic.Int64
+}
+
+func (s *swallowed) fallSilent() {
+	s.silences.Add(1)
+	s.silent.Store(true)
+}
+
+func (s *swallowed) List(ctx context.Context, prefix string) (objectapi.Snapshot, error) {
+	if prefix == s.broken {
+		return objectapi.Snapshot{}, objectapi.ErrUnavailable
+	}
+	return s.API.List(ctx, prefix)
+}
+
+func (s *swallowed) Wait(ctx context.Context, prefixes []string, after uint64, wait time.Duration) (objectapi.Batch, error) {
+	s.waits.Add(1)
+	if prefixes[0] == s.broken {
+		return objectapi.Batch{}, objectapi.ErrUnavailable
+	}
+	silences, silent := s.silences.Load(), s.silent.Load()
+	batch, err := s.API.Wait(ctx, prefixes, after, wait)
+	if silent || s.silences.Load() > silences {
+		<-ctx.Done()
+		return objectapi.Batch{}, objectapi.ErrUnavailable
+	}
+	return batch, err
+}
+
+// TestReturnEndsLongWatches: a watch that waits long was swallowed by a silent source; it learns of the return from
+// the one that waits for a short time.
+func TestReturnEndsLongWatches(t *testing.T) {
+	testbubble.Run(t, func(t *testing.T) {
+		store := memapi.New()
+		api := &swallowed{API: apitest.New(store)}
+		link := watch.NewLink(api)
+		quick, slow := &copied{}, &copied{prefix: "b/"}
+		defer run(t, watch.New(link, 0, quick).WithWait(time.Second))()
+		defer run(t, watch.New(link, 0, slow).WithWait(time.Hour))()
+		<-time.After(time.Second)
+		api.fallSilent()
+		<-time.After(4 * time.Second)
+		_, err := store.Put(t.Context(), "b/1", nil, objectapi.MustNotExist)
+		assert.NilError(t, err)
+		<-time.After(time.Second)
+		assert.Equal(t, len(slow.objects), 0)
+		api.silent.Store(false)
+		<-time.After(400 * time.Millisecond)
+		assert.Equal(t, len(slow.objects), 1)
+	})
+}
+
+// TestOutageCostsTheCallsOfOneWatcher: however many watch, about 5 calls a second.
+func TestOutageCostsTheCallsOfOneWatcher(t *testing.T) {
+	testbubble.Run(t, func(t *testing.T) {
+		api := &swallowed{API: apitest.New(memapi.New())}
+		link := watch.NewLink(api)
+		for i := range 6 {
+			defer run(t, watch.New(link, 0, &copied{prefix: fmt.Sprint("p", i, "/")}).WithWait(time.Second))()
+		}
+		<-time.After(time.Second)
+		api.Set(apitest.Down)
+		<-time.After(5 * time.Second)
+		before := api.waits.Load()
+		<-time.After(100 * time.Second)
+		calls := api.waits.Load() - before
+		assert.Assert(t, calls < 600, "%d calls in 100 s", calls)
+	})
+}
+
+// TestBrokenPrefixHoldsNobodyUp: one prefix can't be read at all; the others' outages end all the same.
+func TestBrokenPrefixHoldsNobodyUp(t *testing.T) {
+	testbubble.Run(t, func(t *testing.T) {
+		store := memapi.New()
+		api := &swallowed{API: apitest.New(store), broken: "b/"}
+		link := watch.NewLink(api)
+		c := &copied{}
+		defer run(t, watch.New(link, 0, &copied{prefix: "b/"}))()
+		defer run(t, watch.New(link, 0, c))()
+		<-time.After(time.Second)
+		api.Set(apitest.Down)
+		<-time.After(10 * time.Second)
+		_, err := store.Put(t.Context(), "a/1", nil, objectapi.MustNotExist)
+		assert.NilError(t, err)
+		api.Set(apitest.None)
+		<-time.After(800 * time.Millisecond)
+		assert.Equal(t, len(c.objects), 1)
+	})
+}
+
 // run runs a watcher until the returned function is called.
 func run(t *testing.T, w *watch.Watcher) func() {
 	ctx, cancel := context.WithCancel(t.Context())
