--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -3,6 +3,7 @@
 package eventlog
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -17,6 +18,9 @@
 	bytesPerSecond = 256 << 10
 	// flushPause gathers lines, so that a write carries several.
 	flushPause = 50 * time.Millisecond
+	// writeBytes bounds one write: a pipe takes up to 4,096 bytes whole or not at all. Of longer writes, as when 25 servers
+	// come back together, a reader kept the first 8 KiB and lost the lines behind them.
+	writeBytes = 4096
 )
 
 // Writer is an io.Writer whose Write never blocks. Use New.
@@ -77,7 +81,7 @@
 			lines = fmt.Appendf(lines, "level=warning event=log-dropped lines=%d\n", dropped-told)
 			told = dropped
 		}
-		_, _ = w.out.Write(lines) // there is nowhere else to report it
+		w.writeOut(lines)
 		w.mu.Lock()
 		w.spare = lines
 		w.mu.Unlock()
@@ -97,6 +101,24 @@
 	<-w.done
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	_, _ = w.out.Write(w.queue) // as above
+	w.writeOut(w.queue)
 	w.queue = nil
 }
+
+// writeOut writes whole lines, as many at a time as a pipe takes at once.
+func (w *Writer) writeOut(lines []byte) {
+	for len(lines) > 0 {
+		end := len(lines)
+		if end > writeBytes {
+			end = bytes.LastIndexByte(lines[:writeBytes], '\n') + 1
+		}
+		if end == 0 { // the first line alone is longer
+			end = bytes.IndexByte(lines, '\n') + 1
+		}
+		if end == 0 {
+			end = len(lines)
+		}
+		_, _ = w.out.Write(lines[:end]) // there is nowhere else to report it
+		lines = lines[end:]
+	}
+}
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -92,3 +92,33 @@
 		assert.Assert(t, w.Dropped() > 0)
 	})
 }
+
+// pieces notes each write of its own.
+type pieces struct{ writes []string }
+
+func (p *pieces) Write(data []byte) (int, error) {
+	p.writes = append(p.writes, string(data))
+	return len(data), nil
+}
+
+// TestBurstIsWrittenInWholeLines: as many at a time as a pipe takes at once; a longer line goes alone.
+func TestBurstIsWrittenInWholeLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &pieces{}
+		w := eventlog.New(out)
+		long := strings.Repeat("x", 6000) + "\n"
+		want := long
+		_, _ = w.Write([]byte(long))
+		for i := range 300 {
+			line := fmt.Sprintf("line %d %s\n", i, strings.Repeat("y", i))
+			want += line
+			_, _ = w.Write([]byte(line))
+		}
+		w.Close()
+		assert.Equal(t, strings.Join(out.writes, ""), want)
+		for i, write := range out.writes {
+			assert.Assert(t, strings.HasSuffix(write, "\n"), "write %d ends within a line", i)
+			assert.Assert(t, len(write) <= 4096 || write == long, "write %d has %d bytes", i, len(write))
+		}
+	})
+}
