A front that starts while the store is silent takes an old copy after 0.5 s

Cause: its first lists waited for the store until their time-outs, one for the layout and then one for configuration and servers; meanwhile it refused everything. And a list of old content counted as an answer: the age of what is known, and the length of the outage, began anew. Change: where mirrors have lost the store too, the store's own list has 0.5 s. A list of old content says so; it is handed on without a confirmation and followed by Lost. Tests: node.TestFrontStartsWhileTheStoreIsSilent, feed.TestSilentStoreHoldsNoOldCopyUp, watch.TestOldCopyIsNotConfirmed, red before.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -55,6 +55,11 @@
 	directAlonePause = 500 * time.Millisecond
 )
 
+// oldCopyPatience is how long a daemon that knows nothing waits for the store where mirrors have lost it: above the 0.4 s
+// of a slow store. A front that starts while the store is silent serves after 0.5 s; it took 3 s, a time-out for the
+// layout and one for the rest.
+const oldCopyPatience = 500 * time.Millisecond
+
 // lostSample is how many mirrors are asked at a time while nobody can say, others each time: with 30 of them before 200
 // readers that ask 5 times a second, each mirror gets 100 questions a second and not 1,000.
 const lostSample = 3
@@ -103,7 +108,7 @@
 		if chosen.Source == nil {
 			break
 		}
-		snapshot, err := chosen.Source.List(ctx, prefix)
+		snapshot, err := f.list(ctx, chosen, prefix)
 		if err == nil && !f.saw(prefix, snapshot.Version) {
 			err = errBehind
 		}
@@ -126,6 +131,17 @@
 	return f.stale(ctx, prefix, problem)
 }
 
+// list asks a source for a list. A reader that knows nothing, and could take a mirror's old copy, does not wait for a
+// silent store.
+func (f *Feed) list(ctx context.Context, s source, prefix string) (objectapi.Snapshot, error) {
+	if s.direct && f.saw(prefix, 0) && f.mirrorsHaveLostIt() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, oldCopyPatience)
+		defer cancel()
+	}
+	return s.Source.List(ctx, prefix)
+}
+
 // probe asks a mirror whether it could answer: for changes after the last version that there can be. The store
 // itself is not asked: each call to it has a price.
 func probe(ctx context.Context, s source, prefix string) error {
@@ -197,6 +213,7 @@
 		return newest, problem
 	}
 	f.saw(prefix, newest.Version)
+	newest.Stale = true
 	f.log.WithFields(logrus.Fields{"event": "feed-stale", "prefix": prefix, "version": newest.Version, "source": from,
 		"error": problem}).Warn("the store can't be read; using what a mirror knew last")
 	return newest, nil
@@ -306,6 +323,13 @@
 	return directPause
 }
 
+// mirrorsHaveLostIt tells whether a mirror has just said that it can't read the store either.
+func (f *Feed) mirrorsHaveLostIt() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Since(f.mirrorAnswered) < directPause
+}
+
 // noteFailure remembers that the store itself failed, or that a mirror that is in reach can't say.
 func (f *Feed) noteFailure(s source, err error) {
 	f.mu.Lock()
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -121,6 +121,7 @@
 	snapshot, err := f.List(context.Background(), "k/")
 	assert.NilError(t, err)
 	assert.Equal(t, snapshot.Version, uint64(6))
+	assert.Assert(t, snapshot.Stale)
 	_, err = f.List(context.Background(), "k/")
 	assert.ErrorIs(t, err, objectapi.ErrUnavailable)
 }
@@ -293,3 +294,20 @@
 	}
 	t.Fatal("a mirror that is back was not found")
 }
+
+// TestSilentStoreHoldsNoOldCopyUp: a daemon that starts while the store is silent, and mirrors have lost it.
+func TestSilentStoreHoldsNoOldCopyUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		direct, a := &source{silent: true}, &source{err: objectapi.ErrUnavailable, old: 4}
+		f := newFeed(direct, a)
+		began := time.Now()
+		for _, prefix := range []string{"layout/", "config/", "servers/"} {
+			ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
+			snapshot, err := f.List(ctx, prefix)
+			cancel()
+			assert.NilError(t, err)
+			assert.Assert(t, snapshot.Stale)
+		}
+		assert.Assert(t, time.Since(began) <= 600*time.Millisecond, "%v", time.Since(began))
+	})
+}
--- a/internal/node/outage_test.go
+++ b/internal/node/outage_test.go
@@ -104,3 +104,17 @@
 	}
 	time.Sleep(3 * time.Second) // requests to the server that left would come now
 }
+
+// TestFrontStartsWhileTheStoreIsSilent: it serves by the store daemons' copies, and does not wait for the store first.
+func TestFrontStartsWhileTheStoreIsSilent(t *testing.T) {
+	testbubble.Run(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.platform.SetFault(outages["is silent"], false)
+		time.Sleep(4 * time.Second)
+		w.kill(w.fronts[0])
+		w.start(w.fronts[0], false)
+		began := time.Now()
+		w.awaitReady()
+		assert.Assert(t, time.Since(began) <= time.Second, "ready after %v", time.Since(began))
+	})
+}
--- a/internal/objectapi/objectapi.go
+++ b/internal/objectapi/objectapi.go
@@ -51,6 +51,8 @@
 type Snapshot struct {
 	Objects []Object `json:"objects"`
 	Version uint64   `json:"version"`
+	// Stale tells that the API could not be read, and that this is what was known of it last.
+	Stale bool `json:"stale,omitempty"`
 }
 
 // Batch is the result of one wait of a watch: the events after the asked version, up to Version.
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -18,7 +18,8 @@
 type Handler interface {
 	// Prefix returns the watched prefix.
 	Prefix() string
-	// Reset replaces all objects by a list as of version.
+	// Reset replaces all objects by a list as of version. It is certain once Confirm follows; after a list that may be
+	// old, Lost follows.
 	Reset(objects []objectapi.Object, version uint64)
 	// Change applies one change.
 	Change(event objectapi.Event)
@@ -43,6 +44,9 @@
 // connection that went silent is noticed only by this.
 const answerMargin = time.Second
 
+// errStale means that a list holds what was known last: it is passed on, but the source is still away.
+var errStale = errors.New("only an old copy is known")
+
 // Watcher feeds handlers. Use New, then Run.
 type Watcher struct {
 	link     *Link
@@ -192,14 +196,19 @@
 		}
 		snapshots[i] = snapshot
 	}
-	oldest := snapshots[0].Version
+	oldest, stale := snapshots[0].Version, false
 	for i, handler := range w.handlers {
 		handler.Reset(snapshots[i].Objects, snapshots[i].Version)
-		handler.Confirm(snapshots[i].Version)
-		oldest = min(oldest, snapshots[i].Version)
+		if !snapshots[i].Stale {
+			handler.Confirm(snapshots[i].Version)
+		}
+		oldest, stale = min(oldest, snapshots[i].Version), stale || snapshots[i].Stale
 	}
 	w.version = oldest
 	w.listed = true
+	if stale {
+		return errStale
+	}
 	return nil
 }
 
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -254,6 +254,43 @@
 	})
 }
 
+// old is a source that first has an old copy only.
+type old struct {
+	*apitest.API
+	copy objectapi.Snapshot
+}
+
+func (o *old) List(ctx context.Context, prefix string) (objectapi.Snapshot, error) {
+	snapshot, err := o.API.List(ctx, prefix)
+	if err != nil {
+		return o.copy, nil
+	}
+	return snapshot, nil
+}
+
+// TestOldCopyIsNotConfirmed: it is handed on, and counts as lost until the source answers.
+func TestOldCopyIsNotConfirmed(t *testing.T) {
+	testbubble.Run(t, func(t *testing.T) {
+		store := memapi.New()
+		object, err := store.Put(t.Context(), "a/1", nil, objectapi.MustNotExist)
+		assert.NilError(t, err)
+		api := &old{apitest.New(store), objectapi.Snapshot{Objects: []objectapi.Object{object}, Version: object.Version, Stale: true}}
+		api.Set(apitest.Down)
+		c := &copied{}
+		w := watch.New(watch.NewLink(api), 0, c)
+		defer run(t, w)()
+		<-time.After(3 * time.Second)
+		assert.Equal(t, len(c.objects), 1)
+		assert.Equal(t, c.version, uint64(0))
+		assert.Equal(t, c.lost, 1)
+		assert.Assert(t, w.Age() < 0)
+		api.Set(apitest.None)
+		<-time.After(400 * time.Millisecond)
+		assert.Equal(t, c.version, object.Version)
+		assert.Assert(t, w.Age() >= 0)
+	})
+}
+
 // run runs a watcher until the returned function is called.
 func run(t *testing.T, w *watch.Watcher) func() {
 	ctx, cancel := context.WithCancel(t.Context())
