Entries that lapsed are held by the age of what is known, and for no longer than their servers need

Cause, found on the way of the incident (entries of servers learn from the store by the same two hops): (1) the length of an outage counted from when a front noticed it; a silent one of 2.9 s passed for 0.5 s, the entries of all servers that had lapsed were dropped, and all calls were refused until they were back. (2) What was held went with the next answer after 2.2 s, counted from the front's own notice: a server that had left got calls up to 3.0 s after the store's return. Change: answers of mirrors carry how long ago the store confirmed them, and watches hand that on; policy.Lapse decides by the gap between two certain answers and the platform's heartbeat; the hold ends by a timer, counted from the store's first word. rookpass_watch_age_seconds tells the same age. TestShortGapHoldsNothing now confirms after its lists, as a watch always does.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/rookpass/rookpass/internal/catalog"
 	"github.com/rookpass/rookpass/internal/objectapi"
+	"github.com/rookpass/rookpass/internal/policy"
 )
 
 func quiet() logrus.FieldLogger {
@@ -73,7 +74,7 @@
 	return catalog.NewServersHandler(c, "s/", func(o objectapi.Object) (catalog.Server, error) {
 		service, address, _ := strings.Cut(string(o.Value), "@")
 		return catalog.Server{ID: o.Key[2:], Service: service, Address: address}, nil
-	}, quiet())
+	}, policy.NewLapse(1200*time.Millisecond), quiet())
 }
 
 func entry(id string) objectapi.Object {
@@ -90,7 +91,7 @@
 	h.Reset([]objectapi.Object{entry("a"), entry("b")}, 1)
 	h.Change(objectapi.Event{Object: entry("c")})
 	h.Change(gone("a"))
-	h.Confirm(2)
+	h.Confirm(2, time.Now())
 	assert.Equal(t, len(c.Servers().Of("svc")), 2)
 	assert.Assert(t, !c.Servers().Has("a"))
 	assert.DeepEqual(t, c.Servers().Addresses(), map[string]bool{"b": true, "c": true})
@@ -111,18 +112,18 @@
 		assert.Equal(t, c.Servers().Len(), 2, "while nothing is known, the last list holds")
 		h.Change(gone("back"))
 		h.Change(gone("dead"))
-		h.Confirm(5)
+		h.Confirm(5, time.Now())
 		assert.Equal(t, c.Servers().Len(), 2)
 		time.Sleep(2 * time.Second)
 		h.Change(objectapi.Event{Object: entry("back")})
-		h.Confirm(6)
+		h.Confirm(6, time.Now())
 		assert.Equal(t, c.Servers().Len(), 2)
 		time.Sleep(300 * time.Millisecond)
-		h.Confirm(7)
+		h.Confirm(7, time.Now())
 		assert.Assert(t, c.Servers().Has("back"))
 		assert.Assert(t, !c.Servers().Has("dead"))
 		h.Change(gone("back"))
-		h.Confirm(8)
+		h.Confirm(8, time.Now())
 		assert.Equal(t, c.Servers().Len(), 0, "without an outage an entry that is gone is gone at once")
 	})
 }
@@ -132,13 +133,55 @@
 		c := catalog.New()
 		h := entries(c)
 		h.Reset([]objectapi.Object{entry("a")}, 1)
+		h.Confirm(1, time.Now())
 		h.Lost()
 		time.Sleep(500 * time.Millisecond)
 		h.Reset(nil, 2)
+		h.Confirm(2, time.Now())
 		assert.Equal(t, c.Servers().Len(), 0)
 	})
 }
 
+// TestHoldEndsByItself: an entry that is not back is gone when the time is over, though no answer comes then.
+func TestHoldEndsByItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := catalog.New()
+		h := entries(c)
+		h.Reset([]objectapi.Object{entry("dead")}, 1)
+		h.Confirm(1, time.Now())
+		time.Sleep(3 * time.Second)
+		h.Lost()
+		h.Change(gone("dead"))
+		assert.Equal(t, c.Servers().Len(), 1)
+		h.Confirm(2, time.Now().Add(-500*time.Millisecond)) // a mirror had it half a second ago
+		time.Sleep(1600 * time.Millisecond)
+		assert.Equal(t, c.Servers().Len(), 1)
+		time.Sleep(200 * time.Millisecond)
+		assert.Equal(t, c.Servers().Len(), 0)
+	})
+}
+
+// TestOutageNoticedLateIsLong: the store was silent for 3 s, of which 2.5 s passed before anybody noticed.
+func TestOutageNoticedLateIsLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := catalog.New()
+		h := entries(c)
+		h.Reset([]objectapi.Object{entry("lapsed"), entry("leaving")}, 1)
+		h.Confirm(1, time.Now())
+		time.Sleep(2500 * time.Millisecond)
+		h.Lost()
+		time.Sleep(500 * time.Millisecond)
+		h.Change(gone("lapsed"))
+		h.Confirm(2, time.Now())
+		assert.Assert(t, c.Servers().Has("lapsed"))
+		time.Sleep(time.Second)
+		h.Change(objectapi.Event{Object: entry("lapsed")})
+		h.Confirm(3, time.Now())
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, c.Servers().Has("lapsed"))
+	})
+}
+
 // BenchmarkManyServersStart: one batch in which 3,000 servers come.
 func BenchmarkManyServersStart(b *testing.B) {
 	for b.Loop() {
@@ -146,6 +189,6 @@
 		for i := range 3000 {
 			h.Change(objectapi.Event{Object: entry(strconv.Itoa(i))})
 		}
-		h.Confirm(1)
+		h.Confirm(1, time.Now())
 	}
 }
--- a/internal/cluster/bench_test.go
+++ b/internal/cluster/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
@@ -33,7 +34,7 @@
 		objects = append(objects, objectapi.Object{Key: keyspace.Partition(number), Version: 1, Value: value})
 	}
 	t.Reset(objects, 1)
-	t.Confirm(1)
+	t.Confirm(1, time.Now())
 	return t
 }
 
@@ -49,7 +50,7 @@
 			for b.Loop() {
 				version++
 				t.Change(objectapi.Event{Object: objectapi.Object{Key: keyspace.Daemon(lease(0).Incarnation), Version: version, Value: value}})
-				t.Confirm(version)
+				t.Confirm(version, time.Now())
 			}
 			b.ReportMetric(float64(len(value)), "B/lease")
 		})
--- a/internal/cluster/tracker.go
+++ b/internal/cluster/tracker.go
@@ -207,7 +207,7 @@
 }
 
 // Confirm implements watch.Handler.
-func (t *Tracker) Confirm(version uint64) {
+func (t *Tracker) Confirm(version uint64, _ time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.healthy {
--- a/internal/config/view.go
+++ b/internal/config/view.go
@@ -185,7 +185,7 @@
 }
 
 // Confirm implements watch.Handler.
-func (s *Store) Confirm(version uint64) {
+func (s *Store) Confirm(version uint64, _ time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if version >= s.asOf || !guard.On(guard.Rising) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -26,6 +26,7 @@
 	"github.com/rookpass/rookpass/internal/ledger"
 	"github.com/rookpass/rookpass/internal/metrics"
 	"github.com/rookpass/rookpass/internal/objectapi"
+	"github.com/rookpass/rookpass/internal/policy"
 	"github.com/rookpass/rookpass/internal/turn"
 	"github.com/rookpass/rookpass/internal/upstream"
 	"github.com/rookpass/rookpass/internal/verdict"
@@ -172,7 +173,7 @@
 	}
 	r.entries = catalog.NewServersHandler(r.catalog, "s/", func(o objectapi.Object) (catalog.Server, error) {
 		return catalog.Server{ID: o.Key[2:], Service: "svc", Address: string(o.Value), Slots: 4}, nil
-	}, log)
+	}, policy.NewLapse(time.Second), log)
 	r.entries.Reset(r.objects, 1)
 	r.configure(log)
 	dial := (&net.Dialer{}).DialContext
--- a/internal/ledger/cluster_test.go
+++ b/internal/ledger/cluster_test.go
@@ -195,7 +195,7 @@
 	}
 }
 func (o observer) Change(event objectapi.Event) { o.controller.Observe(event.Object) }
-func (o observer) Confirm(uint64)               {}
+func (o observer) Confirm(uint64, time.Time)    {}
 func (o observer) Lost()                        {}
 
 // retirements implements replica.Retirements by the cluster's maps.
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -99,10 +99,10 @@
 }
 
 // Confirm implements watch.Handler.
-func (m *Mirror) Confirm(version uint64) {
+func (m *Mirror) Confirm(version uint64, at time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.confirmed = time.Now()
+	m.confirmed = at
 	m.advance(version)
 }
 
@@ -142,14 +142,14 @@
 	m.changed = make(chan struct{})
 }
 
-// Fresh returns nil while the copy may be told as certain, else ErrUnavailable.
-func (m *Mirror) Fresh() error {
+// Age returns how long ago the API confirmed the copy while it may be told as certain, else ErrUnavailable.
+func (m *Mirror) Age() (time.Duration, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.fresh() {
-		return objectapi.ErrUnavailable
+		return 0, objectapi.ErrUnavailable
 	}
-	return nil
+	return time.Since(m.confirmed), nil
 }
 
 // Stale returns the copy as it was when the API answered last, and whether there is one.
@@ -205,7 +205,7 @@
 	if after < m.trimmed {
 		return objectapi.Batch{}, nil, objectapi.ErrGone
 	}
-	batch := objectapi.Batch{Version: max(after, m.version)}
+	batch := objectapi.Batch{Version: max(after, m.version), Age: time.Since(m.confirmed)}
 	for _, p := range m.events {
 		if p.version > after {
 			batch.Events = append(batch.Events, p.event)
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -20,7 +20,8 @@
 // list returns a mirror's copy while it may be told as certain.
 func list(m *mirror.Mirror) (objectapi.Snapshot, error) {
 	snapshot, _ := m.Stale()
-	return snapshot, m.Fresh()
+	_, err := m.Age()
+	return snapshot, err
 }
 
 func TestNothingIsToldWhileStale(t *testing.T) {
@@ -28,7 +29,7 @@
 	_, err := list(m)
 	assert.ErrorIs(t, err, objectapi.ErrUnavailable)
 	m.Reset([]objectapi.Object{object("a", 3)}, 5)
-	m.Confirm(5)
+	m.Confirm(5, time.Now())
 	snapshot, err := list(m)
 	assert.NilError(t, err)
 	assert.Equal(t, snapshot.Version, uint64(5))
@@ -42,7 +43,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		m := mirror.New("k/", 2*time.Second)
 		m.Reset([]objectapi.Object{object("a", 3)}, 5)
-		m.Confirm(5)
+		m.Confirm(5, time.Now())
 		time.Sleep(1500 * time.Millisecond)
 		_, err := list(m)
 		assert.NilError(t, err)
@@ -53,7 +54,7 @@
 		snapshot, known := m.Stale()
 		assert.Assert(t, known)
 		assert.Equal(t, snapshot.Version, uint64(5))
-		m.Confirm(6)
+		m.Confirm(6, time.Now())
 		_, err = list(m)
 		assert.NilError(t, err)
 	})
@@ -63,9 +64,9 @@
 func TestDeletionsAreSeenOnce(t *testing.T) {
 	m := mirror.New("k/", time.Hour)
 	m.Reset([]objectapi.Object{object("a", 3)}, 5)
-	m.Confirm(5)
+	m.Confirm(5, time.Now())
 	m.Change(objectapi.Event{Object: object("a", 3), Deleted: true})
-	m.Confirm(8)
+	m.Confirm(8, time.Now())
 	batch, err := m.Wait(context.Background(), 5, 0)
 	assert.NilError(t, err)
 	assert.Equal(t, len(batch.Events), 1)
@@ -79,7 +80,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		m := mirror.New("k/", time.Hour)
 		m.Reset(nil, 5)
-		m.Confirm(5)
+		m.Confirm(5, time.Now())
 		_, err := m.Wait(context.Background(), 4, 0)
 		assert.ErrorIs(t, err, objectapi.ErrGone)
 		done := make(chan objectapi.Batch, 1)
@@ -89,7 +90,7 @@
 		}()
 		time.Sleep(time.Second)
 		m.Change(objectapi.Event{Object: object("a", 7)})
-		m.Confirm(7)
+		m.Confirm(7, time.Now())
 		assert.Equal(t, len((<-done).Events), 1)
 		began := time.Now()
 		batch, err := m.Wait(context.Background(), 7, time.Second)
@@ -104,9 +105,9 @@
 func TestReaderAheadNeverGoesBack(t *testing.T) {
 	m := mirror.New("k/", time.Hour)
 	m.Reset(nil, 5)
-	m.Confirm(5)
+	m.Confirm(5, time.Now())
 	m.Change(objectapi.Event{Object: object("a", 7)})
-	m.Confirm(7)
+	m.Confirm(7, time.Now())
 	batch, err := m.Wait(context.Background(), 9, 0)
 	assert.NilError(t, err)
 	assert.Equal(t, len(batch.Events), 0)
@@ -116,10 +117,10 @@
 func TestHistoryIsBounded(t *testing.T) {
 	m := mirror.New("k/", time.Hour)
 	m.Reset(nil, 1)
-	m.Confirm(1)
+	m.Confirm(1, time.Now())
 	for v := uint64(2); v < 5000; v++ {
 		m.Change(objectapi.Event{Object: object(fmt.Sprint(v%7), v)})
-		m.Confirm(v)
+		m.Confirm(v, time.Now())
 	}
 	_, err := m.Wait(context.Background(), 1, 0)
 	assert.ErrorIs(t, err, objectapi.ErrGone)
@@ -132,9 +133,9 @@
 func TestListAfterLostHistoryIsToldAsChanges(t *testing.T) {
 	m := mirror.New("k/", time.Hour)
 	m.Reset([]objectapi.Object{object("same", 1), object("changed", 2), object("gone", 3)}, 5)
-	m.Confirm(5)
+	m.Confirm(5, time.Now())
 	m.Reset([]objectapi.Object{object("same", 1), object("changed", 8), object("new", 7)}, 9)
-	m.Confirm(9)
+	m.Confirm(9, time.Now())
 	batch, err := m.Wait(context.Background(), 5, 0)
 	assert.NilError(t, err)
 	assert.Equal(t, batch.Version, uint64(9))
@@ -158,7 +159,7 @@
 		objects = append(objects, o)
 	}
 	m.Reset(objects, 4000)
-	m.Confirm(4000)
+	m.Confirm(4000, time.Now())
 	var first, again mirror.ListReply
 	service := mirror.NewService(m)
 	assert.NilError(t, service.List(&mirror.ListArgs{Prefix: "k/"}, &first))
@@ -169,7 +170,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(snapshot.Objects), 3000)
 	m.Change(objectapi.Event{Object: object("server-1", 4001)})
-	m.Confirm(4001)
+	m.Confirm(4001, time.Now())
 	assert.NilError(t, service.List(&mirror.ListArgs{Prefix: "k/"}, &again))
 	snapshot, err = mirror.Unpack(again.Packed)
 	assert.NilError(t, err)
--- a/internal/mirror/rpc.go
+++ b/internal/mirror/rpc.go
@@ -57,6 +57,8 @@
 type ListReply struct {
 	Outcome outcome
 	Packed  []byte
+	// Age is how long ago the API confirmed the copy; it means nothing where the copy is an old one.
+	Age time.Duration
 }
 
 // WaitArgs ask for the changes after a version.
@@ -91,8 +93,9 @@
 		reply.Outcome = outcomeUnavailable
 		return nil
 	}
-	reply.Outcome = outcomeOf(m.Fresh())
 	var err error
+	reply.Age, err = m.Age()
+	reply.Outcome = outcomeOf(err)
 	reply.Packed, err = m.Packed()
 	return err
 }
@@ -125,7 +128,9 @@
 	if err != nil {
 		return objectapi.Snapshot{}, err
 	}
-	return Unpack(reply.Packed)
+	snapshot, err := Unpack(reply.Packed)
+	snapshot.Age = reply.Age
+	return snapshot, err
 }
 
 // Stale returns the copy of a prefix though it may be an old one; ErrUnavailable means that there is none.
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -179,7 +179,7 @@
 	})
 	for _, h := range []watch.Handler{
 		catalog.NewConfigHandler(f.catalog, platform.ConfigPrefix, platform.DecodeConfig, f.log),
-		catalog.NewServersHandler(f.catalog, platform.ServersPrefix, platform.DecodeServer, f.log),
+		catalog.NewServersHandler(f.catalog, platform.ServersPrefix, platform.DecodeServer, policy.NewLapse(f.settings.Heartbeat), f.log),
 	} {
 		group.Go(func() error {
 			f.awaitLayout(ctx)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -154,8 +154,8 @@
 	}
 }
 
-func (h *handler) Confirm(uint64) {}
-func (h *handler) Lost()          {}
+func (h *handler) Confirm(uint64, time.Time) {}
+func (h *handler) Lost()                     {}
 
 // ignoreEnd drops the error of a controller that ended because its context did.
 func ignoreEnd(err error) error {
--- a/internal/node/outage_test.go
+++ b/internal/node/outage_test.go
@@ -118,3 +118,57 @@
 		assert.Assert(t, time.Since(began) <= time.Second, "ready after %v", time.Since(began))
 	})
 }
+
+// TestLapsedServersStayInUse: the entries of all servers lapse at the end of an outage, since servers can't renew them; those
+// that live are back 1.8 s after the store's return. Nobody may be refused for want of a server, however long the daemons
+// took to notice the outage; a server that is not back gets nothing from then on.
+func TestLapsedServersStayInUse(t *testing.T) {
+	for how, fault := range outages {
+		for _, begin := range []time.Duration{0, 500 * time.Millisecond, time.Second, 1500 * time.Millisecond} {
+			length := shortestLapse + begin // some are short, one is long
+			if begin == 0 {
+				length = 8 * time.Second
+			}
+			t.Run(strings.ReplaceAll(fmt.Sprintf("%s/%v", how, length), " ", "-"), func(t *testing.T) {
+				t.Parallel()
+				testbubble.Run(t, func(t *testing.T) {
+					w := newWorld(t)
+					stop := make(chan struct{})
+					var work sync.WaitGroup
+					work.Go(func() { w.ask(workload.Lookups, stop) })
+					time.Sleep(begin)
+					w.outage(fault, func(w *world) {
+						time.Sleep(length*2/3 - 100*time.Millisecond)
+						for _, s := range w.servers {
+							w.platform.RemoveServer(s.Entry().ID)
+						}
+					}, length)
+					returned := time.Now()
+					gone := len(w.servers) - 1
+					time.Sleep(goneAfter - newsBound)
+					w.checker.Leaving(w.servers[gone].Entry().ID) // it is watched from newsBound later on
+					time.Sleep(time.Until(returned.Add(renewal)))
+					for _, s := range w.servers[:gone] {
+						w.platform.SetServer(s.Entry())
+					}
+					time.Sleep(4 * time.Second)
+					close(stop)
+					work.Wait()
+					broken := w.checker.Broken()
+					assert.Equal(t, len(broken), 0, strings.Join(broken, "\n"))
+					assert.Equal(t, w.checker.Counts["status 503"], 0, "%v", w.checker.Counts)
+				})
+			})
+		}
+	}
+}
+
+const (
+	// shortestLapse is the shortest outage in which entries lapse: three heartbeats of 1.2 s without one, of which the
+	// first may have come just before the outage.
+	shortestLapse = 2400 * time.Millisecond
+	// renewal is how long after the store's return a living server renews its entry at the latest.
+	renewal = 2 * time.Second
+	// goneAfter is from when on a server whose entry is not back may get no requests.
+	goneAfter = 2800 * time.Millisecond
+)
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -131,9 +131,9 @@
 	h.second.Change(event)
 }
 
-func (h both) Confirm(version uint64) {
-	h.first.Confirm(version)
-	h.second.Confirm(version)
+func (h both) Confirm(version uint64, at time.Time) {
+	h.first.Confirm(version, at)
+	h.second.Confirm(version, at)
 }
 
 func (h both) Lost() {
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -130,7 +130,7 @@
 	settings := platform.Settings{
 		Node: m.name, IP: m.ip, DataCentre: m.dataCentre, FirstStart: first, Seeds: w.seeds[:3],
 		FirstPort: 7380, MemoryBytes: 16 << 30, MaxDescriptors: 4096, DisksLostAtOnce: 1,
-		StoreAddress: storeAddress, StopGrace: 8 * time.Second,
+		StoreAddress: storeAddress, StopGrace: 8 * time.Second, Heartbeat: 1200 * time.Millisecond,
 	}
 	if m.role == "front" {
 		settings.CallerAddress, settings.ReadyAddress = m.callers(), m.ip+":8141"
--- a/internal/objectapi/objectapi.go
+++ b/internal/objectapi/objectapi.go
@@ -53,12 +53,16 @@
 	Version uint64   `json:"version"`
 	// Stale tells that the API could not be read, and that this is what was known of it last.
 	Stale bool `json:"stale,omitempty"`
+	// Age is how long ago the API said so; 0 where the API itself is asked.
+	Age time.Duration `json:"-"`
 }
 
 // Batch is the result of one wait of a watch: the events after the asked version, up to Version.
 type Batch struct {
 	Events  []Event `json:"events"`
 	Version uint64  `json:"version"`
+	// Age is how long ago the API said that there is no more; 0 where the API itself is asked.
+	Age time.Duration `json:"-"`
 }
 
 // API is the object API as the rest of rookpass uses it. Implementations are safe for concurrent use.
--- /dev/null
+++ b/internal/policy/lapse.go
@@ -0,0 +1,35 @@
+package policy
+
+import "time"
+
+// Lapse tells how entries behave that their owners renew, and that a store drops where they don't.
+type Lapse struct {
+	// After is the shortest outage of the store in which the entry of a live owner can lapse.
+	After time.Duration
+	// Renewal is within which of the store's return a live owner has renewed its entry, and word of it is here.
+	Renewal time.Duration
+}
+
+const (
+	// lapseBeats is how many heartbeats without a renewal an outage has at least where an entry lapses: three are missed,
+	// and the last one that came may be one older than the outage. Owners beat roughly, so a tenth less.
+	lapseBeats = 1.8
+	// renewalTime is how soon after an outage live owners are back, 2 s, and the time that word of it takes, 0.2 s.
+	renewalTime = 2200 * time.Millisecond
+)
+
+// NewLapse returns what holds for owners that renew their entries every heartbeat.
+func NewLapse(heartbeat time.Duration) Lapse {
+	return Lapse{After: time.Duration(lapseBeats * float64(heartbeat)), Renewal: renewalTime}
+}
+
+// HeldUntil returns until when missing entries count as those of live owners, where the store's word of last is
+// followed by that of again; the zero time where too little time has passed for entries to lapse. It goes by the age
+// of what is known, not by the time for which the store was noticed to be away: one that is silent is noticed up to
+// 2.4 s late, and then the entries of all servers lapsed in an outage of 2.9 s that counted as one of 0.5 s.
+func (l Lapse) HeldUntil(last, again time.Time) time.Time {
+	if again.Sub(last) < l.After {
+		return time.Time{}
+	}
+	return again.Add(l.Renewal)
+}
--- /dev/null
+++ b/internal/policy/lapse_test.go
@@ -0,0 +1,33 @@
+package policy_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/rookpass/rookpass/internal/policy"
+)
+
+// TestHeldUntil: entries are held after outages in which they can lapse, from the store's own first word on.
+func TestHeldUntil(t *testing.T) {
+	lapse := policy.NewLapse(1200 * time.Millisecond)
+	now := time.Now()
+	for _, row := range []struct {
+		gap  time.Duration
+		held bool
+	}{
+		{500 * time.Millisecond, false},
+		{1800 * time.Millisecond, false}, // an idle watch
+		{2100 * time.Millisecond, false}, // an idle watch and a slow answer
+		{2200 * time.Millisecond, true},  // two heartbeats, roughly
+		{time.Hour, true},
+	} {
+		until := lapse.HeldUntil(now.Add(-row.gap), now)
+		assert.Equal(t, !until.IsZero(), row.held, "%v", row.gap)
+		if row.held {
+			assert.Equal(t, until.Sub(now), 2200*time.Millisecond)
+		}
+	}
+	assert.Assert(t, !lapse.HeldUntil(time.Time{}, now).IsZero(), "nothing certain was ever known")
+}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -23,9 +23,9 @@
 	Reset(objects []objectapi.Object, version uint64)
 	// Change applies one change.
 	Change(event objectapi.Event)
-	// Confirm tells that every change up to version has been seen. It is called after each answer of the
-	// API, also when nothing changed.
-	Confirm(version uint64)
+	// Confirm tells that every change up to version has been seen, as the API said at a time. It is called after each
+	// answer, also when nothing changed.
+	Confirm(version uint64, at time.Time)
 	// Lost tells that the API stopped answering; the next call is Confirm or Reset.
 	Lost()
 }
@@ -55,9 +55,9 @@
 	waitTime time.Duration
 	version  uint64
 	calls    atomic.Int64
-	// answered is when the API answered last, in nanoseconds of Unix time; 0 before the first answer.
-	answered atomic.Int64
-	log      logrus.FieldLogger
+	// confirmed is when the API said last that nothing else had changed, in nanoseconds of Unix time; 0 before that.
+	confirmed atomic.Int64
+	log       logrus.FieldLogger
 	// listed tells that the handlers have a list to which changes can be applied.
 	listed bool
 	// lostAt is when the source failed first; zero while it answers.
@@ -88,14 +88,14 @@
 	return w
 }
 
-// Age returns how long ago the API answered last, or a negative time before its first answer. An idle watch is up to
-// its wait old.
+// Age returns how long ago the API last confirmed what the handlers know, or a negative time before the first time. An
+// idle watch is up to its wait old, and as much older as what it reads through.
 func (w *Watcher) Age() time.Duration {
-	answered := w.answered.Load()
-	if answered == 0 {
+	confirmed := w.confirmed.Load()
+	if confirmed == 0 {
 		return -1
 	}
-	return time.Since(time.Unix(0, answered))
+	return time.Since(time.Unix(0, confirmed))
 }
 
 // Calls returns how many calls to the API the watcher has made.
@@ -165,7 +165,6 @@
 
 // noteAnswer logs the end of an outage; callBegan is when the answered call was sent.
 func (w *Watcher) noteAnswer(callBegan time.Time) {
-	w.answered.Store(time.Now().UnixNano())
 	if w.lostAt.IsZero() {
 		return
 	}
@@ -200,7 +199,7 @@
 	for i, handler := range w.handlers {
 		handler.Reset(snapshots[i].Objects, snapshots[i].Version)
 		if !snapshots[i].Stale {
-			handler.Confirm(snapshots[i].Version)
+			w.confirm(handler, snapshots[i].Version, snapshots[i].Age)
 		}
 		oldest, stale = min(oldest, snapshots[i].Version), stale || snapshots[i].Stale
 	}
@@ -223,18 +222,25 @@
 		return err
 	}
 	for _, handler := range w.handlers {
-		deliver(handler, batch)
+		w.deliver(handler, batch)
 	}
 	w.version = batch.Version
 	return nil
 }
 
-func deliver(handler Handler, batch objectapi.Batch) {
+func (w *Watcher) deliver(handler Handler, batch objectapi.Batch) {
 	prefix := handler.Prefix()
 	for _, event := range batch.Events {
 		if len(event.Key) >= len(prefix) && event.Key[:len(prefix)] == prefix {
 			handler.Change(event)
 		}
 	}
-	handler.Confirm(batch.Version)
+	w.confirm(handler, batch.Version, batch.Age)
+}
+
+// confirm tells a handler, and those who ask for the watch's age, how old the API's word is.
+func (w *Watcher) confirm(handler Handler, version uint64, age time.Duration) {
+	at := time.Now().Add(-age)
+	w.confirmed.Store(at.UnixNano())
+	handler.Confirm(version, at)
 }
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -23,6 +23,7 @@
 	prefix  string // "a/" where empty
 	objects map[string]uint64
 	version uint64
+	at      time.Time
 	lost    int
 }
 
@@ -43,8 +44,8 @@
 	c.objects[event.Key] = event.Version
 }
 
-func (c *copied) Confirm(version uint64) { c.version = version }
-func (c *copied) Lost()                  { c.lost++ }
+func (c *copied) Confirm(version uint64, at time.Time) { c.version, c.at = version, at }
+func (c *copied) Lost()                                { c.lost++ }
 
 func TestWatchCatchesUp(t *testing.T) {
 	for _, row := range []struct {
