--- a/deploy/days/draw/main.go
+++ b/deploy/days/draw/main.go
@@ -96,6 +96,8 @@
 	`{ kind = "kill_all", down_s = 1.0, how = "timed" }`,
 	`{ kind = "wipe_after_ack", down_s = 1.0, how = "all oldest" }`,
 	`{ kind = "wipe_after_ack", down_s = 1.0, how = "" }`,
+	`{ kind = "wipe_after_ack", down_s = 1.0, how = "all" }`,
+	`{ kind = "wipe_after_ack", down_s = 1.5, how = "all taken" }`,
 }
 
 func main() {
@@ -126,10 +128,16 @@
 		b.WriteString(entry(random, kinds, opts.Seconds))
 	}
 	b.WriteString("]\n")
-	if closing := closings[random.IntN(len(closings))]; closing != "" {
-		fmt.Fprintf(&b, "closing = %s\n", closing)
+	return b.String() + closing(random)
+}
+
+// closing draws a day's end.
+func closing(random *rand.Rand) string {
+	end := closings[random.IntN(len(closings))]
+	if end == "" {
+		return ""
 	}
-	return b.String()
+	return fmt.Sprintf("closing = %s\n", end)
 }
 
 // entry draws one trouble.
--- a/deploy/days/draw/outages.go
+++ b/deploy/days/draw/outages.go
@@ -46,8 +46,11 @@
 		at += length
 		plans = append(plans, fmt.Sprintf(`at = %.1f, kind = "scale_in", share = 0.06`, at+0.1+3*random.Float64()))
 	}
-	return fmt.Sprintf("[[day]]\nname = \"outages-%d\"\nseed = %d\nplan = [\n%s]\nfaults = [\n%s]\n",
+	day := fmt.Sprintf("[[day]]\nname = \"outages-%d\"\nseed = %d\nplan = [\n%s]\nfaults = [\n%s]\n",
 		opts.Seed, opts.Seed, entries(plans), entries(faults))
+	// Drawn apart, so that a seed's outages stay the same whatever ends there are.
+	ends := rand.New(rand.NewPCG(opts.Seed, 2))
+	return day + closing(ends)
 }
 
 func entries(bodies []string) string {
