The first answer after an outage is taken over, not asked for again

Cause: the link threw away what a source said to its question, and each watcher asked once more: a round trip later for the watcher whose question it was, and a call. Change: a question carries its watcher's prefixes and keeps its answer for it.

--- a/internal/watch/link.go
+++ b/internal/watch/link.go
@@ -36,15 +36,23 @@
 
 	mu sync.Mutex
 	// lost are the questions of the watchers that wait for the source, the next to be asked first.
-	lost []question
+	lost []*question
 	// returned is closed, and replaced, when a source that was lost answers.
 	returned chan struct{}
 }
 
-// question asks a source for the changes of a prefix after a version.
+// question asks a source for the changes of some prefixes after a version.
 type question struct {
-	prefix  string
-	version uint64
+	prefixes []string
+	version  uint64
+	// answer holds the first answer, until its watcher takes it.
+	answer chan answer
+}
+
+// answer is what a source said to a question: changes, or that its history is gone.
+type answer struct {
+	batch objectapi.Batch
+	err   error
 }
 
 // NewLink returns the link of a source that counts as answering.
@@ -72,23 +80,30 @@
 	return ctx, func() { cancel(nil) }
 }
 
-// await returns when the source answers again, or ctx ends. It waits for pause at least.
-func (l *Link) await(ctx context.Context, prefix string, version uint64, pause time.Duration) {
-	if wait.For(ctx, pause) != nil {
-		return
+// await returns when the source answers again, or ctx ends. It waits for pause at least. The error is errReturned where
+// another watcher's question was answered.
+func (l *Link) await(ctx context.Context, prefixes []string, version uint64, pause time.Duration) (objectapi.Batch, error) {
+	if err := wait.For(ctx, pause); err != nil {
+		return objectapi.Batch{}, err
 	}
+	q := &question{prefixes, version, make(chan answer, 1)}
 	l.mu.Lock()
-	l.lost = append(l.lost, question{prefix, version})
+	l.lost = append(l.lost, q)
 	first, returned := len(l.lost) == 1, l.returned
 	l.mu.Unlock()
 	if first {
 		l.probe(ctx)
-		return
 	}
 	select {
 	case <-returned:
 	case <-ctx.Done():
 	}
+	select {
+	case a := <-q.answer:
+		return a.batch, a.err
+	default:
+		return objectapi.Batch{}, errReturned
+	}
 }
 
 // probe asks again and again, and tells every watcher when there is an answer, or when ctx ends.
@@ -113,21 +128,25 @@
 }
 
 // ask puts one question. That the history is gone is an answer too.
-func (l *Link) ask(ctx context.Context, q question, answered chan<- struct{}) {
+func (l *Link) ask(ctx context.Context, q *question, answered chan<- struct{}) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	_, err := l.source.Wait(ctx, []string{q.prefix}, q.version, 0)
+	batch, err := l.source.Wait(ctx, q.prefixes, q.version, 0)
 	if err != nil && !errors.Is(err, objectapi.ErrGone) {
 		return // the watchers that wait have logged the loss
 	}
 	select {
+	case q.answer <- answer{batch, err}:
+	default: // it was answered before
+	}
+	select {
 	case answered <- struct{}{}:
 	default: // another question was answered first
 	}
 }
 
 // next returns the question whose turn it is.
-func (l *Link) next() question {
+func (l *Link) next() *question {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	q := l.lost[0]
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -109,6 +109,9 @@
 		began := time.Now()
 		err := w.step(ctx, limit)
 		limit = w.waitTime
+		if err != nil && ctx.Err() == nil && !errors.Is(err, objectapi.ErrGone) && !errors.Is(err, errReturned) {
+			began, err = w.regain(ctx, err, pauses.NextBackOff())
+		}
 		switch {
 		case err == nil:
 			pauses.Reset()
@@ -117,17 +120,27 @@
 		case ctx.Err() != nil: // the watch ends; its source has not failed
 		case errors.Is(err, objectapi.ErrGone):
 			w.listed = false
-		case errors.Is(err, errReturned):
-			limit = 0
-		default:
-			w.fail(err)
-			w.link.await(ctx, w.handlers[0].Prefix(), w.version, pauses.NextBackOff())
+		default: // the source is back: what there is now comes first
 			limit = 0
 		}
 	}
 	return ctx.Err()
 }
 
+// regain notes that the source does not answer, waits until it does, and takes over what it says then. It returns when
+// that was, and an error where the watch must ask for itself.
+func (w *Watcher) regain(ctx context.Context, lost error, pause time.Duration) (time.Time, error) {
+	w.fail(lost)
+	batch, err := w.link.await(ctx, w.prefixes(), w.version, pause)
+	if err == nil && !w.listed {
+		err = errReturned
+	}
+	if err == nil {
+		w.take(batch)
+	}
+	return time.Now(), err
+}
+
 // step makes one call, or one for each list. It ends with errReturned where the source was lost and is back
 // meanwhile: a call from before then may never be answered.
 func (w *Watcher) step(ctx context.Context, limit time.Duration) error {
@@ -221,11 +234,16 @@
 	if err != nil {
 		return err
 	}
+	w.take(batch)
+	return nil
+}
+
+// take hands changes on.
+func (w *Watcher) take(batch objectapi.Batch) {
 	for _, handler := range w.handlers {
 		w.deliver(handler, batch)
 	}
 	w.version = batch.Version
-	return nil
 }
 
 func (w *Watcher) deliver(handler Handler, batch objectapi.Batch) {
