A prefix that can't be listed costs the other watchers of its link little

Cause: found by reading: each time such a prefix fails, the next question is answered at once, and that return ended the calls of all watchers: some ten calls a second of each. Change: calls of watchers that had lost nothing are ended at most once a second.

--- a/internal/watch/link.go
+++ b/internal/watch/link.go
@@ -25,6 +25,10 @@
 // not hold up the notice of its return, and a slow one, with 0.4 s an answer, must not pass for a silent one.
 const probeTimeout = time.Second
 
+// endPause is the least time between two returns that end the calls of watchers that had lost nothing: a prefix whose lists
+// fail again and again must not cost each of the others more than two calls a second (206 in 20 s without it).
+const endPause = time.Second
+
 // errReturned ends calls that were sent before their source was back.
 var errReturned = errors.New("the source is back")
 
@@ -37,8 +41,9 @@
 	mu sync.Mutex
 	// lost are the questions of the watchers that wait for the source, the next to be asked first.
 	lost []*question
-	// returned is closed, and replaced, when a source that was lost answers.
-	returned chan struct{}
+	// returned is closed, and replaced, when a source that was lost answers; callsEnd too, but not twice within endPause.
+	returned, callsEnd chan struct{}
+	callsEnded         time.Time
 }
 
 // question asks a source for the changes of some prefixes after a version.
@@ -56,7 +61,9 @@
 }
 
 // NewLink returns the link of a source that counts as answering.
-func NewLink(source Source) *Link { return &Link{source: source, returned: make(chan struct{})} }
+func NewLink(source Source) *Link {
+	return &Link{source: source, returned: make(chan struct{}), callsEnd: make(chan struct{})}
+}
 
 func newPauses() *backoff.ExponentialBackOff {
 	pauses := backoff.NewExponentialBackOff()
@@ -67,12 +74,12 @@
 // cancelAtReturn returns a context that ends with errReturned when the source is back after having been lost.
 func (l *Link) cancelAtReturn(parent context.Context) (context.Context, context.CancelFunc) {
 	l.mu.Lock()
-	returned := l.returned
+	callsEnd := l.callsEnd
 	l.mu.Unlock()
 	ctx, cancel := context.WithCancelCause(parent)
 	go func() {
 		select {
-		case <-returned:
+		case <-callsEnd:
 			cancel(errReturned)
 		case <-ctx.Done():
 		}
@@ -160,4 +167,10 @@
 	l.lost = nil
 	close(l.returned)
 	l.returned = make(chan struct{})
+	if time.Since(l.callsEnded) < endPause {
+		return
+	}
+	l.callsEnded = time.Now()
+	close(l.callsEnd)
+	l.callsEnd = make(chan struct{})
 }
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -64,8 +64,9 @@
 	lostAt time.Time
 }
 
-// New returns a watcher of the handlers' prefixes over a link, which it may share with others. pace is the least time between two calls to the API: the
-// first change after a quiet time is seen at once, while a stream of changes costs one call for each pace.
+// New returns a watcher of the handlers' prefixes over a link, which it may share with others. pace is the least time
+// between two calls to the API: the first change after a quiet time is seen at once, while a stream of changes costs
+// one call for each pace.
 func New(link *Link, pace time.Duration, handlers ...Handler) *Watcher {
 	return &Watcher{link: link, pace: pace, waitTime: waitTime, handlers: handlers, log: discard()}
 }
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -162,7 +162,8 @@
 // swallowed is a source that never answers calls that were under way in a time of silence.
 type swallowed struct {
 	*apitest.API
-	broken   string // lists and watches of this prefix fail
+	broken   string // lists of this prefix fail, and watches if mute
+	mute     bool
 	waits    atomic.Int64
 	silent   atomic.Bool
 	silences atomic.Int64
@@ -182,7 +183,7 @@
 
 func (s *swallowed) Wait(ctx context.Context, prefixes []string, after uint64, wait time.Duration) (objectapi.Batch, error) {
 	s.waits.Add(1)
-	if prefixes[0] == s.broken {
+	if s.mute && prefixes[0] == s.broken {
 		return objectapi.Batch{}, objectapi.ErrUnavailable
 	}
 	silences, silent := s.silences.Load(), s.silent.Load()
@@ -235,15 +236,23 @@
 	})
 }
 
-// TestBrokenPrefixHoldsNobodyUp: one prefix can't be read at all; the others' outages end all the same.
+// TestBrokenPrefixHoldsNobodyUp: one prefix can't be listed at all; the others' outages end all the same, and they pay
+// little for it.
 func TestBrokenPrefixHoldsNobodyUp(t *testing.T) {
+	for _, mute := range []bool{false, true} {
+		t.Run(fmt.Sprint("watches fail too: ", mute), func(t *testing.T) { playBrokenPrefix(t, mute) })
+	}
+}
+
+func playBrokenPrefix(t *testing.T, mute bool) {
 	testbubble.Run(t, func(t *testing.T) {
 		store := memapi.New()
-		api := &swallowed{API: apitest.New(store), broken: "b/"}
+		api := &swallowed{API: apitest.New(store), broken: "b/", mute: mute}
 		link := watch.NewLink(api)
 		c := &copied{}
+		healthy := watch.New(link, 0, c)
 		defer run(t, watch.New(link, 0, &copied{prefix: "b/"}))()
-		defer run(t, watch.New(link, 0, c))()
+		defer run(t, healthy)()
 		<-time.After(time.Second)
 		api.Set(apitest.Down)
 		<-time.After(10 * time.Second)
@@ -252,6 +261,10 @@
 		api.Set(apitest.None)
 		<-time.After(800 * time.Millisecond)
 		assert.Equal(t, len(c.objects), 1)
+		before := healthy.Calls()
+		<-time.After(20 * time.Second)
+		calls := healthy.Calls() - before
+		assert.Assert(t, calls <= 45, "%d calls in 20 s", calls)
 	})
 }
 
