A request that was given up is not sent when its connection is there at last

Cause: giving a request up left the goroutine that connects; once the connection was there the request went out, however late. Change: requests that must not be repeated are sent over their own connection by a few lines here, which look whether the caller has left in between. Test: TestGivenUpRequestIsNotSent, red before.

--- a/internal/httpclient/httpclient.go
+++ b/internal/httpclient/httpclient.go
@@ -3,6 +3,7 @@
 package httpclient
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -74,10 +75,10 @@
 // Client sends HTTP requests to one address. It never sends a request twice by itself.
 type Client struct {
 	addr string
-	// pooled keeps connections; fresh opens one a request, for requests that must not be repeated: a kept
-	// connection that the server has closed meanwhile could not tell "not run" from "may have run".
+	dial DialFunc
+	// pooled keeps connections. Requests that must not be repeated get one each: a kept connection that the server has
+	// closed meanwhile could not tell "not run" from "may have run".
 	pooled *fasthttp.HostClient
-	fresh  *fasthttp.HostClient
 }
 
 // New returns a client of one address. idle bounds the time without any byte from it.
@@ -91,20 +92,18 @@
 		watched.timer = time.AfterFunc(idle, func() { _ = conn.Close() })
 		return watched, nil
 	}
-	client := func() *fasthttp.HostClient {
-		return &fasthttp.HostClient{
-			Addr:                          addr,
-			Dial:                          connect,
-			MaxConns:                      maxConnections,
-			MaxIdleConnDuration:           idle,
-			MaxIdemponentCallAttempts:     1,
-			RetryIfErr:                    func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-			NoDefaultUserAgentHeader:      true,
-			DisableHeaderNamesNormalizing: false,
-			StreamResponseBody:            true,
-		}
+	pooled := &fasthttp.HostClient{
+		Addr:                          addr,
+		Dial:                          connect,
+		MaxConns:                      maxConnections,
+		MaxIdleConnDuration:           idle,
+		MaxIdemponentCallAttempts:     1,
+		RetryIfErr:                    func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		NoDefaultUserAgentHeader:      true,
+		DisableHeaderNamesNormalizing: false,
+		StreamResponseBody:            true,
 	}
-	return &Client{addr: addr, pooled: client(), fresh: client()}
+	return &Client{addr: addr, dial: connect, pooled: pooled}
 }
 
 // Addr returns the address.
@@ -113,7 +112,6 @@
 // Close ends the kept connections that carry no request.
 func (c *Client) Close() {
 	c.pooled.CloseIdleConnections()
-	c.fresh.CloseIdleConnections()
 }
 
 // Request is one HTTP request.
@@ -147,15 +145,16 @@
 		req.Header.Set(name, value)
 	}
 	propagation.TraceContext{}.Inject(ctx, headerCarrier{&req.Header})
-	client := c.pooled
+	send, closeConn := func() error { return c.pooled.Do(req, resp) }, func() {}
 	if r.Once {
-		client = c.fresh
-		req.SetConnectionClose()
+		own := &ownConn{}
+		send, closeConn = func() error { return c.sendOnce(ctx, own, req, resp) }, own.close
 	}
 	result := make(chan error, 1)
-	go func() { result <- client.Do(req, resp) }()
+	go func() { result <- send() }()
 	release := sync.OnceFunc(func() {
 		_ = resp.CloseBodyStream()
+		closeConn()
 		fasthttp.ReleaseRequest(req)
 		fasthttp.ReleaseResponse(resp)
 	})
@@ -175,6 +174,39 @@
 	}
 }
 
+// ownConn is the connection of one request.
+type ownConn struct{ conn net.Conn }
+
+func (c *ownConn) close() {
+	if c.conn != nil {
+		_ = c.conn.Close()
+	}
+}
+
+// sendOnce sends a request over a connection of its own, which the release of the response closes. Where ctx ends while
+// the connection is being made nothing is sent: a VM that was frozen then must not run a call that was given up
+// meanwhile, behind calls that came after it.
+func (c *Client) sendOnce(ctx context.Context, own *ownConn, req *fasthttp.Request, resp *fasthttp.Response) error {
+	conn, err := c.dial(c.addr)
+	if err != nil {
+		return err
+	}
+	own.conn = conn
+	if ctx.Err() != nil {
+		return &dialError{err: context.Cause(ctx)}
+	}
+	req.SetConnectionClose()
+	writer := bufio.NewWriter(conn)
+	if err := req.Write(writer); err != nil {
+		return err
+	}
+	if err := writer.Flush(); err != nil {
+		return err
+	}
+	resp.StreamBody = true
+	return resp.Read(bufio.NewReader(conn))
+}
+
 func newResponse(resp *fasthttp.Response, release func()) *Response {
 	body := resp.BodyStream()
 	if body == nil {
