--- a/internal/node/outage_test.go
+++ b/internal/node/outage_test.go
@@ -57,17 +57,9 @@
 			for _, length := range []time.Duration{4 * time.Second, 8 * time.Second} {
 				t.Run(strings.ReplaceAll(fmt.Sprintf("%s/%s/%v", how, struck, length), " ", "-"), func(t *testing.T) {
 					t.Parallel()
-					testbubble.Run(t, func(t *testing.T) {
-						w := newWorld(t)
-						stop := make(chan struct{})
-						var work sync.WaitGroup
-						work.Go(func() { w.ask(workload.Lookups, stop) })
+					amidLookups(t, func(w *world) {
 						w.outage(fault, strike, length)
 						w.checkNews()
-						close(stop)
-						work.Wait()
-						broken := w.checker.Broken()
-						assert.Equal(t, len(broken), 0, strings.Join(broken, "\n"))
 					})
 				})
 			}
@@ -75,6 +67,21 @@
 	}
 }
 
+// amidLookups plays a course of events while callers look things up, and asks that no promise is broken.
+func amidLookups(t *testing.T, play func(w *world)) {
+	testbubble.Run(t, func(t *testing.T) {
+		w := newWorld(t)
+		stop := make(chan struct{})
+		var work sync.WaitGroup
+		work.Go(func() { w.ask(workload.Lookups, stop) })
+		play(w)
+		close(stop)
+		work.Wait()
+		broken := w.checker.Broken()
+		assert.Equal(t, len(broken), 0, strings.Join(broken, "\n"))
+	})
+}
+
 // outage takes the store away for a time, and strikes daemons in the middle of it.
 func (w *world) outage(fault func(http.ResponseWriter), strike func(*world), length time.Duration) {
 	began := time.Now()
@@ -131,11 +138,7 @@
 			}
 			t.Run(strings.ReplaceAll(fmt.Sprintf("%s/%v", how, length), " ", "-"), func(t *testing.T) {
 				t.Parallel()
-				testbubble.Run(t, func(t *testing.T) {
-					w := newWorld(t)
-					stop := make(chan struct{})
-					var work sync.WaitGroup
-					work.Go(func() { w.ask(workload.Lookups, stop) })
+				amidLookups(t, func(w *world) {
 					time.Sleep(begin)
 					w.outage(fault, func(w *world) {
 						time.Sleep(length*2/3 - 100*time.Millisecond)
@@ -143,19 +146,7 @@
 							w.platform.RemoveServer(s.Entry().ID)
 						}
 					}, length)
-					returned := time.Now()
-					gone := len(w.servers) - 1
-					time.Sleep(goneAfter - newsBound)
-					w.checker.Leaving(w.servers[gone].Entry().ID) // it is watched from newsBound later on
-					time.Sleep(time.Until(returned.Add(renewal)))
-					for _, s := range w.servers[:gone] {
-						w.platform.SetServer(s.Entry())
-					}
-					time.Sleep(4 * time.Second)
-					close(stop)
-					work.Wait()
-					broken := w.checker.Broken()
-					assert.Equal(t, len(broken), 0, strings.Join(broken, "\n"))
+					w.renewAllButOne()
 					assert.Equal(t, w.checker.Counts["status 503"], 0, "%v", w.checker.Counts)
 				})
 			})
@@ -163,6 +154,19 @@
 	}
 }
 
+// renewAllButOne brings the entries of all servers but the last back, and watches what that one still gets.
+func (w *world) renewAllButOne() {
+	returned := time.Now()
+	gone := len(w.servers) - 1
+	time.Sleep(goneAfter - newsBound)
+	w.checker.Leaving(w.servers[gone].Entry().ID) // it is watched from newsBound later on
+	time.Sleep(time.Until(returned.Add(renewal)))
+	for _, s := range w.servers[:gone] {
+		w.platform.SetServer(s.Entry())
+	}
+	time.Sleep(4 * time.Second)
+}
+
 const (
 	// shortestLapse is the shortest outage in which entries lapse: three heartbeats of 1.2 s without one, of which the
 	// first may have come just before the outage.
