A daemon that was frozen does not act on word from before its log was sealed

The owner froze while the intent of the call was written; another daemon sealed its log, closed the call as may have run and ran the next ones. At the thaw the word came that the intent is durable, two round trips later the call went out. Nothing compared the age of that word with the time in which peers take over. Ruled out: bytes that were under way at the freeze (they arrive at the thaw, not two round trips after it). Change: where more than 0.5 s have passed since a segment was first written, the writer looks whether the log has been sealed before it tells the segment durable. TestLateWordOfASealedLogIsNotActedOn is red without it.

--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -89,6 +89,55 @@
 	})
 }
 
+// frozen holds the answers of writes back until it is thawed.
+type frozen struct {
+	*memapi.API
+	thaw chan struct{}
+}
+
+func (f *frozen) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (objectapi.Object, error) {
+	object, err := f.API.Put(ctx, key, value, ifVersion)
+	<-f.thaw
+	return object, err
+}
+
+// TestLateWordOfASealedLogIsNotActedOn. What was seen: a tool call took effect 6 ms after its frozen owner had thawed,
+// behind a later call of the same program. Order: the owner froze while its intent was written; another daemon sealed its
+// log, closed the call and ran the next ones; at the thaw the word came that the intent is durable, and the call was
+// sent. Cause: that word was taken for news however old it was. The evidence is the tool's record of effects with their
+// times beside the time of the thaw.
+func TestLateWordOfASealedLogIsNotActedOn(t *testing.T) {
+	for name, row := range map[string]struct {
+		freeze time.Duration
+		sealed bool
+		want   error
+	}{
+		"sealed meanwhile":  {12 * time.Second, true, journal.ErrSealed},
+		"slow, not sealed":  {12 * time.Second, false, nil},
+		"sealed right away": {600 * time.Millisecond, true, journal.ErrSealed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			testbubble.Run(t, func(t *testing.T) {
+				api := &frozen{memapi.New(), make(chan struct{})}
+				w := start(t, api, journal.DefaultOptions())
+				time.AfterFunc(row.freeze, func() { close(api.thaw) })
+				time.AfterFunc(100*time.Millisecond, func() {
+					if row.sealed {
+						_, err := journal.Seal(context.Background(), api.API, "d.1", 0, "d.2", "test")
+						assert.Check(t, err)
+					}
+				})
+				applied := false
+				e := entry("intent")
+				e.Apply = func() { applied = true }
+				err := w.Commit(t.Context(), e)
+				assert.ErrorIs(t, err, row.want)
+				assert.Equal(t, applied, row.want == nil)
+			})
+		})
+	}
+}
+
 func TestSpillIsBounded(t *testing.T) {
 	testbubble.Run(t, func(t *testing.T) {
 		api := apitest.New(memapi.New())
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -18,7 +18,8 @@
 )
 
 var (
-	// ErrSealed means that another daemon ended this log: the records were not written and never will be.
+	// ErrSealed means that another daemon ended this log: the records were not written and never will be, or they were
+	// written before and the word of it came too late to act on them.
 	ErrSealed = errors.New("log sealed by another daemon")
 	// ErrFull means that too much waits to be written; nothing was taken.
 	ErrFull = errors.New("journal full")
@@ -30,6 +31,11 @@
 	maxRetryPause   = 2 * time.Second
 )
 
+// slowAnswer is how old the word that a segment is durable may be before it is asked whether the log has been sealed
+// since. A third of the time in which peers find a daemon dead and take over, 1.5 s. Without it a daemon that was
+// frozen while it wrote a tool call's intent ran that call when it thawed, behind the calls of its successor.
+const slowAnswer = 500 * time.Millisecond
+
 // Options bound a Writer.
 type Options struct {
 	// MaxPendingBytes is how much may wait while the object API is away (the spill). Bytes.
@@ -210,8 +216,12 @@
 	}
 	pauses := backoff.NewExponentialBackOff()
 	pauses.InitialInterval, pauses.MaxInterval = firstRetryPause, maxRetryPause
+	began := time.Now()
 	for {
 		done, err := w.tryWrite(ctx, number, stored)
+		if done {
+			done, err = w.confirmOpen(ctx, number+1, began)
+		}
 		if done || errors.Is(err, ErrSealed) {
 			w.stalled.Store(false)
 			return err
@@ -250,6 +260,36 @@
 	return true, nil
 }
 
+// confirmOpen returns true once it is certain that the log went on not long ago, where the last certain time is asked.
+// A seal takes the next segment's place.
+func (w *Writer) confirmOpen(ctx context.Context, next uint64, asked time.Time) (bool, error) {
+	for time.Since(asked) > slowAnswer {
+		asked = time.Now()
+		open, err := w.isOpen(ctx, next)
+		if !open {
+			return false, err
+		}
+	}
+	return true, nil
+}
+
+// isOpen tells whether nobody has sealed the log at its next segment.
+func (w *Writer) isOpen(ctx context.Context, next uint64) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, w.options.WriteTimeout)
+	defer cancel()
+	segment, err := readSegment(ctx, w.api, w.incarnation, next)
+	switch {
+	case errors.Is(err, objectapi.ErrNotFound):
+		return true, nil
+	case err != nil:
+		return false, err
+	case segment.Seal != nil:
+		return false, ErrSealed
+	default:
+		return false, Error.New("segment %d of %s was written by another daemon", next, w.incarnation)
+	}
+}
+
 // finish applies a durable batch and lets its waiters go.
 func (w *Writer) finish(batch []*Entry, err error) {
 	size := 0
