A list that its reader gave up is no failure of the store; lists have a time of their own

And lists had the time of a watch, 1 s on fronts: less than the pages of a large list take from a slow store. Change: as said; the age of a watch that was never confirmed is -1 s and not -1 ns. Test: feed.TestGivenUpListIsNoFailure, red before.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -105,6 +105,9 @@
 			return snapshot, nil
 		}
 		problems = append(problems, err)
+		if ctx.Err() != nil {
+			break // given up by its reader: no failure
+		}
 		f.noteFailure(chosen, err)
 		failed.Store(chosen.Name, true)
 		sources = slices.DeleteFunc(sources, func(s source) bool {
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -264,6 +264,22 @@
 	})
 }
 
+// TestGivenUpListIsNoFailure: the same for a daemon that has just started.
+func TestGivenUpListIsNoFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		direct, a := &source{silent: true, version: 5}, &source{err: objectapi.ErrUnavailable}
+		f := newFeed(direct, a)
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		defer cancel()
+		_, err := f.List(ctx, "k/")
+		assert.ErrorIs(t, err, objectapi.ErrUnavailable)
+		direct.silent = false
+		snapshot, err := f.List(context.Background(), "k/")
+		assert.NilError(t, err)
+		assert.Equal(t, snapshot.Version, uint64(5))
+	})
+}
+
 // TestFewMirrorsAreAskedWhileNobodyAnswers, and all of them in turn.
 func TestFewMirrorsAreAskedWhileNobodyAnswers(t *testing.T) {
 	direct := &source{err: objectapi.ErrUnavailable}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -44,6 +44,13 @@
 // connection that went silent is noticed only by this.
 const answerMargin = time.Second
 
+// listTimeout bounds the lists of all prefixes: 3,000 servers are six pages, of 0.4 s each while the platform is slow.
+// Sources bound a silent call themselves.
+const listTimeout = 5 * time.Second
+
+// neverConfirmed is the age of a watch that nobody has confirmed yet.
+const neverConfirmed = -time.Second
+
 // errStale means that a list holds what was known last: it is passed on, but the source is still away.
 var errStale = errors.New("only an old copy is known")
 
@@ -94,7 +101,7 @@
 func (w *Watcher) Age() time.Duration {
 	confirmed := w.confirmed.Load()
 	if confirmed == 0 {
-		return -1
+		return neverConfirmed
 	}
 	return time.Since(time.Unix(0, confirmed))
 }
@@ -198,7 +205,7 @@
 // list reads every prefix. The watch goes on from the oldest of the lists, so nothing between them is
 // missed; handlers see some changes twice.
 func (w *Watcher) list(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, w.waitTime)
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	snapshots := make([]objectapi.Snapshot, len(w.handlers))
 	for i, handler := range w.handlers {
