--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -2,12 +2,14 @@
 package balance
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/rookpass/rookpass/internal/call"
 	"github.com/rookpass/rookpass/internal/catalog"
+	"github.com/rookpass/rookpass/internal/incarnation"
 	"github.com/rookpass/rookpass/internal/policy"
 )
 
@@ -45,7 +47,7 @@
 // tokens a millisecond, and each call of a daemon on one adds some 8 ms to the next.
 var firstCosts = policy.Costs{PrefillPerToken: 0.00002, SlowdownPerCall: 0.008, CrossDataCentre: 0.004}
 
-// state is what was seen of one server. It is guarded by Balancer.mu.
+// state is what was seen of one start of a server. It is guarded by Balancer.mu.
 type state struct {
 	inFlight int
 	// area is the sum of the calls in flight over time since the last report, in call-seconds, up to changed.
@@ -64,17 +66,20 @@
 	waitingRoute string
 	// parts are prompt parts that it has read.
 	parts *partSet
+	// calls are cancelled, and no more begin, once the server has started again.
+	calls map[*Choice]context.CancelCauseFunc
+	over  bool
 }
 
 // Balancer keeps what was seen of servers. Use New.
 type Balancer struct {
 	dataCentre string
 	mu         sync.Mutex
-	states     map[string]*state
+	states     map[incarnation.ID]*state
 	// means are the moving means of services' answers, in seconds.
 	means map[string]float64
 	// reported tells how many other daemons suspect a server.
-	reported map[string]int
+	reported map[incarnation.ID]int
 	// heads are the moving means of the time to the head of an answer, by route, in seconds.
 	heads map[string]float64
 	// models learn what turns take, by service.
@@ -89,7 +94,7 @@
 
 // New returns a balancer of a daemon in a data centre.
 func New(dataCentre string) *Balancer {
-	return &Balancer{dataCentre: dataCentre, states: map[string]*state{}, means: map[string]float64{}, heads: map[string]float64{},
+	return &Balancer{dataCentre: dataCentre, states: map[incarnation.ID]*state{}, means: map[string]float64{}, heads: map[string]float64{},
 		models: map[string]*policy.CostModel{}}
 }
 
@@ -99,7 +104,7 @@
 	Route   string
 	Servers []catalog.Server
 	// Tried servers are passed over.
-	Tried map[string]bool
+	Tried map[incarnation.ID]bool
 	// PromptTokens is the size of the prompt; 0 for plain requests.
 	PromptTokens int64
 	// Parts are the prompt's parts in order.
@@ -273,7 +278,7 @@
 	return max(hedgeLeast, time.Duration(hedgeTimes*mean*float64(time.Second)))
 }
 
-func (b *Balancer) state(id string) *state {
+func (b *Balancer) state(id incarnation.ID) *state {
 	s := b.states[id]
 	if s == nil {
 		s = &state{parts: newPartSet(), changed: time.Now()}
@@ -283,7 +288,7 @@
 }
 
 // Forget drops what is known of servers that no longer exist.
-func (b *Balancer) Forget(exists func(id string) bool) {
+func (b *Balancer) Forget(exists func(id incarnation.ID) bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, s := range b.states {
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -11,13 +11,17 @@
 	"github.com/rookpass/rookpass/internal/balance"
 	"github.com/rookpass/rookpass/internal/call"
 	"github.com/rookpass/rookpass/internal/catalog"
+	"github.com/rookpass/rookpass/internal/incarnation"
 	"github.com/rookpass/rookpass/internal/turn"
 )
 
+// id names the only start of a server.
+func id(server string) incarnation.ID { return incarnation.ID{Server: server} }
+
 func servers(n int) []catalog.Server {
 	var list []catalog.Server
 	for i := range n {
-		list = append(list, catalog.Server{ID: fmt.Sprint(i), Service: "svc", DataCentre: "here", Slots: 6})
+		list = append(list, catalog.Server{ID: id(fmt.Sprint(i)), Service: "svc", DataCentre: "here", Slots: 6})
 	}
 	return list
 }
@@ -31,12 +35,12 @@
 
 func TestLoadIsSpread(t *testing.T) {
 	b := balance.New("here")
-	counts := map[string]int{}
+	counts := map[incarnation.ID]int{}
 	for range 40 {
 		counts[pick(t, b, balance.Ask{Servers: servers(4)}).Server.ID]++
 	}
-	for id, n := range counts {
-		assert.Equal(t, n, 10, "server %s", id)
+	for server, n := range counts {
+		assert.Equal(t, n, 10, "server %s", server)
 	}
 }
 
@@ -45,10 +49,10 @@
 	list := servers(3)
 	list[0].Draining = true
 	for range 20 {
-		choice := pick(t, b, balance.Ask{Servers: list, Tried: map[string]bool{"1": true}})
-		assert.Equal(t, choice.Server.ID, "2")
+		choice := pick(t, b, balance.Ask{Servers: list, Tried: map[incarnation.ID]bool{id("1"): true}})
+		assert.Equal(t, choice.Server.ID, id("2"))
 	}
-	_, found := b.Pick(&balance.Ask{Servers: list, Tried: map[string]bool{"1": true, "2": true}})
+	_, found := b.Pick(&balance.Ask{Servers: list, Tried: map[incarnation.ID]bool{id("1"): true, id("2"): true}})
 	assert.Assert(t, !found)
 }
 
@@ -63,19 +67,19 @@
 		fail()
 		for range 20 {
 			choice := pick(t, b, balance.Ask{Servers: servers(2)})
-			assert.Equal(t, choice.Server.ID, "1")
+			assert.Equal(t, choice.Server.ID, id("1"))
 			choice.Done(balance.Answered)
 		}
 		// Rather a server that seems to fail than none.
 		last := pick(t, b, balance.Ask{Servers: servers(1)})
-		assert.Equal(t, last.Server.ID, "0")
+		assert.Equal(t, last.Server.ID, id("0"))
 		last.Done(balance.Abandoned) // a request that is left without an answer would count against it too
 		time.Sleep(time.Second)
-		seen := map[string]bool{}
+		seen := map[incarnation.ID]bool{}
 		for range 20 {
 			seen[pick(t, b, balance.Ask{Servers: servers(2)}).Server.ID] = true
 		}
-		assert.Assert(t, seen["0"])
+		assert.Assert(t, seen[id("0")])
 	})
 }
 
@@ -84,7 +88,7 @@
 	for range 10 {
 		pick(t, b, balance.Ask{Servers: servers(1)}).Done(balance.Abandoned)
 	}
-	seen := map[string]bool{}
+	seen := map[incarnation.ID]bool{}
 	for range 10 {
 		seen[pick(t, b, balance.Ask{Servers: servers(2)}).Server.ID] = true
 	}
@@ -94,19 +98,19 @@
 // TestTurnsGoWhereTheirPromptIs: unless that server is far busier.
 func TestTurnsGoWhereTheirPromptIs(t *testing.T) {
 	b := balance.New("here")
-	b.Learn(turn.Place{Server: "2", Part: "own", Held: 3800})
+	b.Learn(turn.Place{Server: id("2"), Part: "own", Held: 3800})
 	ask := balance.Ask{Servers: servers(4), PromptTokens: 4000, Parts: []call.Part{{ID: "own", Tokens: 4000}}}
 	for range 4 {
-		assert.Equal(t, pick(t, b, ask).Server.ID, "2")
+		assert.Equal(t, pick(t, b, ask).Server.ID, id("2"))
 	}
 	for range 30 {
 		pick(t, b, ask)
 	}
-	counts := map[string]int{}
+	counts := map[incarnation.ID]int{}
 	for range 20 {
 		counts[pick(t, b, ask).Server.ID]++
 	}
-	assert.Assert(t, counts["2"] < 20, "all of 20 turns went to a server with over 30 in flight")
+	assert.Assert(t, counts[id("2")] < 20, "all of 20 turns went to a server with over 30 in flight")
 }
 
 func TestSharedPartsAreRemembered(t *testing.T) {
@@ -121,9 +125,9 @@
 func TestForgetsServersThatAreGone(t *testing.T) {
 	b := balance.New("here")
 	choice := pick(t, b, balance.Ask{Servers: servers(1)})
-	b.Forget(func(string) bool { return false })
+	b.Forget(func(incarnation.ID) bool { return false })
 	choice.Done(balance.Failed)
-	b.Forget(func(string) bool { return false })
+	b.Forget(func(incarnation.ID) bool { return false })
 	assert.Equal(t, pick(t, b, balance.Ask{Servers: servers(1)}).InFlight, 0)
 }
 
@@ -169,13 +173,13 @@
 // is left.
 func TestOthersWordCounts(t *testing.T) {
 	b := balance.New("here")
-	b.SetReported(map[string]int{"0": 1})
+	b.SetReported(map[incarnation.ID]int{id("0"): 1})
 	for range 20 {
-		assert.Assert(t, pick(t, b, balance.Ask{Servers: servers(4)}).Server.ID != "0")
+		assert.Assert(t, pick(t, b, balance.Ask{Servers: servers(4)}).Server.ID != id("0"))
 	}
-	assert.Equal(t, pick(t, b, balance.Ask{Servers: servers(1)}).Server.ID, "0")
-	b.SetReported(map[string]int{"0": 1, "1": 1, "2": 1})
-	seen := map[string]bool{}
+	assert.Equal(t, pick(t, b, balance.Ask{Servers: servers(1)}).Server.ID, id("0"))
+	b.SetReported(map[incarnation.ID]int{id("0"): 1, id("1"): 1, id("2"): 1})
+	seen := map[incarnation.ID]bool{}
 	for range 40 {
 		seen[pick(t, b, balance.Ask{Servers: servers(4)}).Server.ID] = true
 	}
@@ -185,16 +189,16 @@
 // TestCutOffDaemonSuspectsNobody: where most servers seem dead, the daemon's own network is the likelier cause.
 func TestCutOffDaemonSuspectsNobody(t *testing.T) {
 	b := balance.New("here")
-	fail := func(id int) {
+	fail := func(place int) {
 		for range 2 {
-			pick(t, b, balance.Ask{Servers: servers(5)[id : id+1]}).Done(balance.Failed)
+			pick(t, b, balance.Ask{Servers: servers(5)[place : place+1]}).Done(balance.Failed)
 		}
 	}
 	for i := range 5 {
 		pick(t, b, balance.Ask{Servers: servers(5)[i : i+1]}).Done(balance.Answered)
 	}
 	fail(3)
-	assert.DeepEqual(t, b.Suspects(), []string{"3"})
+	assert.DeepEqual(t, b.Suspects(), []incarnation.ID{id("3")})
 	fail(1)
 	fail(2)
 	assert.Equal(t, len(b.Suspects()), 0)
@@ -210,12 +214,12 @@
 		for range 12 { // three calls of this daemon on each server, with other prompts
 			pick(t, b, balance.Ask{Servers: list, PromptTokens: 100})
 		}
-		b.Learn(turn.Place{Server: "1", Part: "own", Held: 300})
+		b.Learn(turn.Place{Server: id("1"), Part: "own", Held: 300})
 		ask := balance.Ask{Servers: list[1:2], PromptTokens: 400, Parts: []call.Part{{ID: "own", Tokens: 400}}}
 		for range 5 { // and more on the one that holds the prompt
 			pick(t, b, ask)
 		}
 		ask.Servers = list
-		assert.Equal(t, pick(t, b, ask).Server.ID == "1", stays, "with %d other daemons", peers)
+		assert.Equal(t, pick(t, b, ask).Server.ID == id("1"), stays, "with %d other daemons", peers)
 	}
 }
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rookpass/rookpass/internal/incarnation"
 	"github.com/rookpass/rookpass/internal/policy"
 )
 
@@ -24,13 +25,13 @@
 func (s *state) holdsPrompts() bool { return s.parts.order.Len() > 0 }
 
 // Loads returns the turns of this daemon at model servers in the mean since the last call, in tenths.
-func (b *Balancer) Loads() map[string]int {
+func (b *Balancer) Loads() map[incarnation.ID]int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
 	span := now.Sub(b.reportedAt).Seconds()
 	b.reportedAt = now
-	loads := map[string]int{}
+	loads := map[incarnation.ID]int{}
 	for id, s := range b.states {
 		s.count(now, 0)
 		if tenths := int(s.area/span/loadUnit + 0.5); tenths > 0 && s.holdsPrompts() {
@@ -42,7 +43,7 @@
 }
 
 // SetOthers tells the turns of other daemons at model servers, in tenths.
-func (b *Balancer) SetOthers(loads map[string]int) {
+func (b *Balancer) SetOthers(loads map[incarnation.ID]int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	sum, servers := 0.0, 0
--- a/internal/balance/parts_test.go
+++ b/internal/balance/parts_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/rookpass/rookpass/internal/call"
 	"github.com/rookpass/rookpass/internal/catalog"
+	"github.com/rookpass/rookpass/internal/incarnation"
 	"github.com/rookpass/rookpass/internal/turn"
 )
 
@@ -44,17 +45,18 @@
 // TestTurnsGoWhereOthersSentThem: what another daemon says of a session's server decides where its next turn goes,
 // though this daemon has never sent that server any part of the prompt.
 func TestTurnsGoWhereOthersSentThem(t *testing.T) {
-	list := []catalog.Server{{ID: "a", Slots: 8}, {ID: "b", Slots: 8}, {ID: "c", Slots: 8}}
+	a, b, c := incarnation.ID{Server: "a"}, incarnation.ID{Server: "b"}, incarnation.ID{Server: "c"}
+	list := []catalog.Server{{ID: a, Slots: 8}, {ID: b, Slots: 8}, {ID: c, Slots: 8}}
 	prompt := []call.Part{{ID: "shared", Tokens: 500}, {ID: "parent", Tokens: 2000}, {ID: "session", Tokens: 700}}
 	for range 20 {
-		b := New("")
-		b.Learn(turn.Place{Server: "b", Part: "parent", Held: 2000})
-		b.Learn(turn.Place{Server: "c", Part: "session", Held: 400})
-		choice, found := b.Pick(&Ask{Servers: list, PromptTokens: 3200, Parts: prompt})
+		balancer := New("")
+		balancer.Learn(turn.Place{Server: b, Part: "parent", Held: 2000})
+		balancer.Learn(turn.Place{Server: c, Part: "session", Held: 400})
+		choice, found := balancer.Pick(&Ask{Servers: list, PromptTokens: 3200, Parts: prompt})
 		assert.Assert(t, found)
-		assert.Equal(t, choice.Server.ID, "c")
-		first, found := b.Pick(&Ask{Servers: list, PromptTokens: 2600, Parts: append(prompt[:2:2], call.Part{ID: "helper", Tokens: 100})})
+		assert.Equal(t, choice.Server.ID, c)
+		first, found := balancer.Pick(&Ask{Servers: list, PromptTokens: 2600, Parts: append(prompt[:2:2], call.Part{ID: "helper", Tokens: 100})})
 		assert.Assert(t, found)
-		assert.Equal(t, first.Server.ID, "b", "a helper's prompt begins with its parent's")
+		assert.Equal(t, first.Server.ID, b, "a helper's prompt begins with its parent's")
 	}
 }
--- /dev/null
+++ b/internal/balance/restart_test.go
@@ -0,0 +1,77 @@
+package balance_test
+
+import (
+	"context"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/rookpass/rookpass/internal/balance"
+	"github.com/rookpass/rookpass/internal/call"
+	"github.com/rookpass/rookpass/internal/catalog"
+	"github.com/rookpass/rookpass/internal/incarnation"
+	"github.com/rookpass/rookpass/internal/turn"
+)
+
+// start is a server's start.
+func start(server string, born int64) incarnation.ID {
+	return incarnation.ID{Server: server, Born: born}
+}
+
+func startsOf(server string, born ...int64) []catalog.Server {
+	var list []catalog.Server
+	for _, b := range born {
+		list = append(list, catalog.Server{ID: start(server, b), Service: "svc", DataCentre: "here", Slots: 6})
+	}
+	return list
+}
+
+// TestNothingIsCarriedOverToTheNextStart: neither what a server holds of prompts, nor its speed, failures and load, nor what
+// others say of it.
+func TestNothingIsCarriedOverToTheNextStart(t *testing.T) {
+	b := balance.New("here")
+	old, new := startsOf("a", 1), startsOf("a", 2)
+	b.Learn(turn.Place{Server: old[0].ID, Part: "own", Held: 900})
+	for range 3 {
+		pick(t, b, balance.Ask{Servers: old}).Done(balance.Failed)
+	}
+	pick(t, b, balance.Ask{Servers: old})
+	b.SetReported(map[incarnation.ID]int{old[0].ID: 5})
+	b.SetOthers(map[incarnation.ID]int{old[0].ID: 300})
+	assert.Assert(t, b.View(old[0].ID).Ejected)
+	assert.DeepEqual(t, b.View(new[0].ID), balance.View{})
+	list := append(new, startsOf("b", 1)...)
+	list[1].DataCentre = "there"
+	choice := pick(t, b, balance.Ask{Servers: list, PromptTokens: 1000, Parts: []call.Part{{ID: "own", Tokens: 1000}}})
+	assert.Equal(t, choice.Server.ID, new[0].ID, "the start is neither ejected nor suspected nor loaded")
+	assert.Equal(t, choice.InFlight, 0)
+	assert.Equal(t, choice.Uncached, int64(1000), "it holds nothing of prompts")
+}
+
+// TestCallsAtEarlierStartsEnd: as soon as the later start is known, those that begin too late as well.
+func TestCallsAtEarlierStartsEnd(t *testing.T) {
+	b := balance.New("here")
+	causes := map[string]context.Context{}
+	bind := func(name string, server []catalog.Server) *balance.Choice {
+		choice := pick(t, b, balance.Ask{Servers: server})
+		ctx, cancel := context.WithCancelCause(context.Background())
+		choice.Bind(cancel)
+		causes[name] = ctx
+		return choice
+	}
+	bind("earlier", startsOf("a", 1))
+	bind("ended", startsOf("a", 1)).Done(balance.Answered)
+	bind("other server", startsOf("b", 1))
+	bind("same start", startsOf("a", 2))
+	bind("no start known", startsOf("a", 0))
+	late := pick(t, b, balance.Ask{Servers: startsOf("a", 1)})
+	assert.Equal(t, b.Started(start("a", 2)), 1)
+	ctx, cancel := context.WithCancelCause(context.Background())
+	late.Bind(cancel)
+	causes["bound too late"] = ctx
+	assert.Equal(t, b.Started(start("a", 1)), 0, "word that comes late ends nothing at the later start")
+	for name, ctx := range causes {
+		ended := name == "earlier" || name == "bound too late"
+		assert.Equal(t, context.Cause(ctx) == balance.ErrRestarted, ended, "call %q: %v", name, context.Cause(ctx))
+	}
+}
--- a/internal/balance/suspects.go
+++ b/internal/balance/suspects.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/rookpass/rookpass/internal/catalog"
+	"github.com/rookpass/rookpass/internal/incarnation"
 )
 
 // tooManyReported tells whether others suspect so many servers that the rest could not bear the load.
@@ -21,7 +22,7 @@
 }
 
 // SetReported tells how many other daemons suspect each server.
-func (b *Balancer) SetReported(reported map[string]int) {
+func (b *Balancer) SetReported(reported map[incarnation.ID]int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.reported = reported
@@ -29,11 +30,11 @@
 
 // Suspects returns the servers that look dead here: those that failed repeatedly or keep requests waiting. It
 // returns none where they are so many that this VM's own network is the likelier cause.
-func (b *Balancer) Suspects() []string {
+func (b *Balancer) Suspects() []incarnation.ID {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
-	var suspects []string
+	var suspects []incarnation.ID
 	for id, s := range b.states {
 		if now.Before(s.ejectedUntil) || b.silent(s.waitingRoute, s, now) {
 			suspects = append(suspects, id)
@@ -56,7 +57,7 @@
 }
 
 // View returns what is known of a server.
-func (b *Balancer) View(id string) View {
+func (b *Balancer) View(id incarnation.ID) View {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	view := View{Reported: b.reported[id]}
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -47,7 +47,7 @@
 type Address struct {
 	// Left is how long the server may work; 0 means no bound.
 	Left time.Duration
-	// Server is the incarnation that is meant.
+	// Server is the name of the server that is meant; all its starts share it.
 	Server string
 	// LastEvent is the id of the event behind which a stream is to go on; empty from its start.
 	LastEvent string
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -7,6 +7,8 @@
 import (
 	"strings"
 	"time"
+
+	"github.com/rookpass/rookpass/internal/incarnation"
 )
 
 // Kind tells how often a request may run.
@@ -90,10 +92,10 @@
 	Limits   Limits
 }
 
-// Server is one incarnation of a backend server.
+// Server is one start of a backend server.
 type Server struct {
-	// ID is unique to the incarnation; Address may be reused by another.
-	ID         string
+	// ID names the start; Address may be reused by another server.
+	ID         incarnation.ID
 	Service    string
 	Address    string
 	DataCentre string
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/rookpass/rookpass/internal/catalog"
+	"github.com/rookpass/rookpass/internal/incarnation"
 	"github.com/rookpass/rookpass/internal/objectapi"
 	"github.com/rookpass/rookpass/internal/policy"
 )
@@ -71,18 +72,26 @@
 
 // entries is a handler of servers written as id=service@address.
 func entries(c *catalog.Catalog) *catalog.ServersHandler {
-	return catalog.NewServersHandler(c, "s/", func(o objectapi.Object) (catalog.Server, error) {
+	return catalog.NewServersHandler(options(c))
+}
+
+func options(c *catalog.Catalog) catalog.ServersOptions {
+	decode := func(o objectapi.Object) (catalog.Server, error) {
 		service, address, _ := strings.Cut(string(o.Value), "@")
-		return catalog.Server{ID: o.Key[2:], Service: service, Address: address}, nil
-	}, policy.NewLapse(1200*time.Millisecond), quiet())
+		return catalog.Server{ID: id(o.Key[2:]), Service: service, Address: address}, nil
+	}
+	return catalog.ServersOptions{Catalog: c, Prefix: "s/", Decode: decode, Lapse: policy.NewLapse(1200 * time.Millisecond), Log: quiet()}
 }
 
-func entry(id string) objectapi.Object {
-	return objectapi.Object{Key: "s/" + id, Value: []byte("svc@" + id)}
+// id names the only start of a server.
+func id(server string) incarnation.ID { return incarnation.ID{Server: server} }
+
+func entry(name string) objectapi.Object {
+	return objectapi.Object{Key: "s/" + name, Value: []byte("svc@" + name)}
 }
 
-func gone(id string) objectapi.Event {
-	return objectapi.Event{Object: objectapi.Object{Key: "s/" + id}, Deleted: true}
+func gone(name string) objectapi.Event {
+	return objectapi.Event{Object: objectapi.Object{Key: "s/" + name}, Deleted: true}
 }
 
 func TestServersFollowTheirEntries(t *testing.T) {
@@ -93,8 +102,12 @@
 	h.Change(gone("a"))
 	h.Confirm(2, time.Now())
 	assert.Equal(t, len(c.Servers().Of("svc")), 2)
-	assert.Assert(t, !c.Servers().Has("a"))
-	assert.DeepEqual(t, c.Servers().Addresses(), map[string]bool{"b": true, "c": true})
+	assert.Assert(t, !c.Servers().Has(id("a")))
+	for _, name := range []string{"b", "c"} {
+		address, known := c.Servers().At(id(name))
+		assert.Assert(t, known)
+		assert.Equal(t, address, name)
+	}
 	h.Reset([]objectapi.Object{entry("c")}, 5)
 	assert.Equal(t, c.Servers().Len(), 1)
 }
@@ -120,8 +133,8 @@
 		assert.Equal(t, c.Servers().Len(), 2)
 		time.Sleep(300 * time.Millisecond)
 		h.Confirm(7, time.Now())
-		assert.Assert(t, c.Servers().Has("back"))
-		assert.Assert(t, !c.Servers().Has("dead"))
+		assert.Assert(t, c.Servers().Has(id("back")))
+		assert.Assert(t, !c.Servers().Has(id("dead")))
 		h.Change(gone("back"))
 		h.Confirm(8, time.Now())
 		assert.Equal(t, c.Servers().Len(), 0, "without an outage an entry that is gone is gone at once")
@@ -173,12 +186,12 @@
 		time.Sleep(500 * time.Millisecond)
 		h.Change(gone("lapsed"))
 		h.Confirm(2, time.Now())
-		assert.Assert(t, c.Servers().Has("lapsed"))
+		assert.Assert(t, c.Servers().Has(id("lapsed")))
 		time.Sleep(time.Second)
 		h.Change(objectapi.Event{Object: entry("lapsed")})
 		h.Confirm(3, time.Now())
 		time.Sleep(5 * time.Second)
-		assert.Assert(t, c.Servers().Has("lapsed"))
+		assert.Assert(t, c.Servers().Has(id("lapsed")))
 	})
 }
 
--- /dev/null
+++ b/internal/catalog/entry.go
@@ -0,0 +1,67 @@
+package catalog
+
+import (
+	"errors"
+
+	"github.com/rookpass/rookpass/internal/objectapi"
+)
+
+// Refusal is why an entry of the list of servers names no server to use. Entries may come from writers that are no
+// servers; such a one takes its server out of use and harms no other.
+type Refusal string
+
+// The reasons.
+const (
+	// RefusedUnreadable entries are not the encoding of a set of fields.
+	RefusedUnreadable Refusal = "unreadable"
+	// RefusedMissing entries lack a field that servers always write.
+	RefusedMissing Refusal = "field-missing"
+	// RefusedMistyped entries have a field of another type, or beyond what the field may hold.
+	RefusedMistyped Refusal = "field-mistyped"
+	// RefusedState entries name a state that is not known.
+	RefusedState Refusal = "unknown-state"
+)
+
+// EntryError tells why an entry names no server to use.
+type EntryError struct {
+	Reason Refusal
+	// Field is the field that is wrong; empty for RefusedUnreadable.
+	Field string
+	// Err is the cause, or nil where the reason says all.
+	Err error
+}
+
+// Error implements error.
+func (e *EntryError) Error() string {
+	text := string(e.Reason)
+	if e.Field != "" {
+		text += ": " + e.Field
+	}
+	if e.Err != nil {
+		text += ": " + e.Err.Error()
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *EntryError) Unwrap() error { return e.Err }
+
+// DecodeServer decodes a server's entry. Its errors are of type *EntryError.
+type DecodeServer func(objectapi.Object) (Server, error)
+
+// refusalOf returns the reason that an error of DecodeServer names.
+func refusalOf(err error) Refusal {
+	var refused *EntryError
+	if errors.As(err, &refused) {
+		return refused.Reason
+	}
+	return RefusedUnreadable
+}
+
+// entry is what the list holds under one name.
+type entry struct {
+	// server is the server described; the zero value where the entry is refused.
+	server   Server
+	refused  Refusal
+	revision uint64
+}
--- a/internal/catalog/servers.go
+++ b/internal/catalog/servers.go
@@ -6,24 +6,33 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/rookpass/rookpass/internal/incarnation"
 	"github.com/rookpass/rookpass/internal/objectapi"
 	"github.com/rookpass/rookpass/internal/policy"
 )
 
-// DecodeServer decodes a server's entry.
-type DecodeServer func(objectapi.Object) (Server, error)
+// ServersOptions are what a ServersHandler works with.
+type ServersOptions struct {
+	Catalog *Catalog
+	// Prefix is the part of a key before a server's name.
+	Prefix string
+	Decode DecodeServer
+	Lapse  policy.Lapse
+	Log    logrus.FieldLogger
+	// Refused is told of each entry that names no server to use, Started of each start of a server that is new here.
+	// Both are called with the handler locked; nil where nobody asks.
+	Refused func(Refusal)
+	Started func(incarnation.ID)
+}
 
 // ServersHandler keeps the servers of a watch. An entry that is gone right after an outage of the store is kept until
 // its server had the time to renew it, since entries lapse while their servers can't.
 type ServersHandler struct {
-	catalog *Catalog
-	prefix  string
-	decode  DecodeServer
-	lapse   policy.Lapse
-	log     logrus.FieldLogger
-
-	mu       sync.Mutex
-	entries  map[string]Server
+	ServersOptions
+
+	mu sync.Mutex
+	// entries has what the list holds, by name; held and missing are servers that are in use without an entry.
+	entries  map[string]entry
 	held     map[string]Server
 	revision uint64
 	// changed tells that entries differ from what is published.
@@ -35,27 +44,26 @@
 	confirmed, holding time.Time
 }
 
-// NewServersHandler returns a handler of the servers below a prefix.
-func NewServersHandler(c *Catalog, prefix string, decode DecodeServer, lapse policy.Lapse, log logrus.FieldLogger) *ServersHandler {
-	return &ServersHandler{catalog: c, prefix: prefix, decode: decode, lapse: lapse, log: log,
-		entries: map[string]Server{}, held: map[string]Server{}, missing: map[string]Server{}}
+// NewServersHandler returns a handler that knows no server yet.
+func NewServersHandler(o ServersOptions) *ServersHandler {
+	return &ServersHandler{ServersOptions: o, entries: map[string]entry{}, held: map[string]Server{}, missing: map[string]Server{}}
 }
 
 // Prefix implements watch.Handler.
-func (h *ServersHandler) Prefix() string { return h.prefix }
+func (h *ServersHandler) Prefix() string { return h.ServersOptions.Prefix }
 
 // Reset implements watch.Handler.
 func (h *ServersHandler) Reset(objects []objectapi.Object, version uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	old := h.entries
-	h.entries = make(map[string]Server, len(objects))
+	h.entries = make(map[string]entry, len(objects))
 	for _, object := range objects {
 		h.set(object, old)
 	}
-	for id, server := range old {
-		if _, there := h.entries[id]; !there {
-			h.gone(server)
+	for name, e := range old {
+		if _, there := h.entries[name]; !there {
+			h.gone(e)
 		}
 	}
 	h.revision = version
@@ -69,9 +77,9 @@
 	defer h.mu.Unlock()
 	if !event.Deleted {
 		h.set(event.Object, h.entries)
-	} else if server, there := h.entries[h.id(event.Key)]; there {
-		delete(h.entries, server.ID)
-		h.gone(server)
+	} else if e, there := h.entries[h.name(event.Key)]; there {
+		delete(h.entries, h.name(event.Key))
+		h.gone(e)
 	}
 	h.changed = true
 }
@@ -96,14 +104,14 @@
 	defer h.mu.Unlock()
 	if !h.lost {
 		h.lost = true
-		h.log.WithFields(logrus.Fields{"event": "servers-lost", "revision": h.revision, "servers": len(h.entries)}).Warn("list of servers no longer confirmed")
+		h.Log.WithFields(logrus.Fields{"event": "servers-lost", "revision": h.revision, "servers": len(h.entries)}).Warn("list of servers no longer confirmed")
 	}
 }
 
 // regain notes the end of an outage, and decides on the entries that are missing. It is called with the lock held.
 func (h *ServersHandler) regain(at time.Time) {
 	h.lost = false
-	h.holding = h.lapse.HeldUntil(h.confirmed, at)
+	h.holding = h.Lapse.HeldUntil(h.confirmed, at)
 	left := time.Until(h.holding)
 	if left > 0 {
 		// Not with the next answer, which may be a second away: until then requests would go to servers that have left.
@@ -113,9 +121,9 @@
 	if !h.confirmed.IsZero() {
 		fields["unconfirmed_ms"] = at.Sub(h.confirmed).Milliseconds()
 	}
-	h.log.WithFields(fields).Info("list of servers confirmed again")
+	h.Log.WithFields(fields).Info("list of servers confirmed again")
 	for _, server := range h.missing {
-		h.gone(server)
+		h.gone(entry{server: server})
 	}
 	clear(h.missing)
 	h.changed = true
@@ -129,53 +137,91 @@
 		return // all are back, or another outage has ended meanwhile
 	}
 	for _, server := range h.held {
-		h.log.WithFields(logrus.Fields{"event": "server-gone", "server": server.ID, "why": "lapsed and not back"}).Info("server removed")
+		h.Log.WithFields(logrus.Fields{"event": "server-gone", "server": server.ID, "why": "lapsed and not back"}).Info("server removed")
 	}
 	clear(h.held)
 	h.publish()
 }
 
-func (h *ServersHandler) id(key string) string { return key[len(h.prefix):] }
+func (h *ServersHandler) name(key string) string { return key[len(h.Prefix()):] }
 
-func (h *ServersHandler) set(object objectapi.Object, old map[string]Server) {
-	server, err := h.decode(object)
-	if err != nil {
-		h.log.WithFields(logrus.Fields{"event": "server-malformed", "key": object.Key, "error": err}).Error("server's entry not read")
+// set takes in an object of the list; old is what was known before.
+func (h *ServersHandler) set(object objectapi.Object, old map[string]entry) {
+	name := h.name(object.Key)
+	before, known := old[name]
+	if known && object.Version < before.revision {
+		// A change that the last list held already, told again. The store's revisions order a server's entries, not its
+		// word of its start: the clock of its VM may have been set back between two starts.
+		h.entries[name] = before
 		return
 	}
-	before, known := old[server.ID]
-	h.entries[server.ID] = server
-	delete(h.held, server.ID)
-	delete(h.missing, server.ID)
-	if !known || before != server {
-		h.log.WithFields(logrus.Fields{"event": "server", "server": server.ID, "service": server.Service, "address": server.Address,
-			"draining": server.Draining, "revision": object.Version}).Info("server's entry in force")
+	delete(h.held, name)
+	delete(h.missing, name)
+	now := entry{revision: object.Version}
+	var err error
+	if now.server, err = h.Decode(object); err != nil {
+		now.server, now.refused = Server{}, refusalOf(err)
+		h.refuse(name, before, now, err)
+	} else if !known || before.server != now.server {
+		h.enter(before, now)
+	}
+	h.entries[name] = now
+}
+
+// enter notes a server's entry that differs from the one before.
+func (h *ServersHandler) enter(before, now entry) {
+	server := now.server
+	h.Log.WithFields(logrus.Fields{"event": "server", "server": server.ID, "service": server.Service, "address": server.Address,
+		"draining": server.Draining, "revision": now.revision}).Info("server's entry in force")
+	if h.Started != nil && before.server.ID != server.ID {
+		h.Started(server.ID)
+	}
+}
+
+// refuse notes an entry that names no server to use. One that is written again for the same reason is only counted.
+func (h *ServersHandler) refuse(name string, before, now entry, err error) {
+	if h.Refused != nil {
+		h.Refused(now.refused)
+	}
+	if before.refused == now.refused {
+		return
 	}
+	h.Log.WithFields(logrus.Fields{"event": "server-refused", "server": name, "in_use": before.server.ID, "revision": now.revision,
+		"reason": now.refused, "error": err}).Warn("entry names no server to use")
 }
 
-// gone removes a server whose entry is missing, keeps it for a while, or leaves that to the end of the outage.
-func (h *ServersHandler) gone(server Server) {
-	why := "entry gone"
+// gone removes a server whose entry is missing, keeps it for a while, or leaves that to the end of the outage. A refused
+// entry leaves nothing behind.
+func (h *ServersHandler) gone(e entry) {
+	if e.refused != "" {
+		return
+	}
+	server, why := e.server, "entry gone"
 	switch {
 	case h.lost && !server.Draining:
-		h.missing[server.ID] = server
+		h.missing[server.ID.Server] = server
 		why = "entry missing in an outage"
 	case time.Now().Before(h.holding) && !server.Draining:
-		h.held[server.ID] = server
+		h.held[server.ID.Server] = server
 		why = "held after an outage"
 	}
-	h.log.WithFields(logrus.Fields{"event": "server-gone", "server": server.ID, "address": server.Address, "why": why}).Info("server's entry gone")
+	h.Log.WithFields(logrus.Fields{"event": "server-gone", "server": server.ID, "address": server.Address, "why": why}).Info("server's entry gone")
 }
 
 // publish makes the servers known to requests. It is called with the lock held.
 func (h *ServersHandler) publish() {
 	h.changed = false
-	view := &Servers{Revision: h.revision, At: time.Now(), byID: make(map[string]Server, len(h.entries)), services: map[string][]Server{}}
-	for _, from := range []map[string]Server{h.missing, h.held, h.entries} {
-		for id, server := range from {
-			view.byID[id] = server
-			view.services[server.Service] = append(view.services[server.Service], server)
+	view := &Servers{Revision: h.revision, Learnt: time.Now(), byName: make(map[string]Server, len(h.entries)), services: map[string][]Server{}}
+	for _, server := range h.missing {
+		view.add(server)
+	}
+	for _, server := range h.held {
+		view.add(server)
+	}
+	for _, e := range h.entries {
+		if e.refused == "" {
+			view.add(e.server)
 		}
 	}
-	h.catalog.servers.Store(view)
+	h.Catalog.servers.Store(view)
 }
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/rookpass/rookpass/internal/incarnation"
 	"github.com/rookpass/rookpass/internal/objectapi"
 )
 
@@ -15,25 +16,29 @@
 type Servers struct {
 	// Revision of the last change, and when it was learnt.
 	Revision uint64
-	At       time.Time
-	byID     map[string]Server
+	Learnt   time.Time
+	// byName has the newest start of each server.
+	byName   map[string]Server
 	services map[string][]Server
 }
 
 // Of returns the servers of a service, draining ones too.
 func (s *Servers) Of(service string) []Server { return s.services[service] }
 
-// Addresses returns every address at which a server is known.
-func (s *Servers) Addresses() map[string]bool {
-	addresses := make(map[string]bool, len(s.byID))
-	for _, server := range s.byID {
-		addresses[server.Address] = true
-	}
-	return addresses
+// add takes a server in while the view is made.
+func (s *Servers) add(server Server) {
+	s.byName[server.ID.Server] = server
+	s.services[server.Service] = append(s.services[server.Service], server)
+}
+
+// At returns the address of a server's start, or false where another start or none of the server is known.
+func (s *Servers) At(id incarnation.ID) (string, bool) {
+	server, known := s.byName[id.Server]
+	return server.Address, known && server.ID == id
 }
 
 // Len returns the number of servers.
-func (s *Servers) Len() int { return len(s.byID) }
+func (s *Servers) Len() int { return len(s.byName) }
 
 // Catalog holds the view that requests read.
 type Catalog struct {
@@ -111,18 +116,18 @@
 		"routes": len(config.Routes), "services": len(config.Services)}).Info("configuration in force")
 }
 
-// Has tells whether a server is known.
-func (s *Servers) Has(id string) bool {
-	_, known := s.byID[id]
+// Has tells whether a server's start is known.
+func (s *Servers) Has(id incarnation.ID) bool {
+	_, known := s.At(id)
 	return known
 }
 
 // All returns every server, in order of their IDs.
 func (s *Servers) All() []Server {
-	all := make([]Server, 0, len(s.byID))
-	for _, server := range s.byID {
+	all := make([]Server, 0, len(s.byName))
+	for _, server := range s.byName {
 		all = append(all, server)
 	}
-	slices.SortFunc(all, func(a, b Server) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(all, func(a, b Server) int { return strings.Compare(a.ID.Server, b.ID.Server) })
 	return all
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/rookpass/rookpass/internal/incarnation"
 	"github.com/rookpass/rookpass/internal/peerlink"
 )
 
@@ -36,11 +37,11 @@
 	// From is the address at which the daemon helps others.
 	From string
 	// Suspects are servers that look dead to it.
-	Suspects []string
+	Suspects []incarnation.ID
 	// Demand are the turns that it has under way or waiting, by service, Loads those that were at each model server
 	// since its last report, in the mean and in tenths.
 	Demand map[string]int
-	Loads  map[string]int
+	Loads  map[incarnation.ID]int
 }
 
 // Reply is what the others have seen.
@@ -49,10 +50,10 @@
 	Peers   []string
 	Daemons int
 	// Suspects tells how many of them suspect a server.
-	Suspects map[string]int
+	Suspects map[incarnation.ID]int
 	// Demand and Loads are the sums over the others.
 	Demand map[string]int
-	Loads  map[string]int
+	Loads  map[incarnation.ID]int
 }
 
 // report is what one daemon said last.
@@ -76,7 +77,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reports[args.From] = report{at: now, said: args}
-	reply.Suspects, reply.Demand, reply.Loads = map[string]int{}, map[string]int{}, map[string]int{}
+	reply.Suspects, reply.Demand, reply.Loads = map[incarnation.ID]int{}, map[string]int{}, map[incarnation.ID]int{}
 	for from, r := range s.reports {
 		if now.Sub(r.at) > memory {
 			delete(s.reports, from)
@@ -100,7 +101,7 @@
 	return nil
 }
 
-func addAll(sums, values map[string]int) {
+func addAll[K comparable](sums, values map[K]int) {
 	for name, n := range values {
 		sums[name] += n
 	}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -10,9 +10,13 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/rookpass/rookpass/internal/exchange"
+	"github.com/rookpass/rookpass/internal/incarnation"
 )
 
-func swap(t *testing.T, s *exchange.Service, from string, suspects ...string) exchange.Reply {
+// id names the only start of a server.
+func id(server string) incarnation.ID { return incarnation.ID{Server: server} }
+
+func swap(t *testing.T, s *exchange.Service, from string, suspects ...incarnation.ID) exchange.Reply {
 	t.Helper()
 	var reply exchange.Reply
 	assert.NilError(t, s.Swap(&exchange.Args{From: from, Suspects: suspects}, &reply))
@@ -23,16 +27,16 @@
 func TestDaemonsLearnOfOneAnother(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := exchange.NewService()
-		swap(t, s, "a", "s1", "s2")
-		swap(t, s, "b", "s2")
+		swap(t, s, "a", id("s1"), id("s2"))
+		swap(t, s, "b", id("s2"))
 		got := swap(t, s, "c")
-		assert.DeepEqual(t, got, exchange.Reply{Peers: []string{"a", "b"}, Daemons: 2, Suspects: map[string]int{"s1": 1, "s2": 2},
-			Demand: map[string]int{}, Loads: map[string]int{}})
+		assert.DeepEqual(t, got, exchange.Reply{Peers: []string{"a", "b"}, Daemons: 2, Suspects: map[incarnation.ID]int{id("s1"): 1, id("s2"): 2},
+			Demand: map[string]int{}, Loads: map[incarnation.ID]int{}})
 		// A daemon's own word does not come back to it, and only its newest counts.
-		assert.DeepEqual(t, swap(t, s, "a"), exchange.Reply{Peers: []string{"b", "c"}, Daemons: 2, Suspects: map[string]int{"s2": 1},
-			Demand: map[string]int{}, Loads: map[string]int{}})
+		assert.DeepEqual(t, swap(t, s, "a"), exchange.Reply{Peers: []string{"b", "c"}, Daemons: 2, Suspects: map[incarnation.ID]int{id("s2"): 1},
+			Demand: map[string]int{}, Loads: map[incarnation.ID]int{}})
 		time.Sleep(7 * time.Second)
-		assert.DeepEqual(t, swap(t, s, "c"), exchange.Reply{Suspects: map[string]int{}, Demand: map[string]int{}, Loads: map[string]int{}})
+		assert.DeepEqual(t, swap(t, s, "c"), exchange.Reply{Suspects: map[incarnation.ID]int{}, Demand: map[string]int{}, Loads: map[incarnation.ID]int{}})
 	})
 }
 
@@ -53,12 +57,12 @@
 func TestDemandAndLoadsAreSummed(t *testing.T) {
 	s := exchange.NewService()
 	var reply exchange.Reply
-	assert.NilError(t, s.Swap(&exchange.Args{From: "a", Demand: map[string]int{"m": 3}, Loads: map[string]int{"s1": 25}}, &reply))
-	assert.NilError(t, s.Swap(&exchange.Args{From: "b", Demand: map[string]int{"m": 4}, Loads: map[string]int{"s1": 5, "s2": 10}}, &reply))
+	assert.NilError(t, s.Swap(&exchange.Args{From: "a", Demand: map[string]int{"m": 3}, Loads: map[incarnation.ID]int{id("s1"): 25}}, &reply))
+	assert.NilError(t, s.Swap(&exchange.Args{From: "b", Demand: map[string]int{"m": 4}, Loads: map[incarnation.ID]int{id("s1"): 5, id("s2"): 10}}, &reply))
 	reply = exchange.Reply{}
 	assert.NilError(t, s.Swap(&exchange.Args{From: "c", Demand: map[string]int{"m": 100}}, &reply))
 	assert.DeepEqual(t, reply.Demand, map[string]int{"m": 7})
-	assert.DeepEqual(t, reply.Loads, map[string]int{"s1": 30, "s2": 10})
+	assert.DeepEqual(t, reply.Loads, map[incarnation.ID]int{id("s1"): 30, id("s2"): 10})
 }
 
 // TestDemandOfDeadDaemonsIsForgotten: sooner than the daemon itself.
@@ -66,7 +70,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := exchange.NewService()
 		var reply exchange.Reply
-		assert.NilError(t, s.Swap(&exchange.Args{From: "a", Demand: map[string]int{"m": 3}, Suspects: []string{"s"}}, &reply))
+		assert.NilError(t, s.Swap(&exchange.Args{From: "a", Demand: map[string]int{"m": 3}, Suspects: []incarnation.ID{id("s")}}, &reply))
 		time.Sleep(800 * time.Millisecond)
 		reply = exchange.Reply{}
 		assert.NilError(t, s.Swap(&exchange.Args{From: "b"}, &reply))
@@ -75,6 +79,6 @@
 		reply = exchange.Reply{}
 		assert.NilError(t, s.Swap(&exchange.Args{From: "b"}, &reply))
 		assert.DeepEqual(t, reply.Demand, map[string]int{})
-		assert.DeepEqual(t, reply.Suspects, map[string]int{"s": 1})
+		assert.DeepEqual(t, reply.Suspects, map[incarnation.ID]int{id("s"): 1})
 	})
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -11,13 +12,14 @@
 
 	"github.com/rookpass/rookpass/internal/balance"
 	"github.com/rookpass/rookpass/internal/catalog"
+	"github.com/rookpass/rookpass/internal/incarnation"
 	"github.com/rookpass/rookpass/internal/upstream"
 	"github.com/rookpass/rookpass/internal/verdict"
 )
 
 // attempt is one try of a request at one server, for the log.
 type attempt struct {
-	server  string
+	server  incarnation.ID
 	outcome string
 	took    time.Duration
 	// inFlight and candidates are what the choice saw.
@@ -48,7 +50,7 @@
 // NotRun answers are failures too. A stream goes on behind lastEvent.
 func (x *exchange) try(ctx context.Context, choice *balance.Choice, body [][]byte, lastEvent string) (*upstream.Answer, *upstream.Failure) {
 	header := maps.Clone(x.header)
-	x.g.dialect.Address(header, x.address(choice.Server.ID, lastEvent))
+	x.g.dialect.Address(header, x.address(choice.Server.ID.Server, lastEvent))
 	request := &upstream.Request{
 		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: header, Body: body, ID: x.info.ID,
 	}
@@ -56,8 +58,11 @@
 	if service := x.table.Service(choice.Server.Service); service != nil {
 		limit = service.MaxConns
 	}
-	answer, failure := x.g.sender.Do(ctx, choice.Server.Address, limit, request)
+	answer, failure := x.g.sender.Do(ctx, upstream.Endpoint{Address: choice.Server.Address, Server: choice.Server.ID}, limit, request)
 	if failure != nil {
+		if failure.Verdict != verdict.NotRun { // a failed dial keeps its reason: it is no try at a server
+			failure.Reason = reasonOf(ctx, failure.Reason)
+		}
 		return nil, failure
 	}
 	choice.Responded()
@@ -82,8 +87,18 @@
 	reasonShed = "shed"
 	// reasonGone means that another server answers at the address.
 	reasonGone = "gone"
+	// reasonRestarted means that the start of the server that was asked is over.
+	reasonRestarted = "restarted"
 )
 
+// reasonOf returns why a try ended that has failed: the reason given, unless its server has started again.
+func reasonOf(ctx context.Context, reason string) string {
+	if errors.Is(context.Cause(ctx), balance.ErrRestarted) {
+		return reasonRestarted
+	}
+	return reason
+}
+
 // note records an attempt and tells the balancer how it went.
 func (x *exchange) note(choice *balance.Choice, began time.Time, outcome string, told balance.Outcome) {
 	choice.Done(told)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,7 +39,7 @@
 
 // Sender sends one request to one server.
 type Sender interface {
-	Do(ctx context.Context, address string, limit int, r *upstream.Request) (*upstream.Answer, *upstream.Failure)
+	Do(ctx context.Context, to upstream.Endpoint, limit int, r *upstream.Request) (*upstream.Answer, *upstream.Failure)
 }
 
 // Gateway is an http.Handler. Use New.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -23,6 +24,7 @@
 	"github.com/rookpass/rookpass/internal/catalog"
 	"github.com/rookpass/rookpass/internal/dispatch"
 	"github.com/rookpass/rookpass/internal/gateway"
+	"github.com/rookpass/rookpass/internal/incarnation"
 	"github.com/rookpass/rookpass/internal/ledger"
 	"github.com/rookpass/rookpass/internal/metrics"
 	"github.com/rookpass/rookpass/internal/objectapi"
@@ -171,13 +173,13 @@
 		t.Cleanup(s.Close)
 		r.objects = append(r.objects, objectapi.Object{Key: fmt.Sprintf("s/%d", i), Value: []byte(s.Listener.Addr().String())})
 	}
-	r.entries = catalog.NewServersHandler(r.catalog, "s/", func(o objectapi.Object) (catalog.Server, error) {
-		return catalog.Server{ID: o.Key[2:], Service: "svc", Address: string(o.Value), Slots: 4}, nil
-	}, policy.NewLapse(time.Second), log)
+	balancer := balance.New("here")
+	r.entries = catalog.NewServersHandler(catalog.ServersOptions{Catalog: r.catalog, Prefix: "s/", Decode: decodeServer,
+		Lapse: policy.NewLapse(time.Second), Log: log, Started: func(id incarnation.ID) { balancer.Started(id) }})
 	r.entries.Reset(r.objects, 1)
 	r.configure(log)
 	dial := (&net.Dialer{}).DialContext
-	r.gateway = gateway.New(gateway.Options{Catalog: r.catalog, Balancer: balance.New("here"), Sender: upstream.NewPool(dial, dialect{}, 100),
+	r.gateway = gateway.New(gateway.Options{Catalog: r.catalog, Balancer: balancer, Sender: upstream.NewPool(dial, dialect{}, 100),
 		Ledger: r.books, Dialect: dialect{}, Log: log, Stats: gateway.NewStats(metrics.New()), Gate: r.gate, BodyBytes: 1500})
 	front := httptest.NewServer(r.gateway)
 	t.Cleanup(front.Close)
@@ -185,6 +187,14 @@
 	return r
 }
 
+// decodeServer decodes a server's address, behind which may stand a blank and when it started.
+func decodeServer(o objectapi.Object) (catalog.Server, error) {
+	address, born, _ := strings.Cut(string(o.Value), " ")
+	id := incarnation.ID{Server: o.Key[2:]}
+	id.Born, _ = strconv.ParseInt(born, 10, 64)
+	return catalog.Server{ID: id, Service: "svc", Address: address, Slots: 4}, nil
+}
+
 func (r *rig) configure(log logrus.FieldLogger) {
 	route := func(prefix string, kind catalog.Kind, attempts int) catalog.Route {
 		return catalog.Route{Name: prefix, Host: "127.0.0.1", Prefix: prefix, Kind: kind, MaxAttempts: attempts,
@@ -211,6 +221,12 @@
 }
 
 func (r *rig) send(path, body string, headers ...string) reply {
+	r.t.Helper()
+	return r.sendThen(path, body, func() {}, headers...)
+}
+
+// sendThen calls begun as soon as the caller has the head of the answer and a byte of its body.
+func (r *rig) sendThen(path, body string, begun func(), headers ...string) reply {
 	r.t.Helper()
 	req, err := http.NewRequest(http.MethodPost, r.url+path, strings.NewReader(body))
 	assert.NilError(r.t, err)
@@ -223,7 +239,10 @@
 		return reply{broken: true}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	got, err := io.ReadAll(resp.Body)
+	reader := bufio.NewReader(resp.Body)
+	_, _ = reader.Peek(1) // an empty or broken body shows below
+	begun()
+	got, err := io.ReadAll(reader)
 	return reply{status: resp.StatusCode, body: string(got), header: resp.Header, broken: err != nil, closes: resp.Close}
 }
 
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -11,6 +11,7 @@
 
 	"github.com/rookpass/rookpass/internal/balance"
 	"github.com/rookpass/rookpass/internal/catalog"
+	"github.com/rookpass/rookpass/internal/incarnation"
 	"github.com/rookpass/rookpass/internal/upstream"
 	"github.com/rookpass/rookpass/internal/verdict"
 )
@@ -24,7 +25,7 @@
 // servePlain sends a request to servers until one answers it, within the route's number of attempts. Where it
 // may run twice, another server is asked beside one that is silent for long.
 func (x *exchange) servePlain() *refusal {
-	c := &contest{x: x, ask: balance.Ask{Route: x.route.Name, Tried: map[string]bool{}},
+	c := &contest{x: x, ask: balance.Ask{Route: x.route.Name, Tried: map[incarnation.ID]bool{}},
 		ended: make(chan *try, x.route.MaxAttempts)}
 	defer c.abandon()
 	hedge := time.NewTimer(x.g.balancer.HedgeAfter(x.route.Name))
@@ -86,8 +87,9 @@
 	c.ask.Tried[choice.Server.ID] = true
 	c.sent++
 	c.running++
-	ctx, cancel := context.WithCancel(c.x.ctx)
-	c.cancels = append(c.cancels, cancel)
+	ctx, cancel := context.WithCancelCause(c.x.ctx)
+	choice.Bind(cancel)
+	c.cancels = append(c.cancels, func() { cancel(nil) })
 	replace := c.sent < c.x.route.MaxAttempts
 	go func() { c.ended <- c.x.fetch(ctx, choice, replace) }()
 	return true
@@ -151,7 +153,7 @@
 	head, err := io.ReadAll(io.LimitReader(answer.Body, bufferBytes))
 	if err != nil {
 		answer.Close()
-		t.failure = upstream.NewFailure(verdict.MayHaveRun, upstream.ReasonGarbled, err)
+		t.failure = upstream.NewFailure(verdict.MayHaveRun, reasonOf(ctx, upstream.ReasonGarbled), err)
 		return t
 	}
 	t.answer, t.head, t.more = answer, head, len(head) == bufferBytes
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -12,6 +12,7 @@
 
 	"github.com/rookpass/rookpass/internal/balance"
 	"github.com/rookpass/rookpass/internal/call"
+	"github.com/rookpass/rookpass/internal/incarnation"
 	"github.com/rookpass/rookpass/internal/upstream"
 	"github.com/rookpass/rookpass/internal/verdict"
 )
@@ -76,12 +77,13 @@
 	choice *balance.Choice
 	began  time.Time
 	answer *upstream.Answer
+	ctx    context.Context
 	cancel context.CancelFunc
 }
 
 func (x *exchange) newStream(p prepared) *stream {
 	s := &stream{x: x, body: x.prompt(p.chain), events: relayed{last: x.info.LastEvent}}
-	s.ask = balance.Ask{Route: x.route.Name, Tried: map[string]bool{}, PromptTokens: max(1, x.info.PromptTokens), Parts: x.info.Parts}
+	s.ask = balance.Ask{Route: x.route.Name, Tried: map[incarnation.ID]bool{}, PromptTokens: max(1, x.info.PromptTokens), Parts: x.info.Parts}
 	s.last = upstream.NewFailure(verdict.NotRun, "no-server", Error.New("no server of the route's service is known"))
 	return s
 }
@@ -109,15 +111,16 @@
 		}
 		s.ask.Tried[choice.Server.ID] = true
 		s.sent++
-		ctx, cancel := context.WithCancel(s.x.ctx)
-		t := &streamTry{choice: choice, began: time.Now(), cancel: cancel}
+		ctx, cancel := context.WithCancelCause(s.x.ctx)
+		choice.Bind(cancel)
+		t := &streamTry{choice: choice, began: time.Now(), ctx: ctx, cancel: func() { cancel(nil) }}
 		var failure *upstream.Failure
 		t.answer, failure = s.x.try(ctx, choice, s.body, s.events.last)
 		if failure == nil {
 			s.try = t
 			return true
 		}
-		cancel()
+		t.cancel()
 		if !s.failed(t, failure) {
 			return false
 		}
@@ -159,7 +162,7 @@
 		s.x.note(s.try.choice, s.try.began, strconv.Itoa(s.try.answer.Status), balance.Answered)
 		return true, nil
 	}
-	failure := upstream.NewFailure(verdict.MayHaveRun, upstream.ReasonRead, err)
+	failure := upstream.NewFailure(verdict.MayHaveRun, reasonOf(s.try.ctx, upstream.ReasonRead), err)
 	if errors.Is(err, errCallerLeft) {
 		s.x.note(s.try.choice, s.try.began, "caller-left", balance.Abandoned)
 		return false, s.x.broken(true, err)
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/rookpass/rookpass/internal/incarnation"
 	"github.com/rookpass/rookpass/internal/turn"
 )
 
@@ -140,7 +141,7 @@
 	assert.Equal(t, len(r.books.turns), 0)
 	assert.Equal(t, len(r.books.settled), 1)
 	got := r.books.settled[0]
-	assert.DeepEqual(t, *got, turn.Record{State: turn.Settled, ID: "1", Program: "p", Tokens: 18, Retention: time.Minute, Server: "0"})
+	assert.DeepEqual(t, *got, turn.Record{State: turn.Settled, ID: "1", Program: "p", Tokens: 18, Retention: time.Minute, Server: incarnation.ID{Server: "0"}})
 	assert.Equal(t, r.send("/stream/x", "hello", "Program", "p", "Budget", "100").status, http.StatusPaymentRequired,
 		"18 are spent, and another turn may take 100")
 	r.books.fail["reserve"] = fmt.Errorf("no disk is asked where nothing bounds a stream")
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/rookpass/rookpass/internal/incarnation"
 	"github.com/rookpass/rookpass/internal/layout"
 	"github.com/rookpass/rookpass/internal/ledger"
 	"github.com/rookpass/rookpass/internal/testbubble"
@@ -352,20 +353,20 @@
 		c := newCluster(t, 3, 1)
 		l := c.ledger("front-1")
 		ran := func(id, server, part string, held int64) *turn.Record {
-			return &turn.Record{State: turn.Settled, ID: id, Program: "p", Tokens: 5, Retention: time.Minute, Server: server, Part: part, Held: held}
+			return &turn.Record{State: turn.Settled, ID: id, Program: "p", Tokens: 5, Retention: time.Minute, Server: incarnation.ID{Server: server}, Part: part, Held: held}
 		}
 		for _, r := range []*turn.Record{ran("t1", "a", "main", 300), ran("t2", "b", "main", 700), ran("t3", "a", "helper", 90)} {
 			l.Settle(r)
 			assert.NilError(t, l.Flush(within(t, time.Second)))
 		}
 		kept := finished("p", "t4", "", "text")
-		kept.Server, kept.Part, kept.Held = "c", "kept", 40
+		kept.Server, kept.Part, kept.Held = incarnation.ID{Server: "c", Born: 5}, "kept", 40
 		assert.NilError(t, l.Finish(within(t, time.Second), kept))
 		account, err := c.ledger("front-2").Reserve(within(t, time.Second), reserved("p", "t5", 20), 100)
 		assert.NilError(t, err)
 		slices.SortFunc(account.Places, func(a, b turn.Place) int { return strings.Compare(a.Part, b.Part) })
-		assert.DeepEqual(t, account.Places, []turn.Place{{Server: "a", Part: "helper", Held: 90}, {Server: "c", Part: "kept", Held: 40},
-			{Server: "b", Part: "main", Held: 700}})
+		assert.DeepEqual(t, account.Places, []turn.Place{{Server: incarnation.ID{Server: "a"}, Part: "helper", Held: 90}, {Server: incarnation.ID{Server: "c", Born: 5}, Part: "kept", Held: 40},
+			{Server: incarnation.ID{Server: "b"}, Part: "main", Held: 700}})
 	})
 }
 
--- /dev/null
+++ b/internal/node/entries_test.go
@@ -0,0 +1,60 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/rookpass/rookpass/internal/testbubble"
+	"github.com/rookpass/rookpass/internal/workload"
+	"github.com/rookpass/rookpass/platform/platformtest"
+)
+
+// TestEntriesOfOtherWritersNameNoServer: what another writer puts in the place of a server's entry takes that server out of
+// use on every front, as it comes or found in a list after an outage; the others hold, and a good entry is in force again.
+func TestEntriesOfOtherWritersNameNoServer(t *testing.T) {
+	odd := len(platformtest.OddEntries(workload.NewServer(0, "a:1", workload.NewChecker()).Entry()))
+	for i := range odd {
+		for _, away := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d/store-away-%t", i, away), func(t *testing.T) {
+				t.Parallel()
+				testbubble.Run(t, func(t *testing.T) { spoilOneEntry(t, i, away) })
+			})
+		}
+	}
+}
+
+func spoilOneEntry(t *testing.T, odd int, away bool) {
+	w := newWorld(t)
+	stop := make(chan struct{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.ask(workload.Lookups, stop)
+	}()
+	time.Sleep(time.Second)
+	if away {
+		w.platform.SetFault(func(r http.ResponseWriter) { r.WriteHeader(http.StatusServiceUnavailable) }, false)
+	}
+	spoilt := w.servers[1].Entry()
+	w.platform.Set("servers", spoilt.ID.Server, platformtest.OddEntries(spoilt)[odd])
+	if away {
+		time.Sleep(faultTime)
+		w.platform.SetFault(nil, false)
+	}
+	w.checker.Leaving(spoilt.ID.Server)
+	time.Sleep(4 * time.Second)
+	w.checker.Returned(spoilt.ID.Server)
+	before := w.checker.Arrivals(spoilt.ID.Server)
+	w.platform.SetServer(spoilt)
+	time.Sleep(2 * time.Second)
+	close(stop)
+	<-done
+	assert.Equal(t, len(w.checker.Broken()), 0, "%s\n%v", strings.Join(w.checker.Broken(), "\n"), w.checker.Counts)
+	assert.Assert(t, w.checker.Arrivals(spoilt.ID.Server) > before, "the server's own entry is not in force")
+	assert.Assert(t, w.checker.Counts["call whole"] > 0, "%v", w.checker.Counts)
+}
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -20,6 +20,7 @@
 	"github.com/rookpass/rookpass/internal/exchange"
 	"github.com/rookpass/rookpass/internal/feed"
 	"github.com/rookpass/rookpass/internal/gateway"
+	"github.com/rookpass/rookpass/internal/incarnation"
 	"github.com/rookpass/rookpass/internal/layout"
 	"github.com/rookpass/rookpass/internal/ledger"
 	"github.com/rookpass/rookpass/internal/mirror"
@@ -179,7 +180,11 @@
 	})
 	for _, h := range []watch.Handler{
 		catalog.NewConfigHandler(f.catalog, platform.ConfigPrefix, platform.DecodeConfig, f.log),
-		catalog.NewServersHandler(f.catalog, platform.ServersPrefix, platform.DecodeServer, policy.NewLapse(f.settings.Heartbeat), f.log),
+		catalog.NewServersHandler(catalog.ServersOptions{
+			Catalog: f.catalog, Prefix: platform.ServersPrefix, Decode: platform.DecodeServer, Lapse: policy.NewLapse(f.settings.Heartbeat),
+			Log: f.log, Started: f.serverStarted,
+			Refused: func(reason catalog.Refusal) { f.metrics.Count("rookpass_entries_refused_total", string(reason)) },
+		}),
 	} {
 		group.Go(func() error {
 			f.awaitLayout(ctx)
@@ -188,6 +193,13 @@
 	}
 }
 
+// serverStarted ends what is under way at earlier starts of a server: those will never answer.
+func (f *front) serverStarted(id incarnation.ID) {
+	if calls := f.balancer.Started(id); calls > 0 {
+		f.log.WithFields(logrus.Fields{"event": "server-restarted", "server": id, "calls": calls}).Warn("server started again; calls at its earlier start ended")
+	}
+}
+
 // awaitLayout returns once the layout is known, or after layoutPatience.
 func (f *front) awaitLayout(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, layoutPatience)
@@ -315,8 +327,10 @@
 	logged := map[string]policy.Costs{}
 	for wait.For(ctx, sweepPause) == nil {
 		servers := f.catalog.Servers()
-		addresses := servers.Addresses()
-		f.pool.CloseIdle(func(address string) bool { return addresses[address] })
+		f.pool.CloseIdle(func(e upstream.Endpoint) bool {
+			address, known := servers.At(e.Server)
+			return known && address == e.Address
+		})
 		f.balancer.Forget(servers.Has)
 		f.logCosts(logged)
 	}
--- a/internal/node/matrix_test.go
+++ b/internal/node/matrix_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/rookpass/rookpass/internal/testbubble"
 	"github.com/rookpass/rookpass/internal/workload"
+	"github.com/rookpass/rookpass/platform/platformtest"
 )
 
 const (
@@ -101,6 +102,48 @@
 		{"servers hang", server(workload.Hang), -1, false},
 		{"servers break answers off", server(workload.Cut), -1, false},
 		{"servers are full", server(workload.Shed), -1, false},
+		{"servers start again under their names", (*world).restartServers, -1, false},
+		{"servers start again while the platform is silent", func(w *world) {
+			w.platform.SetFault(func(http.ResponseWriter) { time.Sleep(faultTime) }, false)
+			w.restartServers()
+			w.platform.SetFault(nil, false)
+		}, -1, true},
+		{"another writer spoils entries", (*world).spoilEntries, -1, false},
+	}
+}
+
+// noticed is how long after a server's new start its entry says so: its first write.
+const noticed = 300 * time.Millisecond
+
+// restartServers crashes one server of each service silently, and starts it again under its name.
+func (w *world) restartServers() {
+	for _, s := range w.servers[:2] {
+		s.Restart()
+	}
+	time.Sleep(noticed)
+	for _, s := range w.servers[:2] {
+		w.platform.SetServer(s.Entry())
+	}
+	time.Sleep(faultTime - noticed)
+}
+
+// spoilEntries writes over the entries of one server of each service what no server writes, and then lets the servers
+// write theirs again.
+func (w *world) spoilEntries() {
+	var spoilt []string
+	for i, s := range w.servers[:2] {
+		entry := s.Entry()
+		w.platform.Set("servers", entry.ID.Server, platformtest.OddEntries(entry)[i])
+		w.checker.Leaving(entry.ID.Server)
+		spoilt = append(spoilt, entry.ID.Server)
+	}
+	time.Sleep(faultTime + time.Second) // a second longer than requests may still reach them
+	for i, s := range w.servers[:2] {
+		entry := s.Entry()
+		if entry.ID.Server == spoilt[i] && !entry.Draining {
+			w.checker.Returned(spoilt[i])
+		}
+		w.platform.SetServer(entry)
 	}
 }
 
@@ -205,7 +248,7 @@
 			old := s.Leave()
 			w.platform.SetServer(old)
 			time.Sleep(2500 * time.Millisecond)
-			w.platform.RemoveServer(old.ID)
+			w.platform.RemoveServer(old.ID.Server)
 			w.platform.SetServer(s.Rename())
 		})
 		select {
--- a/internal/node/outage_test.go
+++ b/internal/node/outage_test.go
@@ -143,7 +143,7 @@
 					w.outage(fault, func(w *world) {
 						time.Sleep(length*2/3 - 100*time.Millisecond)
 						for _, s := range w.servers {
-							w.platform.RemoveServer(s.Entry().ID)
+							w.platform.RemoveServer(s.Entry().ID.Server)
 						}
 					}, length)
 					w.renewAllButOne()
@@ -159,7 +159,7 @@
 	returned := time.Now()
 	gone := len(w.servers) - 1
 	time.Sleep(goneAfter - newsBound)
-	w.checker.Leaving(w.servers[gone].Entry().ID) // it is watched from newsBound later on
+	w.checker.Leaving(w.servers[gone].Entry().ID.Server) // it is watched from newsBound later on
 	time.Sleep(time.Until(returned.Add(renewal)))
 	for _, s := range w.servers[:gone] {
 		w.platform.SetServer(s.Entry())
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -78,7 +78,7 @@
 		address := fmt.Sprintf("server-%d:1", i)
 		s := workload.NewServer(i, address, w.checker)
 		w.servers = append(w.servers, s)
-		w.serve(fmt.Sprint("server-", i), address, s)
+		w.serveWith(fmt.Sprint("server-", i), address, &http.Server{Handler: s, ConnContext: s.ConnContext})
 		w.platform.SetServer(s.Entry())
 	}
 	w.configure()
@@ -101,9 +101,12 @@
 
 // serve answers at an address of a host until the test ends.
 func (w *world) serve(host, address string, handler http.Handler) {
+	w.serveWith(host, address, &http.Server{Handler: handler})
+}
+
+func (w *world) serveWith(host, address string, server *http.Server) {
 	listener, err := w.fabric.Listen(host, address)
 	assert.NilError(w.t, err)
-	server := &http.Server{Handler: handler}
 	go func() { _ = server.Serve(listener) }()
 	w.t.Cleanup(func() { _ = server.Close() })
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -5,6 +5,7 @@
 package soak
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -42,6 +43,10 @@
 	ServerShed    Kind = "server-shed"
 	// ServerDrain takes one backend server away, and brings another at the same address.
 	ServerDrain Kind = "server-drain"
+	// ServerRestart crashes one backend server silently, and starts it again under its name. EntrySpoil writes over its entry
+	// what no server writes.
+	ServerRestart Kind = "server-restart"
+	EntrySpoil    Kind = "entry-spoil"
 	// LinkDelay, LinkReset, LinkOneWay and LinkSilent harm the connections from one process to the servers and the
 	// store.
 	LinkDelay  Kind = "link-delay"
@@ -112,9 +117,25 @@
 		}
 		p.Faults = append(p.Faults, f)
 	}
+	p.Faults = append(p.Faults, drawEntries(seed, size)...)
+	slices.SortStableFunc(p.Faults, byTime)
 	return p
 }
 
+func byTime(a, b Fault) int { return cmp.Compare(a.At, b.At) }
+
+// drawEntries draws what befalls servers' starts and entries. It has numbers of its own, so that what a seed draws of the
+// other faults does not depend on it.
+func drawEntries(seed uint64, size Size) []Fault {
+	r := rand.New(rand.NewPCG(seed, 2))
+	var faults []Fault
+	for at := time.Second; at < size.Length; at += time.Duration(500+r.IntN(3000)) * time.Millisecond {
+		kind := []Kind{ServerRestart, EntrySpoil}[r.IntN(2)]
+		faults = append(faults, Fault{Kind: kind, At: at, For: time.Duration(200+r.IntN(2500)) * time.Millisecond, Target: r.IntN(size.Servers)})
+	}
+	return faults
+}
+
 // Parse reads a plan that String wrote, and names what is wrong with it.
 func Parse(data []byte) (Plan, error) {
 	var p Plan
@@ -129,7 +150,7 @@
 			return p, fmt.Errorf("plan: fault %d: no target %d", i, f.Target)
 		}
 	}
-	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return int(a.At - b.At) })
+	slices.SortStableFunc(p.Faults, byTime)
 	return p, nil
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/rookpass/rookpass/internal/workload"
+	"github.com/rookpass/rookpass/platform/platformtest"
 )
 
 // Result is what a run found.
@@ -91,6 +92,13 @@
 		w.strikeLinks(f)
 	case ServerDrain:
 		w.replaceServer(f)
+	case ServerRestart:
+		s := w.servers[f.Target%len(w.servers)]
+		s.Restart()
+		time.Sleep(f.For)
+		w.store.SetServer(s.Entry())
+	case EntrySpoil:
+		w.spoilEntry(f)
 	case Config:
 		w.configure()
 	default:
@@ -184,10 +192,20 @@
 	old := s.Leave()
 	w.store.SetServer(old)
 	time.Sleep(f.For)
-	w.store.RemoveServer(old.ID)
+	w.store.RemoveServer(old.ID.Server)
 	w.store.SetServer(s.Rename())
 }
 
+// spoilEntry writes over a server's entry what no server writes, and lets the server write its own again.
+func (w *World) spoilEntry(f Fault) {
+	s := w.servers[f.Target%len(w.servers)]
+	entry := s.Entry()
+	odd := platformtest.OddEntries(entry)
+	w.store.Set("servers", entry.ID.Server, odd[int(f.At/time.Millisecond)%len(odd)])
+	time.Sleep(f.For)
+	w.store.SetServer(s.Entry())
+}
+
 // heal waits until every fault has been undone and every process runs.
 func (w *World) heal() {
 	w.wg.Wait()
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -42,7 +42,7 @@
 		return nil, err
 	}
 	s := &server{Server: workload.NewServer(place, link.address(), checker), link: link}
-	s.http = &http.Server{Handler: s.Server}
+	s.http = &http.Server{Handler: s.Server, ConnContext: s.ConnContext}
 	go func() { _ = s.http.Serve(listener) }()
 	return s, nil
 }
--- a/internal/turn/turn.go
+++ b/internal/turn/turn.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"github.com/rookpass/rookpass/internal/incarnation"
 )
 
 // Error is the class of this package's errors.
@@ -58,9 +60,9 @@
 	// for Finished turns.
 	Input  []byte
 	Output []byte
-	// Server is the incarnation that ran the turn and so holds its prompt in cache: Held tokens of Part, the last
+	// Server is the server's start that ran the turn and so holds its prompt in cache: Held tokens of Part, the last
 	// part of the prompt, and all parts before it. Part is empty where the prompt's parts are not known.
-	Server string
+	Server incarnation.ID
 	Part   string
 	Held   int64
 	// Aim is the time that the program had left when the turn came; 0 where that was not said. It is told with a
@@ -70,7 +72,7 @@
 
 // Place tells what a server has in cache after a turn.
 type Place struct {
-	Server string
+	Server incarnation.ID
 	// Part is a part of a prompt, Held how many of its tokens are in cache.
 	Part string
 	Held int64
@@ -78,7 +80,7 @@
 
 // Place returns where the turn's prompt is in cache, or false where that is not known.
 func (r *Record) Place() (Place, bool) {
-	return Place{Server: r.Server, Part: r.Part, Held: r.Held}, r.Part != "" && r.Server != ""
+	return Place{Server: r.Server, Part: r.Part, Held: r.Held}, r.Part != "" && !r.Server.IsZero()
 }
 
 // Counts returns what the record counts against the program's budget.
@@ -90,8 +92,8 @@
 }
 
 // Append appends the record's encoding to b: the state, numbers as varints, texts with their length before
-// them. Part, Held and Aim stand last: records of before they
-// existed end without them.
+// them. Part, Held and Aim stand last, behind them when the
+// server started: records without them end before.
 func (r *Record) Append(b []byte) []byte {
 	b = append(b, byte(r.State))
 	b = binary.AppendVarint(b, r.Tokens)
@@ -99,15 +101,19 @@
 	b = appendBytes(b, r.ID)
 	b = appendBytes(b, r.Program)
 	b = appendBytes(b, r.Previous)
-	b = appendBytes(b, r.Server)
+	b = appendBytes(b, r.Server.Server)
 	b = appendBytes(b, r.Input)
 	b = appendBytes(b, r.Output)
-	if r.Part == "" && r.Held == 0 && r.Aim == 0 {
+	if r.Part == "" && r.Held == 0 && r.Aim == 0 && r.Server.Born == 0 {
 		return b
 	}
 	b = appendBytes(b, r.Part)
 	b = binary.AppendVarint(b, r.Held)
-	return binary.AppendVarint(b, int64(r.Aim))
+	b = binary.AppendVarint(b, int64(r.Aim))
+	if r.Server.Born == 0 {
+		return b
+	}
+	return binary.AppendVarint(b, r.Server.Born)
 }
 
 // Decode returns the record that b encodes.
@@ -119,7 +125,7 @@
 	r.ID = string(d.bytes())
 	r.Program = string(d.bytes())
 	r.Previous = string(d.bytes())
-	r.Server = string(d.bytes())
+	r.Server.Server = string(d.bytes())
 	r.Input = d.bytes()
 	r.Output = d.bytes()
 	if len(d.rest) > 0 {
@@ -127,6 +133,9 @@
 		r.Held = d.varint()
 		r.Aim = time.Duration(d.varint())
 	}
+	if len(d.rest) > 0 {
+		r.Server.Born = d.varint()
+	}
 	if d.bad || len(d.rest) > 0 || r.State < Reserved || r.State > Settled {
 		return Record{}, Error.New("malformed record of %d bytes", len(b))
 	}
--- a/internal/turn/turn_test.go
+++ b/internal/turn/turn_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/rookpass/rookpass/internal/incarnation"
 	"github.com/rookpass/rookpass/internal/turn"
 )
 
@@ -17,7 +18,7 @@
 			State: turn.State(rapid.IntRange(1, 4).Draw(t, "state")), ID: rapid.String().Draw(t, "id"),
 			Program: rapid.String().Draw(t, "program"), Previous: rapid.String().Draw(t, "previous"),
 			Tokens: rapid.Int64().Draw(t, "tokens"), Retention: time.Duration(rapid.Int64().Draw(t, "retention")),
-			Server: rapid.String().Draw(t, "server"),
+			Server: incarnation.ID{Server: rapid.String().Draw(t, "server"), Born: rapid.Int64().Draw(t, "born")},
 			Part:   rapid.String().Draw(t, "part"), Held: rapid.Int64().Draw(t, "held"), Aim: time.Duration(rapid.Int64().Draw(t, "aim")), Input: text.Draw(t, "input"), Output: text.Draw(t, "output"),
 		}
 		back, err := turn.Decode(r.Append(nil))
@@ -35,7 +36,7 @@
 
 // TestRecordsWithoutAPlaceAreRead: disks hold records of before there were places.
 func TestRecordsWithoutAPlaceAreRead(t *testing.T) {
-	r := turn.Record{State: turn.Finished, ID: "id", Program: "p", Server: "s", Tokens: 3, Output: []byte("out")}
+	r := turn.Record{State: turn.Finished, ID: "id", Program: "p", Server: incarnation.ID{Server: "s"}, Tokens: 3, Output: []byte("out")}
 	before := len(r.Append(nil))
 	r.Part, r.Held = "part", 7
 	now := r.Append(nil)
@@ -46,7 +47,7 @@
 	assert.Assert(t, !known)
 	place, known := r.Place()
 	assert.Assert(t, known)
-	assert.Equal(t, place, turn.Place{Server: "s", Part: "part", Held: 7})
+	assert.Equal(t, place, turn.Place{Server: incarnation.ID{Server: "s"}, Part: "part", Held: 7})
 }
 
 func FuzzDecode(f *testing.F) {
--- a/internal/turnlog/turnlog_test.go
+++ b/internal/turnlog/turnlog_test.go
@@ -10,13 +10,14 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/rookpass/rookpass/internal/incarnation"
 	"github.com/rookpass/rookpass/internal/turn"
 	"github.com/rookpass/rookpass/internal/turnlog"
 )
 
 func record(id string) turn.Record {
 	return turn.Record{State: turn.Finished, ID: id, Program: "p", Previous: "before", Tokens: 7, Retention: time.Minute,
-		Input: []byte("input " + id), Output: []byte("output " + id + "\n"), Server: "s"}
+		Input: []byte("input " + id), Output: []byte("output " + id + "\n"), Server: incarnation.ID{Server: "s"}}
 }
 
 func open(t *testing.T, dir string) (*turnlog.Log, []turn.Record) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rookpass/rookpass/internal/call"
+	"github.com/rookpass/rookpass/internal/incarnation"
 	"github.com/rookpass/rookpass/internal/network"
 	"github.com/rookpass/rookpass/internal/verdict"
 )
@@ -23,7 +24,14 @@
 	maxIdle = 16
 )
 
-// Pool keeps connections to servers, by address.
+// Endpoint is where one start of a server is reached. Connections to an earlier start are of no use to a later one at
+// the same address: a request on one ends in a reset, and may then not be sent again where it must run once at most.
+type Endpoint struct {
+	Address string
+	Server  incarnation.ID
+}
+
+// Pool keeps connections to servers, by endpoint.
 type Pool struct {
 	dial    network.DialContext
 	dialect call.Dialect
@@ -31,7 +39,7 @@
 	most int
 
 	mu    sync.Mutex
-	hosts map[string]*host
+	hosts map[Endpoint]*host
 	// open counts the connections to all servers.
 	open int
 
@@ -47,7 +55,7 @@
 
 // NewPool returns an empty pool of at most so many connections.
 func NewPool(dial network.DialContext, dialect call.Dialect, most int) *Pool {
-	return &Pool{dial: dial, dialect: dialect, most: most, hosts: map[string]*host{}}
+	return &Pool{dial: dial, dialect: dialect, most: most, hosts: map[Endpoint]*host{}}
 }
 
 // Opened returns how many connections were opened, Reused how many requests went over kept ones.
@@ -56,34 +64,33 @@
 // Reused returns how many requests went over kept connections.
 func (p *Pool) Reused() int64 { return p.reused.Load() }
 
-// Do sends a request to an address and returns the head of its answer. limit bounds the connections to it;
-// 0 means none.
-func (p *Pool) Do(ctx context.Context, address string, limit int, r *Request) (*Answer, *Failure) {
-	c, failure := p.take(ctx, address, limit)
+// Do sends a request to a server and returns the head of its answer. limit bounds the connections to it; 0 means none.
+func (p *Pool) Do(ctx context.Context, to Endpoint, limit int, r *Request) (*Answer, *Failure) {
+	c, failure := p.take(ctx, to, limit)
 	if failure != nil {
 		return nil, failure
 	}
 	answer, failure := exchange(ctx, c, r, p.dialect)
 	if failure != nil {
-		p.drop(address)
+		p.drop(to)
 		return nil, failure
 	}
 	finish := answer.close
 	answer.close = func(whole bool) {
 		finish(whole)
 		if answer.conn == nil {
-			p.drop(address)
+			p.drop(to)
 			return
 		}
-		p.put(address, c, answer.Reply.KeepAlive)
+		p.put(to, c, answer.Reply.KeepAlive)
 	}
 	return answer, nil
 }
 
 // take returns an idle connection that is still open, or a new one.
-func (p *Pool) take(ctx context.Context, address string, limit int) (*conn, *Failure) {
+func (p *Pool) take(ctx context.Context, to Endpoint, limit int) (*conn, *Failure) {
 	for {
-		c := p.pop(address)
+		c := p.pop(to)
 		if c == nil {
 			break
 		}
@@ -92,32 +99,32 @@
 			return c, nil
 		}
 		_ = c.Close()
-		p.drop(address)
+		p.drop(to)
 	}
-	if err := p.enter(address, limit); err != nil {
+	if err := p.enter(to, limit); err != nil {
 		return nil, &Failure{Verdict: verdict.NotRun, Reason: ReasonNoConns, err: err}
 	}
 	p.opened.Add(1)
-	c, err := p.dial(ctx, "tcp", address)
+	c, err := p.dial(ctx, "tcp", to.Address)
 	if err != nil {
-		p.drop(address)
+		p.drop(to)
 		return nil, &Failure{Verdict: verdict.NotRun, Reason: ReasonDial, err: err}
 	}
 	return newConn(c), nil
 }
 
-// enter counts a new connection to an address, or says why there can be none. Where there are too many in all,
+// enter counts a new connection to a server, or says why there can be none. Where there are too many in all,
 // an idle one to another server gives way.
-func (p *Pool) enter(address string, limit int) error {
+func (p *Pool) enter(to Endpoint, limit int) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if h := p.host(address); limit > 0 && h.open >= limit {
-		return Error.New("all %d connections to %s are busy", limit, address)
+	if h := p.host(to); limit > 0 && h.open >= limit {
+		return Error.New("all %d connections to %s are busy", limit, to.Address)
 	}
 	if p.open >= p.most && !p.closeOneIdle() {
 		return Error.New("all %d connections to servers are busy", p.most)
 	}
-	p.host(address).open++
+	p.host(to).open++
 	p.open++
 	return nil
 }
@@ -125,40 +132,40 @@
 // closeOneIdle closes the idle connection of any server that has rested longest there. It is called with the
 // lock held.
 func (p *Pool) closeOneIdle() bool {
-	for address, h := range p.hosts {
+	for to, h := range p.hosts {
 		if len(h.idle) == 0 {
 			continue
 		}
 		_ = h.idle[0].Close()
 		h.idle = h.idle[1:]
-		p.left(address, h)
+		p.left(to, h)
 		return true
 	}
 	return false
 }
 
 // left counts a connection as closed. It is called with the lock held.
-func (p *Pool) left(address string, h *host) {
+func (p *Pool) left(to Endpoint, h *host) {
 	h.open--
 	p.open--
 	if h.open <= 0 && len(h.idle) == 0 {
-		delete(p.hosts, address)
+		delete(p.hosts, to)
 	}
 }
 
-func (p *Pool) host(address string) *host {
-	h := p.hosts[address]
+func (p *Pool) host(to Endpoint) *host {
+	h := p.hosts[to]
 	if h == nil {
 		h = &host{}
-		p.hosts[address] = h
+		p.hosts[to] = h
 	}
 	return h
 }
 
-func (p *Pool) pop(address string) *conn {
+func (p *Pool) pop(to Endpoint) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	h := p.host(address)
+	h := p.host(to)
 	if len(h.idle) == 0 {
 		return nil
 	}
@@ -167,17 +174,17 @@
 	return c
 }
 
-func (p *Pool) put(address string, c *conn, keep time.Duration) {
+func (p *Pool) put(to Endpoint, c *conn, keep time.Duration) {
 	if keep == 0 {
 		keep = defaultKeep
 	}
 	keep -= keepMargin
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	h := p.host(address)
+	h := p.host(to)
 	if keep <= 0 || len(h.idle) >= maxIdle {
 		_ = c.Close()
-		p.left(address, h)
+		p.left(to, h)
 		return
 	}
 	c.expires = time.Now().Add(keep)
@@ -185,21 +192,21 @@
 }
 
 // drop counts a connection as closed.
-func (p *Pool) drop(address string) {
+func (p *Pool) drop(to Endpoint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.left(address, p.host(address))
+	p.left(to, p.host(to))
 }
 
-// CloseIdle closes connections that have expired, and all idle ones to addresses that are not wanted.
-func (p *Pool) CloseIdle(wanted func(address string) bool) {
+// CloseIdle closes connections that have expired, and all idle ones to servers that are not wanted.
+func (p *Pool) CloseIdle(wanted func(Endpoint) bool) {
 	now := time.Now()
 	var closing []net.Conn
 	p.mu.Lock()
-	for address, h := range p.hosts {
+	for to, h := range p.hosts {
 		kept := h.idle[:0]
 		for _, c := range h.idle {
-			if now.Before(c.expires) && wanted(address) {
+			if now.Before(c.expires) && wanted(to) {
 				kept = append(kept, c)
 				continue
 			}
@@ -209,7 +216,7 @@
 		}
 		h.idle = kept
 		if h.open <= 0 && len(h.idle) == 0 {
-			delete(p.hosts, address)
+			delete(p.hosts, to)
 		}
 	}
 	p.mu.Unlock()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/rookpass/rookpass/internal/call"
+	"github.com/rookpass/rookpass/internal/incarnation"
 	"github.com/rookpass/rookpass/internal/network"
 	"github.com/rookpass/rookpass/internal/upstream"
 	"github.com/rookpass/rookpass/internal/verdict"
@@ -72,7 +73,7 @@
 
 // ask sends a request and returns the answer's body, or how it failed.
 func ask(ctx context.Context, p *upstream.Pool, address, id string) (string, *upstream.Failure) {
-	a, failure := p.Do(ctx, address, 0, request(id))
+	a, failure := p.Do(ctx, upstream.Endpoint{Address: address}, 0, request(id))
 	if failure != nil {
 		return "", failure
 	}
@@ -209,7 +210,7 @@
 	for i := range 2 {
 		r := request(fmt.Sprint(i))
 		r.Body = [][]byte{make([]byte, size)}
-		a, failure := p.Do(background(t), address, 0, r)
+		a, failure := p.Do(background(t), upstream.Endpoint{Address: address}, 0, r)
 		assert.Assert(t, failure == nil, "%v", failure)
 		body, err := io.ReadAll(a.Body)
 		assert.NilError(t, err)
@@ -283,7 +284,7 @@
 		done <- failure
 	}()
 	<-began
-	_, failure := p.Do(background(t), address, 1, request("2"))
+	_, failure := p.Do(background(t), upstream.Endpoint{Address: address}, 1, request("2"))
 	assert.Equal(t, failure.Reason, upstream.ReasonNoConns)
 	assert.Equal(t, failure.Verdict, verdict.NotRun)
 	close(release)
@@ -307,7 +308,7 @@
 		assert.Assert(t, failure == nil, "%v", failure)
 	}
 	for i := range 2 {
-		held, failure := p.Do(background(t), server(t, serve), 0, request(fmt.Sprint("held", i)))
+		held, failure := p.Do(background(t), upstream.Endpoint{Address: server(t, serve)}, 0, request(fmt.Sprint("held", i)))
 		assert.Assert(t, failure == nil, "%v", failure)
 		defer held.Close()
 	}
@@ -315,3 +316,27 @@
 	assert.Equal(t, failure.Reason, upstream.ReasonNoConns)
 	assert.Equal(t, failure.Verdict, verdict.NotRun)
 }
+
+// TestConnectionsToAnEarlierStartAreNotUsed: another start of the server listens at the same address.
+func TestConnectionsToAnEarlierStartAreNotUsed(t *testing.T) {
+	address := server(t, func(conn net.Conn, r *bufio.Reader) {
+		for {
+			id, _, err := read(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, answer(id, "body"))
+		}
+	})
+	p := newPool()
+	for i, born := range []int64{1, 1, 2, 2} {
+		to := upstream.Endpoint{Address: address, Server: incarnation.ID{Server: "a", Born: born}}
+		a, failure := p.Do(background(t), to, 0, request(fmt.Sprint(i)))
+		assert.Assert(t, failure == nil, "%v", failure)
+		_, err := io.ReadAll(a.Body)
+		assert.NilError(t, err)
+		a.Close()
+	}
+	assert.Equal(t, p.Opened(), int64(2))
+	assert.Equal(t, p.Reused(), int64(2))
+}
--- a/internal/workload/checker.go
+++ b/internal/workload/checker.go
@@ -15,6 +15,7 @@
 	refused  map[string]int
 	handed   map[string]int64
 	leaving  map[string]time.Time
+	arrivals map[string]int
 	excused  time.Time
 	seen     map[string]int64
 	broken   []string
@@ -25,7 +26,7 @@
 // NewChecker returns a checker that has seen nothing.
 func NewChecker() *Checker {
 	return &Checker{expected: map[string]string{}, runs: map[string]int{}, repeat: map[string]bool{}, refused: map[string]int{},
-		handed: map[string]int64{}, leaving: map[string]time.Time{}, seen: map[string]int64{}, Counts: map[string]int{}}
+		handed: map[string]int64{}, leaving: map[string]time.Time{}, arrivals: map[string]int{}, seen: map[string]int64{}, Counts: map[string]int{}}
 }
 
 // Fail notes a broken promise.
@@ -91,13 +92,20 @@
 // drainTime is how long after a server's word that it leaves it may still get requests.
 const drainTime = 2 * time.Second
 
-// Leaving notes that a server has said that it leaves.
+// Leaving notes that a server has said that it leaves, or that its entry is no server's any more.
 func (c *Checker) Leaving(server string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.leaving[server] = time.Now()
 }
 
+// Returned notes that a server may get requests again.
+func (c *Checker) Returned(server string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.leaving, server)
+}
+
 // Excuse lets requests reach leaving servers until a time: a paused daemon's last ones arrive when it wakes.
 func (c *Checker) Excuse(until time.Time) {
 	c.mu.Lock()
@@ -109,6 +117,7 @@
 func (c *Checker) Arrived(server, id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.arrivals[server]++
 	now := time.Now()
 	at, leaving := c.leaving[server]
 	if leaving && now.Sub(at) > drainTime && now.After(c.excused) {
@@ -116,6 +125,13 @@
 	}
 }
 
+// Arrivals returns how many requests have reached a server.
+func (c *Checker) Arrivals(server string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.arrivals[server]
+}
+
 // Served notes that one life of a front has served a route of a version, or refused one.
 func (c *Checker) Served(front string, version int64, known bool) {
 	c.mu.Lock()
--- a/internal/workload/server.go
+++ b/internal/workload/server.go
@@ -4,8 +4,10 @@
 package workload
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -13,6 +15,7 @@
 	"time"
 
 	"github.com/rookpass/rookpass/internal/catalog"
+	"github.com/rookpass/rookpass/internal/incarnation"
 	"github.com/rookpass/rookpass/platform/platformtest"
 )
 
@@ -51,6 +54,8 @@
 	mu    sync.Mutex
 	entry catalog.Server
 	lives int
+	// over is closed when the present start ends.
+	over chan struct{}
 }
 
 // NewServer returns the server at a place, whose number picks its service and data centre. address is where
@@ -60,7 +65,7 @@
 	if place%2 == 1 {
 		service = toolService
 	}
-	s := &Server{place: place, checker: checker}
+	s := &Server{place: place, checker: checker, over: make(chan struct{})}
 	s.SetFault("")
 	s.entry = catalog.Server{Service: service, Address: address, DataCentre: fmt.Sprint("dc", place%3), Slots: 32}
 	s.Rename()
@@ -75,17 +80,49 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lives++
-	s.entry.ID = fmt.Sprintf("i-%d-%d", s.place, s.lives)
+	s.entry.ID = incarnation.ID{Server: fmt.Sprintf("i-%d-%d", s.place, s.lives), Born: time.Now().UnixMilli()}
 	s.entry.Draining = false
 	return s.entry
 }
 
+// Restart ends the server as a crash behind a cut does, and starts it again under its name and at its address: what was
+// under way stays silent, and so do the connections of before. It returns the new start's entry.
+func (s *Server) Restart() catalog.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.over)
+	s.over = make(chan struct{})
+	s.entry.ID.Born = max(s.entry.ID.Born+1, time.Now().UnixMilli())
+	return s.entry
+}
+
+// startKey is the context key of the start that accepted a connection.
+type startKey struct{}
+
+// ConnContext is the server's http.Server.ConnContext: it ties a connection to the start that accepted it.
+func (s *Server) ConnContext(ctx context.Context, _ net.Conn) context.Context {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return context.WithValue(ctx, startKey{}, s.over)
+}
+
+// silentIfOver says nothing more on a connection to a start that has ended.
+func silentIfOver(r *http.Request) {
+	over, _ := r.Context().Value(startKey{}).(chan struct{}) // none without ConnContext
+	select {
+	case <-over:
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	default:
+	}
+}
+
 // Leave makes the server say that it leaves, and returns its entry.
 func (s *Server) Leave() catalog.Server {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.entry.Draining = true
-	s.checker.Leaving(s.entry.ID)
+	s.checker.Leaving(s.entry.ID.Server)
 	return s.entry
 }
 
@@ -103,11 +140,12 @@
 	if err != nil {
 		return
 	}
+	silentIfOver(r)
 	fault := s.fault.Load().(Fault)
 	entry := s.Entry()
 	w.Header().Set("X-Content-Type-Options", "nosniff")
 	switch {
-	case platformtest.ExpectedServer(r.Header) != entry.ID:
+	case platformtest.ExpectedServer(r.Header) != entry.ID.Server:
 		platformtest.Sign(w.Header(), id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -117,7 +155,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	s.checker.Arrived(entry.ID, id)
+	s.checker.Arrived(entry.ID.Server, id)
 	s.checker.Ran(id, string(body))
 	if fault == Hang {
 		<-r.Context().Done()
@@ -128,7 +166,9 @@
 		s.stream(w, r, streamKey(r, id, string(body)), fault)
 		return
 	}
-	s.tool(w, id, fault)
+	time.Sleep(toolTime)
+	silentIfOver(r)
+	tool(w, id, fault)
 }
 
 // streamKey returns what the events of an answer depend on: an answer that may be resumed is the same under every
@@ -155,6 +195,7 @@
 func (s *Server) stream(w http.ResponseWriter, r *http.Request, key string, fault Fault) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	for n := platformtest.LastEvent(r.Header) + 1; n <= eventsPerTurn; n++ {
+		silentIfOver(r)
 		_, _ = io.WriteString(w, eventText(key, n, n)) // the caller may have left
 		w.(http.Flusher).Flush()
 		if fault == Cut && n == eventsPerTurn/2 {
@@ -173,8 +214,7 @@
 // toolAnswer is the body of a tool's answer.
 func toolAnswer(id string) string { return "done " + id + strings.Repeat(".", 200) }
 
-func (s *Server) tool(w http.ResponseWriter, id string, fault Fault) {
-	time.Sleep(toolTime)
+func tool(w http.ResponseWriter, id string, fault Fault) {
 	body := toolAnswer(id)
 	switch fault {
 	case Cut:
