Requests go to servers with a resting connection where those are as busy as others

Connections also counted as too old 0.7 s before the server's word, though only what must not run twice needs such care.

Ruled out: short keep times of the servers (a site with few servers opens 460 connections for 7,800 requests, so connections last).

Change: the choice of a server counts a new connection as what it costs a caller, 0.05 of a request or 3 ms of a turn, so it decides between equals and not between busy and idle ones. Repeatable requests use connections until 0.25 s before the server's word; what must not run twice keeps 0.7 s.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -24,6 +24,10 @@
 	// remotePenalty is how many requests in flight a server in another data centre counts more: a trip there
 	// and back costs a few milliseconds, and its bytes have a price.
 	remotePenalty = 1.2
+	// connectPenalty is the same for a server to which a connection must be opened first, and connectSeconds what that
+	// costs a turn: a trip of 2 to 3 ms and a millisecond of the server's. It decides between servers that are as busy.
+	connectPenalty = 0.05
+	connectSeconds = 0.003
 	// latencyWeight is the weight of the newest answer in a server's mean time.
 	latencyWeight = 0.15
 	// headWeight is the weight of the newest answer in the means of a route or service, which has many servers.
@@ -109,6 +113,8 @@
 	PromptTokens int64
 	// Parts are the prompt's parts in order.
 	Parts []call.Part
+	// Connected tells whether a connection to a server rests that the request may use; nil where that is not known.
+	Connected func(*catalog.Server) bool
 	// mean is how many calls of this daemon a server has in the mean; Pick sets it.
 	mean float64
 }
@@ -204,18 +210,26 @@
 // cost is what a request is expected to take: seconds at a model server, a count of requests elsewhere.
 func (b *Balancer) cost(ask *Ask, server *catalog.Server, s *state) float64 {
 	remote := server.DataCentre != b.dataCentre
+	connect := ask.Connected != nil && !ask.Connected(server)
 	slowness := b.slowness(server.Service, s)
 	if ask.PromptTokens == 0 {
-		cost := float64(s.inFlight+1) / float64(max(1, server.Slots))
+		requests := float64(s.inFlight + 1)
 		if remote {
-			cost += remotePenalty / float64(max(1, server.Slots))
+			requests += remotePenalty
 		}
-		return cost * slowness
+		if connect {
+			requests += connectPenalty
+		}
+		return requests / float64(max(1, server.Slots)) * slowness
 	}
 	cached := s.parts.cached(ask.Parts)
 	engine := policy.Engine{InFlight: s.inFlight, Capacity: 1 << 30, CachedTokens: cached, Remote: remote, Others: ask.mean * float64(b.peers),
 		Surplus: s.others - b.othersMean}
-	return policy.Expected(engine, ask.PromptTokens, b.model(server.Service).Costs())*slowness + 0.05*(slowness-1)
+	cost := policy.Expected(engine, ask.PromptTokens, b.model(server.Service).Costs())*slowness + 0.05*(slowness-1)
+	if connect {
+		cost += connectSeconds
+	}
+	return cost
 }
 
 // model returns what was learnt of a service.
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -223,3 +223,17 @@
 		assert.Equal(t, pick(t, b, ask).Server.ID == id("1"), stays, "with %d other daemons", peers)
 	}
 }
+
+// TestConnectedServersComeFirstAmongEquals: a new connection costs a trip, so it is opened where the connected servers are busier.
+func TestConnectedServersComeFirstAmongEquals(t *testing.T) {
+	for _, tokens := range []int64{0, 100} {
+		b := balance.New("here")
+		connected := func(s *catalog.Server) bool { return s.ID == id("3") }
+		ask := balance.Ask{Servers: servers(20), PromptTokens: tokens, Connected: connected}
+		first := pick(t, b, ask)
+		assert.Equal(t, first.Server.ID, id("3"))
+		assert.Assert(t, pick(t, b, ask).Server.ID != id("3"), "the connected server has a request more than the others")
+		first.Done(balance.Answered)
+		assert.Equal(t, pick(t, b, ask).Server.ID, id("3"))
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -53,12 +53,13 @@
 	x.g.dialect.Address(header, x.address(choice.Server.ID.Server, lastEvent))
 	request := &upstream.Request{
 		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: header, Body: body, ID: x.info.ID,
+		Repeatable: x.route.Repeatable(),
 	}
 	limit := 0
 	if service := x.table.Service(choice.Server.Service); service != nil {
 		limit = service.MaxConns
 	}
-	answer, failure := x.g.sender.Do(ctx, upstream.Endpoint{Address: choice.Server.Address, Server: choice.Server.ID}, limit, request)
+	answer, failure := x.g.sender.Do(ctx, endpoint(&choice.Server), limit, request)
 	if failure != nil {
 		if failure.Verdict != verdict.NotRun { // a failed dial keeps its reason: it is no try at a server
 			failure.Reason = reasonOf(ctx, failure.Reason)
@@ -99,6 +100,15 @@
 	return reason
 }
 
+func endpoint(s *catalog.Server) upstream.Endpoint {
+	return upstream.Endpoint{Address: s.Address, Server: s.ID}
+}
+
+// connected tells whether a connection to a server rests that the request may use.
+func (x *exchange) connected(s *catalog.Server) bool {
+	return x.g.sender.HasIdle(endpoint(s), x.route.Repeatable())
+}
+
 // note records an attempt and tells the balancer how it went.
 func (x *exchange) note(choice *balance.Choice, began time.Time, outcome string, told balance.Outcome) {
 	choice.Done(told)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -18,8 +18,10 @@
 	// defaultKeep is how long an idle connection is trusted to a server that does not say how long it keeps
 	// them.
 	defaultKeep = 4 * time.Second
-	// keepMargin is subtracted from what the server says: a request must not cross its close.
-	keepMargin = 700 * time.Millisecond
+	// keepMargin is subtracted from what the server says: a request must not cross its close. It is above a busy VM's delays
+	// of up to 250 ms. What must not run twice keeps further away: a connection that was lost unnoticed costs it an answer.
+	keepMargin       = 250 * time.Millisecond
+	keepMarginAtMost = 700 * time.Millisecond
 	// maxIdle bounds the idle connections to one server.
 	maxIdle = 16
 )
@@ -66,7 +68,7 @@
 
 // Do sends a request to a server and returns the head of its answer. limit bounds the connections to it; 0 means none.
 func (p *Pool) Do(ctx context.Context, to Endpoint, limit int, r *Request) (*Answer, *Failure) {
-	c, failure := p.take(ctx, to, limit)
+	c, failure := p.take(ctx, to, limit, r.Repeatable)
 	if failure != nil {
 		return nil, failure
 	}
@@ -88,9 +90,9 @@
 }
 
 // take returns an idle connection that is still open, or a new one.
-func (p *Pool) take(ctx context.Context, to Endpoint, limit int) (*conn, *Failure) {
+func (p *Pool) take(ctx context.Context, to Endpoint, limit int, repeatable bool) (*conn, *Failure) {
 	for {
-		c := p.pop(to)
+		c := p.pop(to, repeatable)
 		if c == nil {
 			break
 		}
@@ -162,7 +164,9 @@
 	return h
 }
 
-func (p *Pool) pop(to Endpoint) *conn {
+// pop takes the connection out that was used last, or returns nil where there is none or it has rested too long for a
+// request that must not run twice.
+func (p *Pool) pop(to Endpoint, repeatable bool) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.host(to)
@@ -170,10 +174,28 @@
 		return nil
 	}
 	c := h.idle[len(h.idle)-1]
+	if !repeatable && time.Now().Add(keepMarginAtMost-keepMargin).After(c.expires) {
+		return nil
+	}
 	h.idle = h.idle[:len(h.idle)-1]
 	return c
 }
 
+// HasIdle tells whether a connection to a server rests that a request may use.
+func (p *Pool) HasIdle(to Endpoint, repeatable bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[to]
+	if h == nil || len(h.idle) == 0 {
+		return false
+	}
+	needed := time.Duration(0)
+	if !repeatable {
+		needed = keepMarginAtMost - keepMargin
+	}
+	return !time.Now().Add(needed).After(h.idle[len(h.idle)-1].expires)
+}
+
 func (p *Pool) put(to Endpoint, c *conn, keep time.Duration) {
 	if keep == 0 {
 		keep = defaultKeep
--- /dev/null
+++ b/internal/upstream/rest_test.go
@@ -0,0 +1,68 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/rookpass/rookpass/internal/upstream"
+)
+
+// TestRestedConnectionsServeWhatMayRunTwice: a server that says nothing keeps idle connections for 4 s. One that has rested for
+// long may be gone unnoticed, so what must not run twice opens a new one 0.7 s before, everything else 0.25 s.
+func TestRestedConnectionsServeWhatMayRunTwice(t *testing.T) {
+	dial := func(context.Context, string, string) (net.Conn, error) {
+		ours, theirs := net.Pipe()
+		go func() {
+			r := bufio.NewReader(theirs)
+			for {
+				id, _, err := read(r)
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(theirs, answer(id, "body"))
+			}
+		}()
+		return ours, nil
+	}
+	for rest, want := range map[time.Duration]struct{ once, twice bool }{
+		3200 * time.Millisecond: {true, true},
+		3400 * time.Millisecond: {false, true},
+		3800 * time.Millisecond: {false, false},
+	} {
+		for _, repeatable := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%v/%t", rest, repeatable), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					p := upstream.NewPool(dial, dialect{}, 100)
+					to := upstream.Endpoint{Address: "server"}
+					send := func() {
+						r := request("1")
+						r.Repeatable = repeatable
+						a, failure := p.Do(context.Background(), to, 0, r)
+						assert.Assert(t, failure == nil, "%v", failure)
+						_, err := io.ReadAll(a.Body)
+						assert.NilError(t, err)
+						a.Close()
+					}
+					send()
+					time.Sleep(rest)
+					reused := want.once
+					if repeatable {
+						reused = want.twice
+					}
+					assert.Equal(t, p.HasIdle(to, repeatable), reused)
+					send()
+					assert.Equal(t, p.Reused() == 1, reused)
+					p.CloseIdle(func(upstream.Endpoint) bool { return false })
+				})
+			})
+		}
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -39,6 +39,8 @@
 	Body   [][]byte
 	// ID must come back in the answer.
 	ID string
+	// Repeatable requests may run more than once.
+	Repeatable bool
 }
 
 func (r *Request) bodyLength() int {
