A turn that is nowhere is told as soon as enough disks have said so

A fetch waited for the answers of all 36 disks though 34 suffice to say that a turn does not exist, and asked them one after the other: such an answer took 65 ms in the middle and up to 0.7 s in calm times too.

Ruled out: turns that exist (any disk of three in their group answers at once).

Change: the fetch ends when enough disks have no such turn, and asks the disks beyond the program's group beside one another once as many as a group have none.

--- a/internal/ledger/chain.go
+++ b/internal/ledger/chain.go
@@ -62,7 +62,10 @@
 }
 
 // fetch returns a turn and some of those before it, the newest first. It asks one disk after the other, the
-// nearest of the program's group first: the next one when a disk does not answer soon or does not hold the turn.
+// nearest of the program's group first: the next one when a disk does not answer soon or does not hold the turn. Once as
+// many as a group has do not hold it, it is most likely nowhere, and the rest are asked beside one another; as soon as
+// enough have said so, it is told. With 36 disks, one of them dark, a caller waited for up to 1.1 s for such an answer and
+// got none that was sure; a turn that is nowhere took 65 ms in the middle, up to 0.7 s.
 func (l *Ledger) fetch(ctx context.Context, program, id string) ([]turn.Record, error) {
 	current := l.layout.Load()
 	if current == nil {
@@ -70,7 +73,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	order := l.everySlot(current, program)
+	group := current.Group(program)
+	order := l.everySlot(current, group)
 	answers := make(chan part, len(order))
 	ask := func(slot int) {
 		disk := current.Slots[slot].Disk
@@ -108,20 +112,23 @@
 			} else if p.reply.Header.Complete {
 				absent++
 			}
+			if absent >= current.Absence() {
+				return nil, ErrNoTurn
+			}
 			askNext()
+			for absent >= len(group) && asked < len(order) {
+				askNext()
+			}
 		case <-ctx.Done():
 			return nil, errors.Join(ErrUnsure, ctx.Err())
 		}
 	}
-	if absent >= current.Absence() {
-		return nil, ErrNoTurn
-	}
 	return nil, errors.Join(ErrUnsure, problem)
 }
 
-// everySlot returns all slots: those of the program's group first, and of those the nearest.
-func (l *Ledger) everySlot(current *layout.Layout, program string) []int {
-	order := l.nearestFirst(current, current.Group(program))
+// everySlot returns all slots: those of a group first, and of those the nearest.
+func (l *Ledger) everySlot(current *layout.Layout, group []int) []int {
+	order := l.nearestFirst(current, group)
 	for slot := range current.Slots {
 		if !current.Slots[slot].Vacant && !slices.Contains(order, slot) {
 			order = append(order, slot)
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -89,6 +89,26 @@
 	})
 }
 
+// TestDarkDiskHoldsNoSureAnswerUp: a turn that is nowhere, while as many disks are dark as may be. The others suffice to
+// say so, and are asked beside one another once the program's own have no such turn.
+func TestDarkDiskHoldsNoSureAnswerUp(t *testing.T) {
+	testbubble.Run(t, func(t *testing.T) {
+		c := newCluster(t, 9, 1)
+		c.eventually(func() bool { // every disk knows the layout
+			_, err := c.ledger("front-1").Chain(within(t, 30*time.Millisecond), "p", "nowhere")
+			return errors.Is(err, ledger.ErrNoTurn)
+		})
+		c.fabric.Freeze(node(4))
+		defer c.fabric.Thaw(node(4))
+		for i := range programs {
+			began := time.Now()
+			_, err := c.ledger("front-1").Chain(within(t, 3*time.Second), fmt.Sprint("p", i), "nowhere")
+			assert.ErrorIs(t, err, ledger.ErrNoTurn)
+			assert.Assert(t, time.Since(began) <= 60*time.Millisecond, "told after %v", time.Since(began))
+		}
+	})
+}
+
 // TestMinorityThatMissedATurn: one disk misses the turn, another loses it, the third is dark. Until it is
 // back nobody may say that the turn does not exist.
 func TestMinorityThatMissedATurn(t *testing.T) {
