A daemon that knows nothing asks a store that was away again, beside silent mirrors

Ruled out: asking again inside every watch (a crowd that has lost the store would ask it more often; the test of that holds with its 12 calls).

Change: a first list keeps the store among its sources, due again after 50 ms and then after twice as long up to 0.5 s. Where no mirror is known its reader paces it, as before.

Before and after: TestStoreIsAskedAgainBesideSilentMirrors: no list within 0.5 s; now within 0.25 s by at most four calls.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -67,6 +67,8 @@
 	directDue, mirrorAnswered time.Time
 	// known is how many mirrors there are.
 	known int
+	// firstLists counts the store's failures while nothing was known.
+	firstLists int
 	// unanswered counts the latest watches that no source answered.
 	unanswered int
 }
@@ -118,7 +120,9 @@
 			break // given up by its reader: no failure
 		}
 		f.noteFailure(chosen, err)
-		failed.Store(chosen.Name, true)
+		if !f.saw(prefix, 0) || !f.noteFirstList(chosen) {
+			failed.Store(chosen.Name, true)
+		}
 		sources = slices.DeleteFunc(sources, func(s source) bool {
 			_, gone := failed.Load(s.Name)
 			return gone
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -328,6 +328,35 @@
 	})
 }
 
+// TestStoreIsAskedAgainBesideSilentMirrors: power is back everywhere but at the store daemons, as an outage ends 0.1 s after a
+// daemon has started. Its first list waited 0.5 s for them.
+func TestStoreIsAskedAgainBesideSilentMirrors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		direct := &source{err: objectapi.ErrUnavailable, version: 7}
+		f := newFeed(direct, &source{silent: true}, &source{silent: true}, &source{silent: true})
+		began := time.Now()
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			direct.err = nil
+		}()
+		snapshot, err := f.List(t.Context(), "k/")
+		assert.NilError(t, err)
+		assert.Equal(t, snapshot.Version, uint64(7))
+		assert.Assert(t, time.Since(began) <= 250*time.Millisecond, "%v", time.Since(began))
+		assert.Assert(t, direct.asked <= 4, "%d calls", direct.asked)
+	})
+}
+
+// TestFirstListWithoutMirrorsEnds: its reader pauses and asks again.
+func TestFirstListWithoutMirrorsEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		direct := &source{err: objectapi.ErrUnavailable}
+		_, err := newFeed(direct).List(t.Context(), "k/")
+		assert.ErrorIs(t, err, objectapi.ErrUnavailable)
+		assert.Equal(t, direct.asked, 1)
+	})
+}
+
 // TestCrowdLeavesAStoreThatItsMirrorsHaveLostAlone: 259 readers before 36 mirrors, in an outage of 8 s. Before, each asked the
 // store at once and then every 3 s: 777 priced calls; now at most 163 in thirty outages. With few mirrors each is asked at
 // once: the store may turn those away and serve the reader.
--- a/internal/feed/sources.go
+++ b/internal/feed/sources.go
@@ -16,6 +16,10 @@
 const (
 	directPause      = 3 * time.Second
 	directAlonePause = 500 * time.Millisecond
+	// firstListPause is the first pause before a daemon that knows nothing, and has no mirror in reach, asks for its first list
+	// again, doubled with each failure up to directAlonePause. Where power returns just as an outage ends, fronts had no
+	// configuration for 0.5 s, since they waited for store daemons without power though the store was back after 0.1 s.
+	firstListPause = 50 * time.Millisecond
 )
 
 // manyMirrors is from how many mirrors on their word that they have lost the store is all but certain: where the store turns
@@ -52,12 +56,15 @@
 			sources[0], sources[last] = sources[last], sources[0]
 		}
 	}
-	if len(mirrors) == 0 || !time.Now().Before(f.directDue) {
+	if f.directIsDue() {
 		sources = append(sources, source{Named: f.direct, direct: true})
 	}
 	return sources, f.current
 }
 
+// directIsDue tells whether the store itself may be asked now. It is called with the lock held.
+func (f *Feed) directIsDue() bool { return f.known == 0 || !time.Now().Before(f.directDue) }
+
 // leaveAloneFor returns how long the store is left alone after it has failed now. It is called with the lock held.
 func (f *Feed) leaveAloneFor(now time.Time) time.Duration {
 	if f.mirrorAnswered.Before(now.Add(-directPause)) {
@@ -71,7 +78,7 @@
 func (f *Feed) mayAsk(s source) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !s.direct || f.known == 0 || !time.Now().Before(f.directDue)
+	return !s.direct || f.directIsDue()
 }
 
 // mirrorsHaveLostIt tells whether a mirror has just said that it can't read the store either.
@@ -94,6 +101,20 @@
 	}
 }
 
+// noteFirstList remembers that the store failed a daemon that knows nothing, and tells whether it is to be asked again beside
+// silent mirrors.
+func (f *Feed) noteFirstList(s source) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	if !s.direct || f.known == 0 || now.Sub(f.mirrorAnswered) < directPause {
+		return false
+	}
+	f.directDue = now.Add(min(directAlonePause, firstListPause<<min(f.firstLists, 10)))
+	f.firstLists++
+	return true
+}
+
 // noteLoss remembers that a mirror has lost the store. The first of many to say so puts the reader's own question off, each
 // reader's to another time. It is called with the lock held.
 func (f *Feed) noteLoss(now time.Time) {
