--- a/internal/catalog/servers.go
+++ b/internal/catalog/servers.go
@@ -214,7 +214,7 @@
 // publish makes the servers known to requests. It is called with the lock held.
 func (h *ServersHandler) publish() {
 	h.changed = false
-	view := &Servers{Revision: h.revision, Learnt: time.Now(), byName: make(map[string]Server, len(h.entries)), services: map[string][]Server{}}
+	view := &Servers{Revision: h.revision, byName: make(map[string]Server, len(h.entries)), services: map[string][]Server{}}
 	for _, server := range h.missing {
 		view.add(server)
 	}
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -14,9 +14,8 @@
 
 // Servers are the backend servers known at one time. They are immutable.
 type Servers struct {
-	// Revision of the last change, and when it was learnt.
+	// Revision of the last change.
 	Revision uint64
-	Learnt   time.Time
 	// byName has the newest start of each server.
 	byName   map[string]Server
 	services map[string][]Server
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -174,7 +174,7 @@
 		return nil
 	}
 	c := h.idle[len(h.idle)-1]
-	if !repeatable && time.Now().Add(keepMarginAtMost-keepMargin).After(c.expires) {
+	if !repeatable && !c.lasts(false, time.Now()) {
 		return nil
 	}
 	h.idle = h.idle[:len(h.idle)-1]
@@ -186,14 +186,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.hosts[to]
-	if h == nil || len(h.idle) == 0 {
-		return false
-	}
+	return h != nil && len(h.idle) > 0 && h.idle[len(h.idle)-1].lasts(repeatable, time.Now())
+}
+
+// lasts tells whether a resting connection is far enough from its server's close for a request.
+func (c *conn) lasts(repeatable bool, now time.Time) bool {
 	needed := time.Duration(0)
 	if !repeatable {
 		needed = keepMarginAtMost - keepMargin
 	}
-	return !time.Now().Add(needed).After(h.idle[len(h.idle)-1].expires)
+	return !now.Add(needed).After(c.expires)
 }
 
 func (p *Pool) put(to Endpoint, c *conn, keep time.Duration) {
