Servers count as slow by like calls, and only where they clearly are

Cause: a server's slowness was the mean time of all its answers against its service's. A tool server that had just had calls of 312 ms counted as four times slower than one that had lookups of 78 ms, and means of a few calls that vary by as much as their mean differ by chance. So daemons turned from servers to which they had a connection to new ones.

Ruled out: short keep times (servers keep connections 4 s and more); the weight of a new connection against a resting one (it decides between equals, and the noise made none equal).

Change: policy.Pace, pure: the moving mean of an answer's time against its route's; up to 1.5 a server counts as one like the others. Slow servers (five times) are noticed after two answers, as before.

A minute of 8 calls a second before 145 servers (TestFewConnectionsAreOpened): 35 connections to 23.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -28,9 +28,7 @@
 	// costs a turn: a trip of 2 to 3 ms and a millisecond of the server's. It decides between servers that are as busy.
 	connectPenalty = 0.05
 	connectSeconds = 0.003
-	// latencyWeight is the weight of the newest answer in a server's mean time.
-	latencyWeight = 0.15
-	// headWeight is the weight of the newest answer in the means of a route or service, which has many servers.
+	// headWeight is the weight of the newest answer in the means of a route, which has many servers.
 	headWeight = 0.02
 	// silentTimes is how many times the route's mean time to the head of an answer a server may be silent
 	// before no more is sent to it; at least silentLeast, which is above a busy VM's delays.
@@ -50,8 +48,6 @@
 	// where servers lose three answers in a hundred.
 	failTogether = 3
 	failingTime  = 3 * time.Second
-	// maxSlowness bounds how much worse a server counts for having been slow.
-	maxSlowness = 6.0
 )
 
 // firstCosts are those of a model server until its service's are learnt: engines so far read 40 to 60 prompt
@@ -71,8 +67,8 @@
 	failedAt     time.Time
 	ejectedUntil time.Time
 	busyUntil    time.Time
-	// mean is the moving mean of its answers' times, in seconds; 0 before the first.
-	mean float64
+	// pace is how its answers' times compare with those of the same routes at all servers.
+	pace policy.Pace
 	// waiting holds when the requests were sent whose answers have not begun, the oldest first.
 	waiting []time.Time
 	// waitingRoute is the route of the newest of them.
@@ -89,7 +85,7 @@
 	dataCentre string
 	mu         sync.Mutex
 	states     map[incarnation.ID]*state
-	// means are the moving means of services' answers, in seconds.
+	// means are the moving means of whole answers' times, by route, in seconds.
 	means map[string]float64
 	// reported tells how many other daemons suspect a server.
 	reported map[incarnation.ID]int
@@ -222,7 +218,7 @@
 func (b *Balancer) cost(ask *Ask, server *catalog.Server, s *state) float64 {
 	remote := server.DataCentre != b.dataCentre
 	connect := ask.Connected != nil && !ask.Connected(server)
-	slowness := b.slowness(server.Service, s)
+	slowness := s.pace.Slowness()
 	if ask.PromptTokens == 0 {
 		requests := float64(s.inFlight + 1)
 		if remote {
@@ -269,15 +265,6 @@
 	b.peers = n
 }
 
-// slowness is how much longer a server's answers take than its service's.
-func (b *Balancer) slowness(service string, s *state) float64 {
-	mean := b.means[service]
-	if s.mean == 0 || mean == 0 {
-		return 1
-	}
-	return min(max(1, s.mean/mean), maxSlowness)
-}
-
 // shunned tells whether a server is to be left alone for now.
 func (b *Balancer) shunned(route string, s *state, now time.Time) bool {
 	return now.Before(s.ejectedUntil) || now.Before(s.busyUntil) || b.silent(route, s, now)
--- /dev/null
+++ b/internal/balance/connections_test.go
@@ -0,0 +1,102 @@
+package balance_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/rookpass/rookpass/internal/balance"
+	"github.com/rookpass/rookpass/internal/catalog"
+	"github.com/rookpass/rookpass/internal/incarnation"
+)
+
+// callKinds are plain calls as agent programs make them: how long they take in the mean, and their share.
+var callKinds = []struct {
+	route string
+	mean  time.Duration
+	share float64
+}{
+	{"lookup", 78 * time.Millisecond, 0.7},
+	{"fetch", 312 * time.Millisecond, 0.2},
+	{"sync", 208 * time.Millisecond, 0.1},
+}
+
+// resting keeps which servers a daemon has a resting connection to.
+type resting struct {
+	mu     sync.Mutex
+	since  map[incarnation.ID]time.Time
+	opened int
+}
+
+// keptFor is how long a server keeps a connection that rests.
+const keptFor = 4 * time.Second
+
+func (r *resting) has(server *catalog.Server) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at, there := r.since[server.ID]
+	return there && time.Since(at) < keptFor
+}
+
+// take uses the resting connection, or opens one.
+func (r *resting) take(server *catalog.Server) {
+	if !r.has(server) {
+		r.opened++
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.since, server.ID)
+}
+
+func (r *resting) put(server *catalog.Server) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.since[server.ID] = time.Now()
+}
+
+// TestFewConnectionsAreOpened: a daemon with 8 calls a second before 145 servers in five data centres, 29 in its own, for a minute.
+// Calls vary by as much as their mean (log-normal). Where servers counted as slow by the mean of all their calls, of whatever
+// kind, it opened 35 connections for 468 calls; now 23.
+func TestFewConnectionsAreOpened(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(5, 6))
+		sigma := math.Sqrt(math.Ln2)
+		var list []catalog.Server
+		for i := range 145 {
+			list = append(list, catalog.Server{ID: id(fmt.Sprint(i)), Service: "svc", DataCentre: fmt.Sprint("dc", i%5), Slots: 6})
+		}
+		b := balance.New("dc0")
+		connections := &resting{since: map[incarnation.ID]time.Time{}}
+		calls := 0
+		for began := time.Now(); time.Since(began) < time.Minute; {
+			time.Sleep(time.Duration(random.ExpFloat64() * float64(time.Second) / 8))
+			kind, draw := callKinds[0], random.Float64()
+			for _, k := range callKinds {
+				if kind = k; draw < k.share {
+					break
+				}
+				draw -= k.share
+			}
+			takes := time.Duration(float64(kind.mean) * math.Exp(sigma*random.NormFloat64()-sigma*sigma/2))
+			choice := pick(t, b, balance.Ask{Route: kind.route, Servers: list, Connected: connections.has})
+			connections.take(&choice.Server)
+			calls++
+			go func() {
+				time.Sleep(takes)
+				choice.Responded()
+				choice.Done(balance.Answered)
+				connections.put(&choice.Server)
+			}()
+		}
+		synctest.Wait()
+		t.Logf("%d connections for %d calls", connections.opened, calls)
+		assert.Assert(t, connections.opened <= 28, "%d connections for %d calls", connections.opened, calls)
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/balance/outcome.go
+++ b/internal/balance/outcome.go
@@ -64,7 +64,7 @@
 		s.failures = 0
 		s.failedAt = time.Time{}
 		s.ejectedUntil = time.Time{}
-		b.learn(c.Server.Service, s, now.Sub(c.began).Seconds())
+		b.learn(c.route, s, now.Sub(c.began).Seconds())
 		c.teach(now)
 	case Shed:
 		s.busyUntil = now.Add(busyTime)
@@ -76,7 +76,7 @@
 			s.ejectedUntil = now.Add(pause)
 		}
 	case Overtaken:
-		b.learn(c.Server.Service, s, now.Sub(c.began).Seconds())
+		b.learn(c.route, s, now.Sub(c.began).Seconds())
 	case Abandoned:
 	}
 }
@@ -91,12 +91,10 @@
 	c.balancer.model(c.Server.Service).Observe(c.observed)
 }
 
-func (b *Balancer) learn(service string, s *state, seconds float64) {
-	if s.mean == 0 {
-		s.mean = seconds
-	}
-	s.mean += latencyWeight * (seconds - s.mean)
-	blend(b.means, service, seconds, headWeight)
+// learn compares an answer's time with its route's. It is called with the lock held.
+func (b *Balancer) learn(route string, s *state, seconds float64) {
+	s.pace.Observe(seconds, b.means[route])
+	blend(b.means, route, seconds, headWeight)
 }
 
 // blend moves a mean towards a new value; the first value is taken whole.
