--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -59,6 +59,14 @@
 	if err != nil {
 		return err
 	}
+	b.metrics.Gauge("rookpass_disk_syncs_total", func() float64 {
+		n, _ := store.Syncs()
+		return float64(n)
+	})
+	b.metrics.Gauge("rookpass_disk_sync_seconds_total", func() float64 {
+		_, busy := store.Syncs()
+		return busy.Seconds()
+	})
 	retiring := &retirements{platform: b.store, nodes: map[string]bool{}, log: b.log}
 	controller := replica.NewController(replica.Options{
 		Store: store, API: b.store, Links: b.links, Retirements: retiring, Log: b.log, Key: layoutKey, Candidates: candidatesPrefix,
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -60,6 +60,9 @@
 // Self returns the disk.
 func (s *Store) Self() layout.Disk { return s.self }
 
+// Syncs returns how often the disk was synced for records, and the time that it took in all.
+func (s *Store) Syncs() (n int64, busy time.Duration) { return s.files.Syncs() }
+
 // Layout returns the newest layout seen, or nil.
 func (s *Store) Layout() *layout.Layout {
 	s.mu.Lock()
--- a/internal/turnlog/pacer.go
+++ b/internal/turnlog/pacer.go
@@ -1,6 +1,9 @@
 package turnlog
 
-import "time"
+import (
+	"sync/atomic"
+	"time"
+)
 
 // maxPause bounds the pause after a sync that took long, as where the disk stalls: above the 1 to 2 ms of a sound one.
 const maxPause = 10 * time.Millisecond
@@ -13,6 +16,8 @@
 type pacer struct {
 	ended time.Time
 	took  time.Duration
+	// syncs counts all syncs, busy adds up their time in nanoseconds; both may be read at any time.
+	syncs, busy atomic.Int64
 }
 
 // pause returns how long the next sync is to wait.
@@ -22,4 +27,6 @@
 func (p *pacer) synced(began, ended time.Time) {
 	p.ended = ended
 	p.took = min(ended.Sub(began), maxPause)
+	p.syncs.Add(1)
+	p.busy.Add(int64(ended.Sub(began)))
 }
--- a/internal/turnlog/turnlog.go
+++ b/internal/turnlog/turnlog.go
@@ -64,6 +64,7 @@
 	closed    bool
 	bytes     int64
 	done      chan struct{}
+	pacer     pacer // of the committing goroutine
 }
 
 // batch is the appends that wait for one sync, and where they go.
@@ -243,9 +244,8 @@
 // then unknown until the next start.
 func (l *Log) commit() {
 	defer close(l.done)
-	var p pacer
 	for range l.wake {
-		time.Sleep(p.pause(time.Now()))
+		time.Sleep(l.pacer.pause(time.Now()))
 		l.mu.Lock()
 		b := l.pending
 		l.pending = b.next() // appends from here on lie behind this batch
@@ -255,7 +255,7 @@
 		if b.err == nil && len(b.data) > 0 {
 			began := time.Now()
 			b.err = l.write(b)
-			p.synced(began, time.Now())
+			l.pacer.synced(began, time.Now())
 		}
 		l.mu.Lock()
 		l.failed = b.err
@@ -301,6 +301,11 @@
 	return l.bytes
 }
 
+// Syncs returns how often the disk was synced, and the time that it took in all.
+func (l *Log) Syncs() (n int64, busy time.Duration) {
+	return l.pacer.syncs.Load(), time.Duration(l.pacer.busy.Load())
+}
+
 // Active returns the file that appends go to.
 func (l *Log) Active() uint32 {
 	l.mu.Lock()
