A list tells every handler of a missed outage

From reading the change: the first handler's confirmation moved the age by which the second one's outage was judged. Now the age is taken once; the decision is a function of two durations. Daemons on the platform watch one prefix a watcher, so nothing there was wrong.

--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -223,9 +223,9 @@
 		}
 		snapshots[i] = snapshot
 	}
-	oldest, stale := snapshots[0].Version, false
+	oldest, stale, age := snapshots[0].Version, false, w.Age()
 	for i, handler := range w.handlers {
-		if w.missed(snapshots[i].SinceOutage) {
+		if missed(snapshots[i].SinceOutage, age) {
 			handler.Lost()
 		}
 		handler.Reset(snapshots[i].Objects, snapshots[i].Version)
@@ -256,17 +256,17 @@
 	return nil
 }
 
-// missed tells whether an outage that ended sinceOutage ago ended after the API's last word here: the watcher has not
+// missed tells whether an outage that ended sinceOutage ago ended after the API's last word here, of age ago: the watcher has not
 // noticed it, since it read through a source that knew old content meanwhile, and then through one that was first to have
 // the API's word again. Handlers must know of it all the same: entries lapse in an outage though their owners live, and one
 // run in six of a silent outage of 2.9 s refused 39 lookups for want of a server.
-func (w *Watcher) missed(sinceOutage time.Duration) bool {
-	return sinceOutage > 0 && w.confirmed.Load() != 0 && sinceOutage < w.Age()-outageMargin
+func missed(sinceOutage, age time.Duration) bool {
+	return sinceOutage > 0 && age > sinceOutage+outageMargin
 }
 
 // take hands changes on.
 func (w *Watcher) take(batch objectapi.Batch) {
-	if w.missed(batch.SinceOutage) {
+	if missed(batch.SinceOutage, w.Age()) {
 		for _, handler := range w.handlers {
 			handler.Lost()
 		}
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -342,14 +342,15 @@
 	testbubble.Run(t, func(t *testing.T) {
 		source := &told{}
 		source.sinceOutage.Store(int64(time.Minute))
-		c := &copied{}
-		stop := run(t, watch.New(watch.NewLink(source), 100*time.Millisecond, c).WithWait(time.Second))
+		c, other := &copied{}, &copied{prefix: "b/"}
+		stop := run(t, watch.New(watch.NewLink(source), 100*time.Millisecond, c, other).WithWait(time.Second))
 		defer stop()
 		time.Sleep(3500 * time.Millisecond)
 		assert.Equal(t, c.lost, 0, "it ended before the watch began")
 		source.sinceOutage.Store(int64(100 * time.Millisecond))
 		time.Sleep(time.Second)
 		assert.Equal(t, c.lost, 1)
+		assert.Equal(t, other.lost, 1)
 		source.sinceOutage.Store(int64(1100 * time.Millisecond))
 		time.Sleep(time.Second)
 		assert.Equal(t, c.lost, 1, "the same outage")
