--- a/internal/auth/auth.go
+++ b/internal/auth/auth.go
@@ -1,17 +1,16 @@
 // Package auth checks the secrets of callers and operators. Secrets are random and at least MinSecretBytes
-// long, so that a plain SHA-256 of them can be stored: there is nothing to guess.
+// long; they are stored as internal/secret says.
 package auth
 
 import (
 	"crypto/rand"
-	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/base64"
-	"encoding/hex"
 	"strings"
 
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
 	"github.com/rookpass/rookpass/internal/config"
+	"github.com/rookpass/rookpass/internal/secret"
 	"github.com/rookpass/rookpass/internal/verdict"
 )
 
@@ -25,18 +24,15 @@
 const RootOperator = "root"
 
 // NewSecret returns a new secret and its hash.
-func NewSecret() (secret, hash string) {
+func NewSecret() (text, hash string) {
 	random := make([]byte, randomBytes)
 	_, _ = rand.Read(random) // crypto/rand.Read never fails.
-	secret = base64.RawURLEncoding.EncodeToString(random)
-	return secret, Hash(secret)
+	text = base64.RawURLEncoding.EncodeToString(random)
+	return text, Hash(text)
 }
 
 // Hash returns the stored form of a secret.
-func Hash(secret string) string {
-	sum := sha256.Sum256([]byte(secret))
-	return hex.EncodeToString(sum[:])
-}
+func Hash(text string) string { return secret.Of(text).Hex() }
 
 // Header returns the authorization header of a name and secret.
 func Header(name, secret string) string { return "Bearer " + name + ":" + secret }
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -5,6 +5,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/rookpass/rookpass/internal/secret"
 )
 
 // Part is a run of prompt tokens that several requests may share.
@@ -41,6 +43,10 @@
 	LikelyOutputTokens int64
 	// Parts are the prompt's parts in order.
 	Parts []Part
+	// Key is the hash of the key that proves the caller's organisation. HasKey is not set where the caller sent none, or
+	// more than one.
+	Key    secret.Hash
+	HasKey bool
 }
 
 // Address is what rookpass says to the one server that it sends a request to.
@@ -51,6 +57,8 @@
 	Server string
 	// LastEvent is the id of the event behind which a stream is to go on; empty from its start.
 	LastEvent string
+	// Organisation is the one that the caller's key proved; empty where none was asked for.
+	Organisation string
 }
 
 // Reply is what the headers of a backend server's answer say.
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rookpass/rookpass/internal/incarnation"
+	"github.com/rookpass/rookpass/internal/secret"
 )
 
 // Kind tells how often a request may run.
@@ -65,6 +66,8 @@
 	MaxGap time.Duration
 	// PreferCached is set where a server that has seen the same data answers sooner.
 	PreferCached bool
+	// Public routes take requests without a key.
+	Public bool
 }
 
 // Service is a set of like backend servers.
@@ -90,6 +93,11 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Keyed tells that requests on routes that are not public need the key of an organisation.
+	Keyed         bool
+	Organisations []Organisation
+	// Refused tells what is wrong with each organisation that was left out because it can't be read.
+	Refused []string
 }
 
 // Server is one start of a backend server.
@@ -111,6 +119,8 @@
 	Config   Config
 	routes   map[string]map[string]*Route
 	services map[string]*Service
+	// owners has the organisation of each key; nil for a key that two of them claim.
+	owners map[secret.Hash]*Organisation
 }
 
 // NewTable indexes a configuration.
@@ -119,6 +129,7 @@
 		Config:   config,
 		routes:   make(map[string]map[string]*Route),
 		services: make(map[string]*Service, len(config.Services)),
+		owners:   owners(config.Organisations),
 	}
 	for i := range config.Routes {
 		route := &config.Routes[i]
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -70,6 +70,37 @@
 	assert.Equal(t, c.Table().Config.Version, int64(7))
 }
 
+// TestAgeOfTheConfiguration: it counts from the last word that was certain, never goes back, and is not renewed while the
+// newest configuration can't be read.
+func TestAgeOfTheConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := catalog.New()
+		decode := func(o objectapi.Object) (catalog.Config, bool, error) {
+			version, err := strconv.ParseInt(string(o.Value), 10, 64)
+			return catalog.Config{Version: version}, true, err
+		}
+		h := catalog.NewConfigHandler(c, "c/", decode, quiet())
+		age := func() time.Duration {
+			_, age := c.Confirmed()
+			return age
+		}
+		assert.Assert(t, age() > 24*time.Hour, "nobody has said anything")
+		h.Reset([]objectapi.Object{{Key: "c/main", Value: []byte("5")}}, 1)
+		assert.Assert(t, age() > 24*time.Hour, "an old copy is not confirmed")
+		h.Certain(time.Now().Add(-time.Second))
+		assert.Equal(t, age(), time.Second)
+		h.Certain(time.Now().Add(-2 * time.Second))
+		assert.Equal(t, age(), time.Second, "a source that knows less takes nothing back")
+		time.Sleep(time.Second)
+		h.Change(objectapi.Event{Object: objectapi.Object{Key: "c/main", Value: []byte("malformed")}})
+		h.Certain(time.Now())
+		assert.Equal(t, age(), 2*time.Second, "the newest is not in force")
+		h.Change(objectapi.Event{Object: objectapi.Object{Key: "c/main", Value: []byte("7")}})
+		h.Certain(time.Now())
+		assert.Equal(t, age(), time.Duration(0))
+	})
+}
+
 // entries is a handler of servers written as id=service@address.
 func entries(c *catalog.Catalog) *catalog.ServersHandler {
 	return catalog.NewServersHandler(options(c))
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -41,7 +42,9 @@
 
 // Catalog holds the view that requests read.
 type Catalog struct {
-	table   atomic.Pointer[Table]
+	table atomic.Pointer[Table]
+	// certain is up to when the table certainly holds every change; nil where that is not known.
+	certain atomic.Pointer[time.Time]
 	servers atomic.Pointer[Servers]
 }
 
@@ -55,6 +58,20 @@
 // Table returns the configuration in force, or nil before the first.
 func (c *Catalog) Table() *Table { return c.table.Load() }
 
+// Confirmed returns the configuration in force, or nil before the first, and how old it may be: every change made longer
+// ago is in it. The age is neverConfirmed where nobody can say.
+func (c *Catalog) Confirmed() (*Table, time.Duration) {
+	certain := c.certain.Load() // before the table, which is at least as new
+	table := c.table.Load()
+	if certain == nil {
+		return table, neverConfirmed
+	}
+	return table, time.Since(*certain)
+}
+
+// neverConfirmed is the age of a configuration of which nobody has said that it is the newest.
+const neverConfirmed = time.Duration(math.MaxInt64)
+
 // Servers returns the servers known.
 func (c *Catalog) Servers() *Servers { return c.servers.Load() }
 
@@ -67,6 +84,8 @@
 	prefix  string
 	decode  DecodeConfig
 	log     logrus.FieldLogger
+	// unread tells that the newest configuration can't be read, so that the one in force is not the newest.
+	unread bool
 }
 
 // NewConfigHandler returns a handler of the configurations below a prefix.
@@ -94,25 +113,39 @@
 // Confirm implements watch.Handler.
 func (h *ConfigHandler) Confirm(uint64, time.Time) {}
 
+// Certain implements watch.CertainHandler.
+func (h *ConfigHandler) Certain(at time.Time) {
+	last := h.catalog.certain.Load()
+	if h.unread || last != nil && !at.After(*last) {
+		return
+	}
+	h.catalog.certain.Store(&at)
+}
+
 // Lost implements watch.Handler.
 func (h *ConfigHandler) Lost() {}
 
 func (h *ConfigHandler) apply(object objectapi.Object) {
 	config, holds, err := h.decode(object)
 	if err != nil {
+		h.unread = true
 		h.log.WithFields(logrus.Fields{"event": "config-malformed", "revision": object.Version, "error": err}).Error("configuration not read")
 		return
 	}
 	if !holds {
 		return
 	}
+	h.unread = false
 	old := h.catalog.table.Load()
 	if old != nil && old.Config.Version >= config.Version {
 		return
 	}
 	h.catalog.table.Store(NewTable(config))
 	h.log.WithFields(logrus.Fields{"event": "config", "version": config.Version, "revision": object.Version,
-		"routes": len(config.Routes), "services": len(config.Services)}).Info("configuration in force")
+		"routes": len(config.Routes), "services": len(config.Services), "keyed": config.Keyed, "organisations": len(config.Organisations)}).Info("configuration in force")
+	for _, problem := range config.Refused {
+		h.log.WithFields(logrus.Fields{"event": "organisation-refused", "version": config.Version, "error": problem}).Error("organisation can't be read; its callers are refused")
+	}
 }
 
 // Has tells whether a server's start is known.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -59,7 +59,11 @@
 	if service := x.table.Service(choice.Server.Service); service != nil {
 		limit = service.MaxConns
 	}
+	x.mayRun.Add(1)
 	answer, failure := x.g.sender.Do(ctx, endpoint(&choice.Server), limit, request)
+	if failure != nil && failure.Verdict == verdict.NotRun || failure == nil && answer.Reply.NotRun {
+		x.mayRun.Add(-1)
+	}
 	if failure != nil {
 		if failure.Verdict != verdict.NotRun { // a failed dial keeps its reason: it is no try at a server
 			failure.Reason = reasonOf(ctx, failure.Reason)
--- a/internal/gateway/enter.go
+++ b/internal/gateway/enter.go
@@ -27,7 +27,7 @@
 	x := s.x
 	servers := x.servers()
 	c := &dispatch.Call{Service: x.service, Route: x.route.Name, Begun: p.begun, Aim: p.aim,
-		Priority: int32(max(0, lowestPriority-x.route.Priority))}
+		Priority: int32(max(0, lowestPriority-x.priority()))}
 	for i := range servers {
 		if !servers[i].Draining {
 			c.Slots += servers[i].Slots
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,8 @@
 	"github.com/rookpass/rookpass/internal/catalog"
 	"github.com/rookpass/rookpass/internal/dispatch"
 	"github.com/rookpass/rookpass/internal/ledger"
+	"github.com/rookpass/rookpass/internal/policy"
+	"github.com/rookpass/rookpass/internal/quota"
 	"github.com/rookpass/rookpass/internal/turn"
 	"github.com/rookpass/rookpass/internal/upstream"
 )
@@ -44,6 +46,11 @@
 	HasIdle(to upstream.Endpoint, repeatable bool) bool
 }
 
+// Quotas grants requests within the limits of organisations.
+type Quotas interface {
+	Take(ctx context.Context, r quota.Request) (*quota.Grant, error)
+}
+
 // Gateway is an http.Handler. Use New.
 type Gateway struct {
 	catalog  *catalog.Catalog
@@ -56,6 +63,8 @@
 	// bodies are the bytes that bodies of requests may hold together.
 	bodies   *semaphore.Weighted
 	gate     *dispatch.Gate
+	proofs   policy.ProofBounds
+	quotas   Quotas
 	steps    []step
 	stopping atomic.Bool
 	active   atomic.Int64
@@ -74,13 +83,17 @@
 	Gate *dispatch.Gate
 	// BodyBytes bounds what bodies of requests hold together, in bytes.
 	BodyBytes int64
+	// Proofs are how old the configuration may be by which callers' keys are judged.
+	Proofs policy.ProofBounds
+	// Quotas grants requests of organisations that have a limit.
+	Quotas Quotas
 }
 
 // New returns a gateway.
 func New(o Options) *Gateway {
 	g := &Gateway{catalog: o.Catalog, balancer: o.Balancer, sender: o.Sender, ledger: o.Ledger, dialect: o.Dialect,
-		log: o.Log, stats: o.Stats, gate: o.Gate, bodies: semaphore.NewWeighted(o.BodyBytes)}
-	g.steps = []step{withCallInfo, withConfig, withRoute, withDeadline, withBody}
+		log: o.Log, stats: o.Stats, gate: o.Gate, proofs: o.Proofs, quotas: o.Quotas, bodies: semaphore.NewWeighted(o.BodyBytes)}
+	g.steps = []step{withCallInfo, withConfig, withRoute, withOrganisation, withDeadline, withBody, withinLimit}
 	return g
 }
 
@@ -101,7 +114,13 @@
 	until time.Time
 	info  call.Info
 	table *catalog.Table
-	route *catalog.Route
+	// tableAge is how old the table may have been when the request came.
+	tableAge time.Duration
+	route    *catalog.Route
+	// organisation is the one that the caller's key proved; nil where none is asked for.
+	organisation *catalog.Organisation
+	// grant is the right to run that the organisation's limit gave; nil where it has none.
+	grant *quota.Grant
 	body  []byte
 	// reserved is what the body takes of Gateway.bodies.
 	reserved int64
@@ -110,6 +129,8 @@
 	service string
 
 	attempts []attempt
+	// mayRun counts the tries that a server may have begun on, or may yet.
+	mayRun atomic.Int32
 	// begun is set once a part of the answer has left.
 	begun bool
 }
@@ -130,6 +151,7 @@
 	defer g.active.Add(-1)
 	x := &exchange{g: g, w: w, r: r, ctx: r.Context(), arrived: time.Now()}
 	defer x.release()
+	defer x.returnGrant()
 	var cancel context.CancelFunc
 	x.ctx, cancel = context.WithCancel(x.ctx)
 	defer cancel()
@@ -217,6 +239,9 @@
 	if x.info.Program != "" {
 		fields["program"] = x.info.Program
 	}
+	if x.table != nil && x.table.Config.Keyed {
+		fields["organisation"], fields["config_age_ms"] = x.organisationName(), x.tableAge.Milliseconds()
+	}
 	if status != 0 {
 		fields["status"] = status
 	}
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -27,6 +27,7 @@
 	"github.com/rookpass/rookpass/internal/metrics"
 	"github.com/rookpass/rookpass/internal/objectapi"
 	"github.com/rookpass/rookpass/internal/policy"
+	"github.com/rookpass/rookpass/internal/secret"
 	"github.com/rookpass/rookpass/internal/turn"
 	"github.com/rookpass/rookpass/internal/upstream"
 	"github.com/rookpass/rookpass/platform"
@@ -37,6 +38,9 @@
 
 func (dialect) Info(h http.Header) (call.Info, error) {
 	info := call.Info{ID: h.Get("Id"), Program: h.Get("Program"), PreviousTurn: h.Get("Previous"), LastEvent: h.Get("After"), MaxOutputTokens: 100}
+	if key := h.Get("Api-Key"); key != "" {
+		info.Key, info.HasKey = secret.Of(key), true
+	}
 	if h.Get("Finish") != "" {
 		d, err := time.ParseDuration(h.Get("Finish"))
 		if err != nil {
@@ -61,6 +65,7 @@
 	h.Set("Left", to.Left.String())
 	h.Set("Server", to.Server)
 	h.Set("Last-Event", to.LastEvent)
+	h.Set("Organisation", to.Organisation)
 }
 func (dialect) Reply(h http.Header, status int) call.Reply {
 	return call.Reply{ID: h.Get("Id"), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "" || status == 421}
@@ -143,6 +148,9 @@
 	// entries holds the servers, numbered in the order of their handlers.
 	entries *catalog.ServersHandler
 	objects []objectapi.Object
+	quotas  *limits
+	config  catalog.Config
+	configs *catalog.ConfigHandler
 	// ended gets the reason of each request that has ended.
 	ended chan string
 	url   string
@@ -161,7 +169,7 @@
 
 func newRig(t *testing.T, servers ...http.HandlerFunc) *rig {
 	r := &rig{t: t, gate: dispatch.New(), books: &books{turns: map[string]*turn.Record{}, fail: map[string]error{}}, catalog: catalog.New(),
-		ended: make(chan string, 1000)}
+		quotas: &limits{}, ended: make(chan string, 1000)}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	log.AddHook(r)
@@ -177,7 +185,8 @@
 	r.configure(log)
 	dial := (&net.Dialer{}).DialContext
 	r.gateway = gateway.New(gateway.Options{Catalog: r.catalog, Balancer: balancer, Sender: upstream.NewPool(dial, dialect{}, 100),
-		Ledger: r.books, Dialect: dialect{}, Log: log, Stats: gateway.NewStats(metrics.New()), Gate: r.gate, BodyBytes: 1500})
+		Ledger: r.books, Dialect: dialect{}, Log: log, Stats: gateway.NewStats(metrics.New()), Gate: r.gate, BodyBytes: 1500,
+		Proofs: policy.NewProofBounds(keyWithdrawal, keyAddition), Quotas: r.quotas})
 	front := httptest.NewServer(r.gateway)
 	t.Cleanup(front.Close)
 	r.url = front.URL
@@ -203,8 +212,9 @@
 			route("/stream/", catalog.Stream, 2), route("/resume/", catalog.Stream, 2)}}
 	config.Routes[2].Kept, config.Routes[2].Retention = true, time.Minute
 	config.Routes[4].Resumable = true
-	handler := catalog.NewConfigHandler(r.catalog, "c/", func(objectapi.Object) (catalog.Config, bool, error) { return config, true, nil }, log)
-	handler.Reset([]objectapi.Object{{Key: "c/main"}}, 1)
+	r.config = config
+	r.configs = catalog.NewConfigHandler(r.catalog, "c/", func(objectapi.Object) (catalog.Config, bool, error) { return r.config, true, nil }, log)
+	r.configs.Reset([]objectapi.Object{{Key: "c/main"}}, 1)
 }
 
 // reply is what a caller gets.
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -27,3 +27,7 @@
 }
 
 func (s *Stats) attempt(outcome string) { s.observer.Count("rookpass_attempts_total", outcome) }
+
+func (s *Stats) quota(took time.Duration) {
+	s.observer.Observe("rookpass_quota_seconds", "asked", took)
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -35,6 +35,10 @@
 		return refused
 	}
 	defer x.g.gate.Leave(c)
+	if refused := x.stillProved(); refused != nil {
+		x.void(p.reservation)
+		return refused
+	}
 	if refused := s.run(); refused != nil {
 		if !s.mayHaveRun && !x.begun {
 			x.void(p.reservation)
@@ -257,5 +261,5 @@
 
 // address returns what a server is told of the request.
 func (x *exchange) address(server, lastEvent string) call.Address {
-	return call.Address{Left: x.left(), Server: server, LastEvent: lastEvent}
+	return call.Address{Left: x.left(), Server: server, LastEvent: lastEvent, Organisation: x.organisationName()}
 }
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -37,14 +37,17 @@
 	aim time.Duration
 }
 
-// program returns the key under which the turn is kept: a turn outside any program stands for itself.
+// program returns the key under which the turn's program is kept: a turn outside any program stands for itself.
 func (x *exchange) program() string {
 	if x.info.Program != "" {
-		return x.info.Program
+		return x.key(x.info.Program)
 	}
-	return x.info.ID
+	return x.key(x.info.ID)
 }
 
+// key returns the name under which a turn or program of the caller's organisation is kept.
+func (x *exchange) key(id string) string { return turn.Key(x.organisationName(), id) }
+
 // prepare reserves the turn's tokens where a budget bounds them, and reads its history where the route keeps
 // it, both at once. A stream with neither asks no disk.
 func (x *exchange) prepare() (prepared, *refusal) {
@@ -63,7 +66,7 @@
 	go func() {
 		defer close(read)
 		if x.route.Kept {
-			chain, chainErr = x.g.ledger.Chain(ctx, x.program(), x.info.PreviousTurn)
+			chain, chainErr = x.g.ledger.Chain(ctx, x.program(), x.key(x.info.PreviousTurn))
 		}
 	}()
 	p := prepared{}
@@ -111,7 +114,7 @@
 
 // record returns the turn's record in a state.
 func (x *exchange) record(state turn.State, tokens int64) *turn.Record {
-	return &turn.Record{State: state, ID: x.info.ID, Program: x.program(), Tokens: tokens,
+	return &turn.Record{State: state, ID: x.key(x.info.ID), Program: x.program(), Tokens: tokens,
 		Retention: max(x.route.Retention, leastRetention)}
 }
 
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -28,6 +28,8 @@
 	// confirmed is when the API last said that the copy was whole; zero before the first list and while the
 	// API does not answer.
 	confirmed time.Time
+	// certain is up to when the copy certainly holds every change; zero where that is not known.
+	certain time.Time
 	// lost tells that the API does not answer; regained is as of when it did again last, zero where it never failed.
 	lost     bool
 	regained time.Time
@@ -112,6 +114,15 @@
 	m.advance(version)
 }
 
+// Certain implements watch.CertainHandler.
+func (m *Mirror) Certain(at time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if at.After(m.certain) {
+		m.certain = at
+	}
+}
+
 // advance tells that every change up to version has come. It is called with the lock held.
 func (m *Mirror) advance(version uint64) {
 	if version <= m.version {
@@ -149,15 +160,32 @@
 	m.changed = make(chan struct{})
 }
 
-// Ages returns how long ago the API confirmed the copy, and how long ago it was back after it had been lost (see
-// objectapi.Batch), while the copy may be told as certain; else ErrUnavailable.
-func (m *Mirror) Ages() (confirmed, sinceOutage time.Duration, err error) {
+// Ages are how old a mirror's copy is, see objectapi.Batch.
+type Ages struct {
+	Age, SinceOutage time.Duration
+	// Certain is the age of what is certain; negative where that is not known.
+	Certain time.Duration
+}
+
+// unknownAge stands for an age that is not known.
+const unknownAge = -time.Nanosecond
+
+// Ages returns how old the copy is, while it may be told as certain; else ErrUnavailable.
+func (m *Mirror) Ages() (Ages, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.fresh() {
-		return 0, 0, objectapi.ErrUnavailable
+		return Ages{Certain: unknownAge}, objectapi.ErrUnavailable
+	}
+	return Ages{Age: time.Since(m.confirmed), SinceOutage: m.sinceOutage(), Certain: ageOf(m.certain)}, nil
+}
+
+// ageOf returns how long ago a time was, which may not be known.
+func ageOf(at time.Time) time.Duration {
+	if at.IsZero() {
+		return unknownAge
 	}
-	return time.Since(m.confirmed), m.sinceOutage(), nil
+	return time.Since(at)
 }
 
 // sinceOutage returns how long ago the API was back after it had been lost, 0 where it never was. It is called with the
@@ -222,7 +250,7 @@
 	if after < m.trimmed {
 		return objectapi.Batch{}, nil, objectapi.ErrGone
 	}
-	batch := objectapi.Batch{Version: max(after, m.version), Age: time.Since(m.confirmed), SinceOutage: m.sinceOutage()}
+	batch := objectapi.Batch{Version: max(after, m.version), Age: time.Since(m.confirmed), SinceOutage: m.sinceOutage(), Certain: m.certain}
 	for _, p := range m.events {
 		if p.version > after {
 			batch.Events = append(batch.Events, p.event)
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,7 +11,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/rookpass/rookpass/internal/mirror"
+	"github.com/rookpass/rookpass/internal/network/memnet"
 	"github.com/rookpass/rookpass/internal/objectapi"
+	"github.com/rookpass/rookpass/internal/peerlink"
 )
 
 func object(key string, version uint64) objectapi.Object {
@@ -20,7 +23,7 @@
 // list returns a mirror's copy while it may be told as certain.
 func list(m *mirror.Mirror) (objectapi.Snapshot, error) {
 	snapshot, _ := m.Stale()
-	_, _, err := m.Ages()
+	_, err := m.Ages()
 	return snapshot, err
 }
 
@@ -75,10 +78,10 @@
 				sinceOutage := func() time.Duration {
 					batch, err := m.Wait(t.Context(), 5, 0)
 					assert.NilError(t, err)
-					_, listed, err := m.Ages()
+					ages, err := m.Ages()
 					assert.NilError(t, err)
-					assert.Equal(t, batch.SinceOutage, listed)
-					return listed
+					assert.Equal(t, batch.SinceOutage, ages.SinceOutage)
+					return ages.SinceOutage
 				}
 				assert.Equal(t, sinceOutage(), time.Duration(0))
 				outage(m)
@@ -209,3 +212,47 @@
 	_, err = mirror.Unpack([]byte("no list"))
 	assert.ErrorContains(t, err, "mirror")
 }
+
+// TestCertaintyOverAHop: what a mirror is certain of does not get younger on its way to a reader, however long the answer
+// takes; a call that was kept waiting does not make it older.
+func TestCertaintyOverAHop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fabric := memnet.New()
+		m := mirror.New("k/", time.Hour)
+		m.Reset([]objectapi.Object{object("a", 3)}, 5)
+		m.Confirm(5, time.Now())
+		m.Certain(time.Now())
+		confirmed := time.Now()
+		l, err := fabric.Listen("store", "store:1")
+		assert.NilError(t, err)
+		go func() { _ = peerlink.Serve(l, map[string]any{mirror.ServiceName: mirror.NewService(m)}) }()
+		dial := func(ctx context.Context, _, address string) (net.Conn, error) {
+			return fabric.Dial(ctx, "front", address)
+		}
+		client := mirror.NewClient(peerlink.NewSet(dial).To("store:1"))
+		defer func() {
+			fabric.Kill("store")
+			time.Sleep(time.Minute) // timers of closed connections run out
+		}()
+		batch, err := client.Wait(t.Context(), "k/", 5, time.Second)
+		assert.NilError(t, err)
+		assert.Assert(t, !batch.Certain.After(confirmed), "later by %v", batch.Certain.Sub(confirmed))
+		assert.Assert(t, batch.Certain.After(confirmed.Add(-50*time.Millisecond)), "earlier by %v", confirmed.Sub(batch.Certain))
+		for _, delay := range []time.Duration{100 * time.Millisecond, 400 * time.Millisecond} {
+			go func() {
+				fabric.Freeze("front")
+				time.Sleep(delay)
+				fabric.Thaw("front")
+			}()
+			batch, err = client.Wait(t.Context(), "k/", 5, 0)
+			assert.NilError(t, err)
+			assert.Assert(t, !batch.Certain.After(confirmed), "after %v: later by %v", delay, batch.Certain.Sub(confirmed))
+			snapshot, err := client.List(t.Context(), "k/")
+			assert.NilError(t, err)
+			assert.Assert(t, !snapshot.Certain.After(confirmed))
+		}
+		m.Lost()
+		_, err = client.Wait(t.Context(), "k/", 5, 0)
+		assert.ErrorIs(t, err, objectapi.ErrUnavailable)
+	})
+}
--- a/internal/mirror/rpc.go
+++ b/internal/mirror/rpc.go
@@ -57,10 +57,8 @@
 type ListReply struct {
 	Outcome outcome
 	Packed  []byte
-	// Age is how long ago the API confirmed the copy; it means nothing where the copy is an old one.
-	Age time.Duration
-	// SinceOutage is how long ago the mirror had the API's word again after an outage; 0 where there was none.
-	SinceOutage time.Duration
+	// Ages are those of the copy; they mean nothing where it is an old one.
+	Ages Ages
 }
 
 // WaitArgs ask for the changes after a version.
@@ -74,6 +72,9 @@
 type WaitReply struct {
 	Outcome outcome
 	Batch   objectapi.Batch
+	// Certain is the age of what is certain when the answer was made; negative where that is not known. Held is how long
+	// the call was kept waiting until then.
+	Certain, Held time.Duration
 }
 
 // Service answers daemons from mirrors. Its exported methods are net/rpc methods.
@@ -96,7 +97,7 @@
 		return nil
 	}
 	var err error
-	reply.Age, reply.SinceOutage, err = m.Ages()
+	reply.Ages, err = m.Ages()
 	reply.Outcome = outcomeOf(err)
 	reply.Packed, err = m.Packed()
 	return err
@@ -110,8 +111,11 @@
 		return nil
 	}
 	var err error
+	came := time.Now()
 	reply.Batch, err = m.Wait(context.Background(), args.After, args.Wait)
 	reply.Outcome = outcomeOf(err)
+	reply.Held, reply.Certain = time.Since(came), ageOf(reply.Batch.Certain)
+	reply.Batch.Certain = time.Time{} // it means nothing on another VM's clock
 	return nil
 }
 
@@ -123,6 +127,7 @@
 
 // List returns the copy of a prefix.
 func (c *Client) List(ctx context.Context, prefix string) (objectapi.Snapshot, error) {
+	sent := time.Now()
 	reply, err := c.list(ctx, prefix, listTimeout)
 	if err == nil {
 		err = reply.Outcome.err()
@@ -131,10 +136,20 @@
 		return objectapi.Snapshot{}, err
 	}
 	snapshot, err := Unpack(reply.Packed)
-	snapshot.Age, snapshot.SinceOutage = reply.Age, reply.SinceOutage
+	snapshot.Age, snapshot.SinceOutage = reply.Ages.Age, reply.Ages.SinceOutage
+	snapshot.Certain = certainAt(sent, reply.Ages.Certain)
 	return snapshot, err
 }
 
+// certainAt returns the time on this VM's clock that was age before the making of an answer, which was made after sent at
+// the earliest: nothing is known of the ways there and back. It is zero where the age is not known.
+func certainAt(sent time.Time, age time.Duration) time.Time {
+	if age < 0 {
+		return time.Time{}
+	}
+	return sent.Add(-age)
+}
+
 // Stale returns the copy of a prefix though it may be an old one; ErrUnavailable means that there is none.
 func (c *Client) Stale(ctx context.Context, prefix string) (objectapi.Snapshot, error) {
 	reply, err := c.list(ctx, prefix, answerMargin) // one mirror after the other is asked: a dark one must not hold up for long
@@ -162,9 +177,11 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+answerMargin)
 	defer cancel()
 	args := &WaitArgs{Prefix: prefix, After: after, Wait: wait}
+	sent := time.Now()
 	reply, err := peerlink.Call[WaitReply](ctx, c.link, ServiceName+".Wait", args)
 	if err != nil {
 		return objectapi.Batch{}, errors.Join(objectapi.ErrUnavailable, err)
 	}
+	reply.Batch.Certain = certainAt(sent.Add(reply.Held), reply.Certain)
 	return reply.Batch, reply.Outcome.err()
 }
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -25,6 +25,7 @@
 	"github.com/rookpass/rookpass/internal/objectapi"
 	"github.com/rookpass/rookpass/internal/peerlink"
 	"github.com/rookpass/rookpass/internal/policy"
+	"github.com/rookpass/rookpass/internal/quota"
 	"github.com/rookpass/rookpass/internal/tunnel"
 	"github.com/rookpass/rookpass/internal/upstream"
 	"github.com/rookpass/rookpass/internal/wait"
@@ -42,6 +43,8 @@
 	mirrorPatience = 1300 * time.Millisecond
 	// exchangeReturn is how long a daemon swaps at another place before it goes back to the first, where all meet.
 	exchangeReturn = 8 * time.Second
+	// quotaKey before an organisation's name picks the store daemons that count its requests.
+	quotaKey = "requests of "
 	// layoutPatience is how long the layout is waited for before the store itself is asked for the rest.
 	layoutPatience = 4 * time.Second
 	layoutPoll     = 10 * time.Millisecond
@@ -102,12 +105,17 @@
 	f.gateway = gateway.New(gateway.Options{
 		Catalog: f.catalog, Balancer: f.balancer, Sender: f.pool, Ledger: f.ledger, Dialect: platform.Headers{},
 		Log: b.log, Stats: gateway.NewStats(b.metrics), Gate: f.gate, BodyBytes: int64(bodyShare * float64(b.settings.MemoryBytes)),
+		Proofs: policy.NewProofBounds(b.settings.Withdrawal, b.settings.Change), Quotas: quota.NewAsker(b.links, f.homes),
 	})
 	b.metrics.Gauge("rookpass_connections_opened_total", func() float64 { return float64(f.pool.Opened()) })
 	b.metrics.Gauge("rookpass_connections_reused_total", func() float64 { return float64(f.pool.Reused()) })
 	b.metrics.Gauge("rookpass_requests_active", func() float64 { return float64(f.gateway.Active()) })
 	b.metrics.Gauge("rookpass_turns_waiting", func() float64 { return float64(f.gate.Waiting()) })
 	b.metrics.Gauge("rookpass_turns_running", func() float64 { return float64(f.gate.Running()) })
+	b.metrics.Gauge("rookpass_config_certain_age_seconds", func() float64 {
+		_, age := f.catalog.Confirmed()
+		return age.Seconds()
+	})
 	b.metrics.Gauge("rookpass_servers", func() float64 { return float64(f.catalog.Servers().Len()) })
 	return f
 }
@@ -261,6 +269,20 @@
 	})
 }
 
+// homes returns the store daemons that count an organisation's requests, and behind them those that may stand in: its
+// group, in the order of their ranks, which is the same at every front.
+func (f *front) homes(organisation string) []string {
+	l := f.ledger.Layout()
+	if l == nil {
+		return nil
+	}
+	var addresses []string
+	for _, slot := range l.Group(quotaKey + organisation) {
+		addresses = append(addresses, l.Slots[slot].Disk.Address)
+	}
+	return addresses
+}
+
 // exchange swaps what this daemon has seen for what the others have, at the first store daemon that answers.
 func (f *front) exchange(ctx context.Context) error {
 	place, moved, daemons := 0, time.Now(), 0
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -16,6 +16,7 @@
 	"github.com/rookpass/rookpass/internal/mirror"
 	"github.com/rookpass/rookpass/internal/objectapi"
 	"github.com/rookpass/rookpass/internal/peerlink"
+	"github.com/rookpass/rookpass/internal/quota"
 	"github.com/rookpass/rookpass/internal/replica"
 	"github.com/rookpass/rookpass/internal/wait"
 	"github.com/rookpass/rookpass/internal/watch"
@@ -89,10 +90,13 @@
 	}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return b.servePages(ctx, storeStatus(s.Node, store)) })
+	quotas := quota.NewService(s.Quota)
+	b.metrics.Gauge("rookpass_quota_organisations", func() float64 { return float64(quotas.Len()) })
 	services := map[string]any{
 		replica.ServiceName:  replica.NewService(store),
 		mirror.ServiceName:   mirror.NewService(mirrors...),
 		exchange.ServiceName: exchange.NewService(),
+		quota.ServiceName:    quotas,
 	}
 	for _, address := range []string{s.PeerAddress(), s.ControlAddress} {
 		if address == "" {
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -18,6 +19,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/rookpass/rookpass/internal/network/memnet"
+	"github.com/rookpass/rookpass/internal/quota"
 	"github.com/rookpass/rookpass/internal/testbubble"
 	"github.com/rookpass/rookpass/internal/workload"
 	"github.com/rookpass/rookpass/platform"
@@ -55,8 +57,15 @@
 	seeds    []string
 	ended    sync.WaitGroup
 
+	// withdrawal is within which a withdrawn key must be refused everywhere; 0 where that is not asked.
+	withdrawal time.Duration
+	// output takes the daemons' log lines; nil for nobody.
+	output io.Writer
+
 	mu      sync.Mutex
 	version int64
+	// organisations are those of the configuration.
+	organisations []platformtest.Organisation
 }
 
 // member is a VM and the daemon's present life on it.
@@ -74,8 +83,22 @@
 func newWorld(t *testing.T) *world { return newWorldOf(t, worldFronts, worldStores) }
 
 // newWorldOf returns a world with so many VMs of each kind, spread over three data centres.
-func newWorldOf(t *testing.T, fronts, stores int) *world {
-	w := &world{t: t, fabric: memnet.New(), platform: platformtest.NewStore(), checker: workload.NewChecker(), dir: t.TempDir()}
+func newWorldOf(t *testing.T, fronts, stores int) *world { return newStrictWorld(t, fronts, stores, 0) }
+
+// newLoggedWorld returns one whose daemons' log lines are kept.
+func newLoggedWorld(t *testing.T, lines io.Writer) *world {
+	return newWorldWith(t, worldFronts, worldStores, &world{output: lines})
+}
+
+// newStrictWorld returns one in which a withdrawn key must be refused everywhere after a time.
+func newStrictWorld(t *testing.T, fronts, stores int, withdrawal time.Duration) *world {
+	return newWorldWith(t, fronts, stores, &world{withdrawal: withdrawal})
+}
+
+// newWorldWith fills in a world of which some choices are made.
+func newWorldWith(t *testing.T, fronts, stores int, w *world) *world {
+	w.t, w.fabric, w.platform, w.checker, w.dir = t, memnet.New(), platformtest.NewStore(), workload.NewChecker(), t.TempDir()
+	w.organisations = workload.Organisations()
 	w.serve(storeHost, storeAddress, w.platform)
 	for i := range worldServers {
 		address := fmt.Sprintf("server-%d:1", i)
@@ -119,7 +142,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.version++
-	w.platform.SetConfig(workload.Config(w.version))
+	w.platform.SetConfig(workload.Config(w.version), w.organisations...)
 	return w.version
 }
 
@@ -137,6 +160,7 @@
 		Node: m.name, IP: m.ip, DataCentre: m.dataCentre, FirstStart: first, Seeds: w.seeds[:3],
 		FirstPort: 7380, MemoryBytes: 16 << 30, MaxDescriptors: 4096, DisksLostAtOnce: 1,
 		StoreAddress: storeAddress, StopGrace: 8 * time.Second, Heartbeat: 1200 * time.Millisecond,
+		Withdrawal: w.withdrawal, Change: inForce, Quota: quota.Tolerance{Window: 5 * time.Second, Excess: 0.1, Slack: 20},
 	}
 	if m.role == "front" {
 		settings.CallerAddress, settings.ReadyAddress = m.callers(), m.ip+":8141"
@@ -168,8 +192,29 @@
 	})
 }
 
+// lockedBuffer keeps what several daemons write.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
 // log takes the daemons' lines where a developer asks for them.
 func (w *world) log() io.Writer {
+	if w.output != nil {
+		return w.output
+	}
 	if os.Getenv("ROOKPASS_TEST_LOG") != "" {
 		return os.Stderr
 	}
--- a/internal/objectapi/objectapi.go
+++ b/internal/objectapi/objectapi.go
@@ -57,6 +57,9 @@
 	Age time.Duration `json:"-"`
 	// SinceOutage is how long ago the source had the API's word again after it had lost it; 0 where it never had.
 	SinceOutage time.Duration `json:"-"`
+	// Certain is a time, on this process's steady clock, before which no change was made that is not in here; zero where
+	// the source can't say. Age may take a change for seen that was made while the answer was on its way; this never does.
+	Certain time.Time `json:"-"`
 }
 
 // Batch is the result of one wait of a watch: the events after the asked version, up to Version.
@@ -67,6 +70,9 @@
 	Age time.Duration `json:"-"`
 	// SinceOutage is how long ago the source had the API's word again after it had lost it; 0 where it never had.
 	SinceOutage time.Duration `json:"-"`
+	// Certain is a time, on this process's steady clock, before which no change was made that is not in here; zero where
+	// the source can't say. Age may take a change for seen that was made while the answer was on its way; this never does.
+	Certain time.Time `json:"-"`
 }
 
 // API is the object API as the rest of rookpass uses it. Implementations are safe for concurrent use.
--- /dev/null
+++ b/internal/policy/proof.go
@@ -0,0 +1,50 @@
+package policy
+
+import "time"
+
+// ProofBounds tell how old a daemon's configuration may be to accept a caller's key, and to deny one. Zero is no bound.
+type ProofBounds struct {
+	// Accept: a key that was withdrawn longer ago must not be accepted, so a daemon that may have missed its withdrawal
+	// accepts none.
+	Accept time.Duration
+	// Deny: a key that was added longer ago must not be denied, so a daemon that may have missed it says that it is not
+	// sure.
+	Deny time.Duration
+}
+
+// acceptMargin of the time in which a withdrawal must be in force is left for clocks that run at different speeds, a
+// thousandth at most, and the time between the decision and its being carried out.
+const acceptMargin = 0.05
+
+// NewProofBounds returns the bounds for a withdrawal that must be in force after a time everywhere, and for a change that
+// must be in force after a time at daemons in touch; 0 where there is no such bound.
+func NewProofBounds(withdrawal, change time.Duration) ProofBounds {
+	return ProofBounds{Accept: withdrawal - time.Duration(acceptMargin*float64(withdrawal)), Deny: change}
+}
+
+// Proof is what a daemon may say of a caller's key.
+type Proof int
+
+// The proofs.
+const (
+	// Unproved keys may or may not be in force: nobody may say that they are not, nor act as if they were.
+	Unproved Proof = iota
+	// Proved keys are an organisation's.
+	Proved
+	// Denied keys are nobody's.
+	Denied
+)
+
+// Of returns what may be said of a key that a configuration of an age has, or has not.
+func (b ProofBounds) Of(known bool, age time.Duration) Proof {
+	switch {
+	case b.Accept > 0 && age > b.Accept:
+		return Unproved
+	case known:
+		return Proved
+	case b.Deny > 0 && age > b.Deny:
+		return Unproved
+	default:
+		return Denied
+	}
+}
--- /dev/null
+++ b/internal/policy/proof_test.go
@@ -0,0 +1,34 @@
+package policy_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/rookpass/rookpass/internal/policy"
+)
+
+func TestProofOfAKey(t *testing.T) {
+	bounds := policy.NewProofBounds(5*time.Second, 3*time.Second)
+	for _, c := range []struct {
+		known bool
+		age   time.Duration
+		want  policy.Proof
+	}{
+		{true, 0, policy.Proved},
+		{true, 4700 * time.Millisecond, policy.Proved},
+		{true, 4800 * time.Millisecond, policy.Unproved}, // it may have been withdrawn almost 5 s ago
+		{true, math.MaxInt64, policy.Unproved},
+		{false, 0, policy.Denied},
+		{false, 2900 * time.Millisecond, policy.Denied},
+		{false, 3100 * time.Millisecond, policy.Unproved}, // it may have been added 3 s ago
+		{false, math.MaxInt64, policy.Unproved},
+	} {
+		assert.Equal(t, bounds.Of(c.known, c.age), c.want, "known %t, %v old", c.known, c.age)
+	}
+	unbounded := policy.NewProofBounds(0, 0)
+	assert.Equal(t, unbounded.Of(true, math.MaxInt64), policy.Proved, "where withdrawals need not be in force at once")
+	assert.Equal(t, unbounded.Of(false, math.MaxInt64), policy.Denied)
+}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -140,7 +140,7 @@
 // configure puts the next version in force.
 func (w *World) configure() {
 	w.version++
-	w.store.SetConfig(workload.Config(w.version))
+	w.store.SetConfig(workload.Config(w.version), workload.Organisations()...)
 }
 
 // start runs a daemon's program. A daemon that ends without being asked to breaks a promise.
--- a/internal/turn/turn.go
+++ b/internal/turn/turn.go
@@ -70,6 +70,19 @@
 	Aim time.Duration
 }
 
+// keySeparator stands behind an organisation's name in a key: no header, so no id that a caller sends, can hold it.
+const keySeparator = "\x1f"
+
+// Key returns the name under which a turn or a program of an organisation is kept: organisations neither see nor spend
+// one another's, though their ids be equal. Without an organisation it is the id itself, as in records from before there
+// were any; those are for callers without a key only.
+func Key(organisation, id string) string {
+	if organisation == "" || id == "" {
+		return id
+	}
+	return organisation + keySeparator + id
+}
+
 // Place tells what a server has in cache after a turn.
 type Place struct {
 	Server incarnation.ID
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -30,6 +30,13 @@
 	Lost()
 }
 
+// CertainHandler is a Handler that also wants to know up to when its copy certainly holds every change.
+type CertainHandler interface {
+	Handler
+	// Certain tells that every change made before a time has been seen. It follows Confirm.
+	Certain(at time.Time)
+}
+
 // Source answers lists and watches: the object API, or what stands in for it.
 type Source interface {
 	List(ctx context.Context, prefix string) (objectapi.Snapshot, error)
@@ -66,8 +73,8 @@
 	waitTime time.Duration
 	version  uint64
 	calls    atomic.Int64
-	// confirmed is when the API said last that nothing else had changed, in nanoseconds of Unix time; 0 before that.
-	confirmed atomic.Int64
+	// confirmed is when the API said last that nothing else had changed; nil before that.
+	confirmed atomic.Pointer[time.Time]
 	log       logrus.FieldLogger
 	// listed tells that the handlers have a list to which changes can be applied.
 	listed bool
@@ -104,10 +111,10 @@
 // idle watch is up to its wait old, and as much older as what it reads through.
 func (w *Watcher) Age() time.Duration {
 	confirmed := w.confirmed.Load()
-	if confirmed == 0 {
+	if confirmed == nil {
 		return neverConfirmed
 	}
-	return time.Since(time.Unix(0, confirmed))
+	return time.Since(*confirmed) // by the steady clock: the time of day may jump
 }
 
 // Calls returns how many calls to the API the watcher has made.
@@ -230,7 +237,7 @@
 		}
 		handler.Reset(snapshots[i].Objects, snapshots[i].Version)
 		if !snapshots[i].Stale {
-			w.confirm(handler, snapshots[i].Version, snapshots[i].Age)
+			w.confirm(handler, snapshots[i].Version, snapshots[i].Age, snapshots[i].Certain)
 		}
 		oldest, stale = min(oldest, snapshots[i].Version), stale || snapshots[i].Stale
 	}
@@ -284,12 +291,15 @@
 			handler.Change(event)
 		}
 	}
-	w.confirm(handler, batch.Version, batch.Age)
+	w.confirm(handler, batch.Version, batch.Age, batch.Certain)
 }
 
 // confirm tells a handler, and those who ask for the watch's age, how old the API's word is.
-func (w *Watcher) confirm(handler Handler, version uint64, age time.Duration) {
+func (w *Watcher) confirm(handler Handler, version uint64, age time.Duration, certain time.Time) {
 	at := time.Now().Add(-age)
-	w.confirmed.Store(at.UnixNano())
+	w.confirmed.Store(&at)
 	handler.Confirm(version, at)
+	if h, ok := handler.(CertainHandler); ok && !certain.IsZero() {
+		h.Certain(certain)
+	}
 }
--- a/internal/workload/caller.go
+++ b/internal/workload/caller.go
@@ -45,8 +45,10 @@
 	fronts  []string
 	checker *Checker
 	client  *http.Client
-	mu      sync.Mutex
-	random  *rand.Rand
+	// organisation is the caller's; its key goes with each request.
+	organisation string
+	mu           sync.Mutex
+	random       *rand.Rand
 	// last is the newest line of turns that is whole so far: its turns must be there after the faults.
 	last line
 }
@@ -60,10 +62,17 @@
 
 // NewCaller returns a caller of some fronts, by their addresses. dial is nil for the network of this machine.
 func NewCaller(fronts []string, checker *Checker, seed uint64, dial network.DialContext) *Caller {
-	return &Caller{fronts: fronts, checker: checker, random: rand.New(rand.NewPCG(seed, 2)),
+	organisations := Organisations()
+	return &Caller{fronts: fronts, checker: checker, organisation: organisations[seed%uint64(len(organisations))].Name, random: rand.New(rand.NewPCG(seed, 2)),
 		client: &http.Client{Transport: &http.Transport{DialContext: dial}}}
 }
 
+// Of makes the caller one of an organisation, and returns it.
+func (c *Caller) Of(organisation string) *Caller {
+	c.organisation = organisation
+	return c
+}
+
 // Work is what a caller asks for.
 type Work string
 
@@ -167,6 +176,17 @@
 	return status == http.StatusOK
 }
 
+// Ask sends one lookup to a front and returns how it was answered; 0 where it broke off.
+func (c *Caller) Ask(front string) int {
+	id := fmt.Sprintf("a%d", ids.Add(1))
+	c.checker.Sent(id, "", true)
+	status, _, _, err := c.sendTo(front, "/lookup/", platformtest.Call{ID: id, Deadline: callDeadline}, "")
+	if err != nil {
+		return 0
+	}
+	return c.failed(id, status, nil)
+}
+
 // turnWithin tries a turn until it is whole, and reports whether it was in time.
 func (c *Caller) turnWithin(l *line, limit time.Duration) bool {
 	for began := time.Now(); time.Since(began) < limit; {
@@ -267,6 +287,8 @@
 		return 0, nil, nil, err
 	}
 	r.Host = host
+	call.Key = keyOf(c.organisation)
+	c.checker.SentBy(call.ID, c.organisation)
 	r.Header = call.Header()
 	r.GetBody = nil // or the client sends a request again by itself
 	resp, err := c.client.Do(r)
--- a/internal/workload/checker.go
+++ b/internal/workload/checker.go
@@ -13,20 +13,27 @@
 	expected map[string]string
 	runs     map[string]int
 	repeat   map[string]bool
-	refused  map[string]int
-	handed   map[string]int64
-	leaving  map[string]time.Time
-	arrivals map[string]int
-	excused  time.Time
-	seen     map[string]int64
-	broken   []string
+	// senders are the organisations of requests, sentAt when those were sent.
+	senders map[string]string
+	sentAt  map[string]time.Time
+	// withdrawn is from when on an organisation's requests may not run that are sent later; served are the runs of its
+	// requests.
+	withdrawn map[string]time.Time
+	served    map[string][]run
+	refused   map[string]int
+	handed    map[string]int64
+	leaving   map[string]time.Time
+	arrivals  map[string]int
+	excused   time.Time
+	seen      map[string]int64
+	broken    []string
 	// counts are how requests ended, by what callers saw.
 	counts map[string]int
 }
 
 // NewChecker returns a checker that has seen nothing.
 func NewChecker() *Checker {
-	return &Checker{expected: map[string]string{}, runs: map[string]int{}, repeat: map[string]bool{}, refused: map[string]int{},
+	return &Checker{expected: map[string]string{}, runs: map[string]int{}, repeat: map[string]bool{}, senders: map[string]string{}, sentAt: map[string]time.Time{}, withdrawn: map[string]time.Time{}, served: map[string][]run{}, refused: map[string]int{},
 		handed: map[string]int64{}, leaving: map[string]time.Time{}, arrivals: map[string]int{}, seen: map[string]int64{}, counts: map[string]int{}}
 }
 
@@ -49,6 +56,67 @@
 	c.repeat[id] = repeatable
 }
 
+// SentBy notes whose a request is.
+func (c *Checker) SentBy(id, organisation string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.senders[id] = organisation
+	c.sentAt[id] = time.Now()
+}
+
+// Withdrawn notes that an organisation's requests may not run that are sent later than a time.
+func (c *Checker) Withdrawn(organisation string, from time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.withdrawn[organisation] = from
+}
+
+// run is one running of a request.
+type run struct{ sent, ran time.Time }
+
+// Most returns the most requests of an organisation that were both sent and run within any window of a length.
+func (c *Checker) Most(organisation string, window time.Duration) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	runs := c.served[organisation]
+	most := 0
+	for _, first := range runs {
+		n := 0
+		for _, r := range runs {
+			if !r.sent.Before(first.sent) && !r.ran.After(first.sent.Add(window)) {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// Runs returns how many requests of an organisation have run.
+func (c *Checker) Runs(organisation string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.served[organisation])
+}
+
+// Told notes what a server was told of a request's organisation, and whether its caller's key came along.
+func (c *Checker) Told(id, organisation string, key bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	want := c.senders[id]
+	if organisation != want {
+		c.fail("%s of %q came to a server as one of %q", id, want, organisation)
+	}
+	now, sent := time.Now(), c.sentAt[id]
+	c.served[want] = append(c.served[want], run{sent, now})
+	if from := c.withdrawn[want]; !from.IsZero() && sent.After(from) {
+		c.fail("%s of %q ran, sent %v after it had to be refused", id, want, sent.Sub(from))
+	}
+	if key {
+		c.fail("%s came to a server with its caller's key", id)
+	}
+}
+
 // Ran notes that a server began on a request.
 func (c *Checker) Ran(id, body string) {
 	c.mu.Lock()
--- a/internal/workload/config.go
+++ b/internal/workload/config.go
@@ -5,8 +5,29 @@
 	"time"
 
 	"github.com/rookpass/rookpass/internal/catalog"
+	"github.com/rookpass/rookpass/platform/platformtest"
 )
 
+// Organisations returns those that callers belong to. Their limit is above all that callers of a run ask for, so that each
+// request is counted and none is refused.
+func Organisations() []platformtest.Organisation {
+	var all []platformtest.Organisation
+	for _, name := range []string{"north", "south"} {
+		all = append(all, OrganisationOf(name, 2000))
+	}
+	return all
+}
+
+// OrganisationOf returns an organisation whose callers are limited to so many requests a second, and as many on top.
+func OrganisationOf(name string, perSecond float64) platformtest.Organisation {
+	return platformtest.Organisation{Name: name, Keys: []string{keyOf(name)}, PerS: perSecond, Burst: perSecond}
+}
+
+// keyMark is in every key, so that a key can be found wherever it does not belong.
+const keyMark = "key-of-"
+
+func keyOf(organisation string) string { return keyMark + organisation }
+
 // Config returns a version of the configuration: the routes that callers ask for, and one more for each version
 // before this one and for itself.
 func Config(version int64) catalog.Config {
@@ -15,6 +36,7 @@
 			Targets: []catalog.Target{{Service: service, Weight: 1}}}
 	}
 	c := catalog.Config{Version: version, Limits: catalog.Limits{MaxBodyBytes: 1 << 20, IdleTimeout: 15 * time.Second}}
+	c.Keyed = true
 	c.Services = []catalog.Service{{Name: modelService, MaxConns: 200, TokensPerEvent: tokensPerEvent}, {Name: toolService, MaxConns: 200}}
 	c.Routes = []catalog.Route{route("turn", catalog.Stream, modelService), route("tool", catalog.AtMostOnce, toolService), route("lookup", catalog.Idempotent, toolService),
 		route("question", catalog.Stream, modelService)}
--- a/internal/workload/server.go
+++ b/internal/workload/server.go
@@ -156,6 +156,7 @@
 		return
 	}
 	s.checker.Arrived(entry.ID.Server, id)
+	s.checker.Told(id, platformtest.ToldOrganisation(r.Header), holdsKey(r.Header))
 	s.checker.Ran(id, string(body))
 	if fault == Hang {
 		<-r.Context().Done()
@@ -171,6 +172,16 @@
 	tool(w, id, fault)
 }
 
+// holdsKey tells whether a caller's key is anywhere in the headers.
+func holdsKey(h http.Header) bool {
+	for _, values := range h {
+		if strings.Contains(strings.Join(values, "\n"), keyMark) {
+			return true
+		}
+	}
+	return false
+}
+
 // streamKey returns what the events of an answer depend on: an answer that may be resumed is the same under every
 // id that its caller asks again with.
 func streamKey(r *http.Request, id, body string) string {
