Watches of the configuration wait by the bound on withdrawals

Ruled out: longer belief (the bound is the operators'); asking the store for certainty near the bound (it is dark then).

Change: readers wait a tenth of the bound for a change of the configuration, other daemons a twentieth, where withdrawals must be in force everywhere.

Deployments without that bound are as before.

--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -177,24 +177,24 @@
 func (f *front) watch(ctx context.Context, group *errgroup.Group) {
 	source := feed.New(f.mirrors(), feed.Named{Name: "platform", Source: single{f.store}}, f.log)
 	link := watch.NewLink(source)
-	run := func(h watch.Handler) error { return f.watcher(link, frontWait, h).Run(ctx) }
+	run := func(h watch.Handler, limit time.Duration) error { return f.watcher(link, limit, h).Run(ctx) }
 	group.Go(func() error {
 		if f.settings.FirstStart {
 			_ = wait.For(ctx, formingTime)
 		}
-		return run(&handler{prefix: layoutPrefix, apply: f.applyLayout})
+		return run(&handler{prefix: layoutPrefix, apply: f.applyLayout}, frontWait)
 	})
-	for _, h := range []watch.Handler{
-		catalog.NewConfigHandler(f.catalog, platform.ConfigPrefix, platform.DecodeConfig, f.log),
+	for h, limit := range map[watch.Handler]time.Duration{
+		catalog.NewConfigHandler(f.catalog, platform.ConfigPrefix, platform.DecodeConfig, f.log): f.configWait(frontWait, hopShare),
 		catalog.NewServersHandler(catalog.ServersOptions{
 			Catalog: f.catalog, Prefix: platform.ServersPrefix, Decode: platform.DecodeServer, Lapse: policy.NewLapse(f.settings.Heartbeat),
 			Log: f.log, Started: f.serverStarted,
 			Refused: func(reason catalog.Refusal) { f.metrics.Count("rookpass_entries_refused_total", string(reason)) },
-		}),
+		}): frontWait,
 	} {
 		group.Go(func() error {
 			f.awaitLayout(ctx)
-			return run(h)
+			return run(h, limit)
 		})
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -47,6 +47,23 @@
 	heapShare = 0.6
 )
 
+// Shares of the time within which a withdrawn key must be refused everywhere, for which watches of the configuration wait:
+// readerShare at the platform's store, hopShare at another daemon. A front's configuration is then a tenth of that time
+// old in the middle, and a quarter at most, when the store goes dark, and keys are believed for the rest.
+const (
+	readerShare = 0.1
+	hopShare    = 0.05
+)
+
+// configWait returns how long a watch of the configuration waits for a change: usual, or a share of the time within which
+// a withdrawn key must be refused, where that is asked.
+func (b *base) configWait(usual time.Duration, share float64) time.Duration {
+	if b.settings.Withdrawal == 0 {
+		return usual
+	}
+	return min(usual, time.Duration(share*float64(b.settings.Withdrawal)))
+}
+
 // host is the VM that a daemon runs on. Tests put one in memory in its place.
 type host struct {
 	listen func(address string) (net.Listener, error)
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -73,8 +73,9 @@
 		Store: store, API: b.store, Links: b.links, Retirements: retiring, Log: b.log, Key: layoutKey, Candidates: candidatesPrefix,
 		FirstStart: s.FirstStart, Tolerance: s.DisksLostAtOnce, DiskBytes: s.DiskBytes,
 	})
+	configWait := b.configWait(storeWait, readerShare)
 	mirrors := []*mirror.Mirror{
-		mirror.New(platform.ConfigPrefix, storeWait+answerSlack),
+		mirror.New(platform.ConfigPrefix, configWait+answerSlack),
 		mirror.New(platform.ServersPrefix, storeWait+answerSlack),
 		mirror.New(layoutPrefix, rareWait+answerSlack),
 		mirror.New(platform.RetirementsPrefix, rareWait+answerSlack),
@@ -84,7 +85,7 @@
 	link := watch.NewLink(source)
 	layoutWatcher := b.watcher(link, rareWait, both{mirrors[2], layouts})
 	watchers := []*watch.Watcher{
-		b.watcher(link, storeWait, mirrors[0]),
+		b.watcher(link, configWait, mirrors[0]),
 		b.watcher(link, storeWait, mirrors[1]),
 		b.watcher(link, rareWait, both{mirrors[3], retiring.handler()}),
 	}
