--- a/cmd/rookpass-plot/main.go
+++ b/cmd/rookpass-plot/main.go
@@ -9,8 +9,8 @@
 
 	"github.com/jessevdk/go-flags"
 
-	"github.com/rookpass/rookpass/internal/loadlog"
-	"github.com/rookpass/rookpass/internal/plots"
+	"github.com/rookpass/rookpass/internal/testing/loadlog"
+	"github.com/rookpass/rookpass/internal/testing/plots"
 	"github.com/rookpass/rookpass/platform/runlog"
 )
 
--- a/cmd/rookpass-soak/main.go
+++ b/cmd/rookpass-soak/main.go
@@ -10,7 +10,7 @@
 
 	"github.com/jessevdk/go-flags"
 
-	"github.com/rookpass/rookpass/internal/soak"
+	"github.com/rookpass/rookpass/internal/testing/soak"
 )
 
 type options struct {
--- a/cmd/rookpass-standins/main.go
+++ b/cmd/rookpass-standins/main.go
@@ -12,8 +12,8 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/valyala/fasthttp"
 
-	"github.com/rookpass/rookpass/internal/objectapi/memapi"
-	"github.com/rookpass/rookpass/internal/standin"
+	"github.com/rookpass/rookpass/internal/objects/objectapi/memapi"
+	"github.com/rookpass/rookpass/internal/testing/standin"
 )
 
 type options struct {
--- a/cmd/rookpass/main.go
+++ b/cmd/rookpass/main.go
@@ -4,7 +4,7 @@
 import (
 	"os"
 
-	"github.com/rookpass/rookpass/internal/cli"
+	"github.com/rookpass/rookpass/internal/rookpassd/cli"
 )
 
 func main() { os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/cmd/rookpassd/main.go
+++ b/cmd/rookpassd/main.go
@@ -13,11 +13,11 @@
 
 	"github.com/jessevdk/go-flags"
 
-	"github.com/rookpass/rookpass/internal/daemon"
-	"github.com/rookpass/rookpass/internal/network"
-	"github.com/rookpass/rookpass/internal/settings"
-	"github.com/rookpass/rookpass/internal/telemetry"
-	"github.com/rookpass/rookpass/internal/tlsfiles"
+	"github.com/rookpass/rookpass/internal/base/telemetry"
+	"github.com/rookpass/rookpass/internal/base/tlsfiles"
+	"github.com/rookpass/rookpass/internal/rookpassd/daemon"
+	"github.com/rookpass/rookpass/internal/rookpassd/settings"
+	"github.com/rookpass/rookpass/internal/transport/network"
 )
 
 // Exit codes.
--- a/internal/atomicfile/atomicfile_test.go
+++ b/internal/base/atomicfile/atomicfile_test.go
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/atomicfile"
+	"github.com/rookpass/rookpass/internal/base/atomicfile"
 )
 
 func TestReplaces(t *testing.T) {
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/base/eventlog/eventlog_test.go
@@ -11,7 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/eventlog"
+	"github.com/rookpass/rookpass/internal/base/eventlog"
 )
 
 // sink collects what is written; while blocked, Write waits.
--- a/internal/metrics/metrics_test.go
+++ b/internal/base/metrics/metrics_test.go
@@ -8,7 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/metrics"
+	"github.com/rookpass/rookpass/internal/base/metrics"
 )
 
 func TestPage(t *testing.T) {
--- a/internal/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -13,7 +13,7 @@
 
 	"github.com/zeebo/errs"
 
-	"github.com/rookpass/rookpass/internal/policy"
+	"github.com/rookpass/rookpass/internal/decide/policy"
 )
 
 // ErrNoPlace means that a call would not have had its turn in time.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/decide/dispatch/dispatch_test.go
@@ -10,7 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/dispatch"
+	"github.com/rookpass/rookpass/internal/decide/dispatch"
 )
 
 // turn returns a call of a program that has begun, with so much time left; each turn takes 100 ms alone.
--- a/internal/policy/lapse_test.go
+++ b/internal/decide/policy/lapse_test.go
@@ -6,7 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/policy"
+	"github.com/rookpass/rookpass/internal/decide/policy"
 )
 
 // TestHeldUntil: entries are held after outages in which they can lapse, from the store's own first word on.
--- a/internal/policy/model_test.go
+++ b/internal/decide/policy/model_test.go
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/policy"
+	"github.com/rookpass/rookpass/internal/decide/policy"
 )
 
 var defaults = policy.Costs{PrefillPerToken: 0.00002, SlowdownPerCall: 0.008, CrossDataCentre: 0.004}
--- a/internal/policy/pace_test.go
+++ b/internal/decide/policy/pace_test.go
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/policy"
+	"github.com/rookpass/rookpass/internal/decide/policy"
 )
 
 // TestEqualServersSeldomCountAsSlow: calls of three kinds, each of which varies by as much as its mean (log-normal).
--- a/internal/policy/policy_test.go
+++ b/internal/decide/policy/policy_test.go
@@ -7,7 +7,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"github.com/rookpass/rookpass/internal/policy"
+	"github.com/rookpass/rookpass/internal/decide/policy"
 )
 
 func TestPlace(t *testing.T) {
--- a/internal/policy/proof_test.go
+++ b/internal/decide/policy/proof_test.go
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/policy"
+	"github.com/rookpass/rookpass/internal/decide/policy"
 )
 
 func TestProofOfAKey(t *testing.T) {
--- a/internal/policy/share_test.go
+++ b/internal/decide/policy/share_test.go
@@ -8,7 +8,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"github.com/rookpass/rookpass/internal/policy"
+	"github.com/rookpass/rookpass/internal/decide/policy"
 )
 
 func TestShare(t *testing.T) {
--- a/internal/quota/asker.go
+++ b/internal/decide/quota/asker.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/rookpass/rookpass/internal/peerlink"
+	"github.com/rookpass/rookpass/internal/transport/peerlink"
 )
 
 // ErrUnsure means that too few homes answered to know whether there is room.
--- a/internal/quota/asker_test.go
+++ b/internal/decide/quota/asker_test.go
@@ -11,9 +11,9 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/network/memnet"
-	"github.com/rookpass/rookpass/internal/peerlink"
-	"github.com/rookpass/rookpass/internal/quota"
+	"github.com/rookpass/rookpass/internal/decide/quota"
+	"github.com/rookpass/rookpass/internal/transport/network/memnet"
+	"github.com/rookpass/rookpass/internal/transport/peerlink"
 )
 
 // fleet is store daemons that count, on a network in memory, and a front's asker.
--- a/internal/quota/load_test.go
+++ b/internal/decide/quota/load_test.go
@@ -8,7 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/quota"
+	"github.com/rookpass/rookpass/internal/decide/quota"
 )
 
 // tolerance is that of the sheets so far.
--- a/internal/quota/window_test.go
+++ b/internal/decide/quota/window_test.go
@@ -9,7 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/quota"
+	"github.com/rookpass/rookpass/internal/decide/quota"
 )
 
 // most returns the largest number of times within any window, which counts both its ends.
--- a/internal/balance/balance.go
+++ b/internal/front/balance/balance.go
@@ -7,10 +7,10 @@
 	"sync"
 	"time"
 
-	"github.com/rookpass/rookpass/internal/call"
-	"github.com/rookpass/rookpass/internal/catalog"
-	"github.com/rookpass/rookpass/internal/incarnation"
-	"github.com/rookpass/rookpass/internal/policy"
+	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/decide/policy"
+	"github.com/rookpass/rookpass/internal/front/catalog"
+	"github.com/rookpass/rookpass/internal/transport/call"
 )
 
 const (
--- a/internal/balance/connections_test.go
+++ b/internal/front/balance/connections_test.go
@@ -11,9 +11,9 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/balance"
-	"github.com/rookpass/rookpass/internal/catalog"
-	"github.com/rookpass/rookpass/internal/incarnation"
+	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/front/balance"
+	"github.com/rookpass/rookpass/internal/front/catalog"
 )
 
 // callKinds are plain calls as agent programs make them: how long they take in the mean, and their share.
--- a/internal/balance/crowd_test.go
+++ b/internal/front/balance/crowd_test.go
@@ -9,10 +9,10 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/balance"
-	"github.com/rookpass/rookpass/internal/catalog"
-	"github.com/rookpass/rookpass/internal/exchange"
-	"github.com/rookpass/rookpass/internal/incarnation"
+	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/front/balance"
+	"github.com/rookpass/rookpass/internal/front/catalog"
+	"github.com/rookpass/rookpass/internal/front/exchange"
 )
 
 func TestServersThatFailManyAreLeftAlone(t *testing.T) {
--- a/internal/balance/load.go
+++ b/internal/front/balance/load.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/rookpass/rookpass/internal/incarnation"
-	"github.com/rookpass/rookpass/internal/policy"
+	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/decide/policy"
 )
 
 // othersWeight is the weight of the newest report in what others have on a server: at a report each 300 ms the
--- a/internal/balance/parts.go
+++ b/internal/front/balance/parts.go
@@ -4,8 +4,8 @@
 	"container/list"
 	"slices"
 
-	"github.com/rookpass/rookpass/internal/call"
-	"github.com/rookpass/rookpass/internal/turn"
+	"github.com/rookpass/rookpass/internal/transport/call"
+	"github.com/rookpass/rookpass/internal/turns/turn"
 )
 
 // partLimit bounds the prompt parts remembered of one server. Engines so far hold 70,000 to 340,000 tokens, and
--- a/internal/balance/parts_test.go
+++ b/internal/front/balance/parts_test.go
@@ -6,10 +6,10 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/call"
-	"github.com/rookpass/rookpass/internal/catalog"
-	"github.com/rookpass/rookpass/internal/incarnation"
-	"github.com/rookpass/rookpass/internal/turn"
+	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/front/catalog"
+	"github.com/rookpass/rookpass/internal/transport/call"
+	"github.com/rookpass/rookpass/internal/turns/turn"
 )
 
 // TestPartsInUseAreNotForgotten: a shared part that comes with every prompt outlives the private ones, however
--- a/internal/balance/restart.go
+++ b/internal/front/balance/restart.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 
-	"github.com/rookpass/rookpass/internal/incarnation"
+	"github.com/rookpass/rookpass/internal/base/incarnation"
 )
 
 // ErrRestarted is the cause with which calls end whose server has started again.
--- a/internal/balance/restart_test.go
+++ b/internal/front/balance/restart_test.go
@@ -6,11 +6,11 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/balance"
-	"github.com/rookpass/rookpass/internal/call"
-	"github.com/rookpass/rookpass/internal/catalog"
-	"github.com/rookpass/rookpass/internal/incarnation"
-	"github.com/rookpass/rookpass/internal/turn"
+	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/front/balance"
+	"github.com/rookpass/rookpass/internal/front/catalog"
+	"github.com/rookpass/rookpass/internal/transport/call"
+	"github.com/rookpass/rookpass/internal/turns/turn"
 )
 
 // start is a server's start.
--- a/internal/balance/suspects.go
+++ b/internal/front/balance/suspects.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/rookpass/rookpass/internal/catalog"
-	"github.com/rookpass/rookpass/internal/incarnation"
+	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/front/catalog"
 )
 
 // tooManyReported tells whether others suspect so many servers that the rest could not bear the load.
--- a/internal/catalog/catalog.go
+++ b/internal/front/catalog/catalog.go
@@ -8,8 +8,8 @@
 	"strings"
 	"time"
 
-	"github.com/rookpass/rookpass/internal/incarnation"
-	"github.com/rookpass/rookpass/internal/secret"
+	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/base/secret"
 )
 
 // Kind tells how often a request may run.
--- a/internal/catalog/catalog_test.go
+++ b/internal/front/catalog/catalog_test.go
@@ -11,10 +11,10 @@
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/catalog"
-	"github.com/rookpass/rookpass/internal/incarnation"
-	"github.com/rookpass/rookpass/internal/objectapi"
-	"github.com/rookpass/rookpass/internal/policy"
+	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/decide/policy"
+	"github.com/rookpass/rookpass/internal/front/catalog"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
 )
 
 func quiet() logrus.FieldLogger {
--- a/internal/catalog/entries_test.go
+++ b/internal/front/catalog/entries_test.go
@@ -13,9 +13,9 @@
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/catalog"
-	"github.com/rookpass/rookpass/internal/incarnation"
-	"github.com/rookpass/rookpass/internal/objectapi"
+	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/front/catalog"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
 )
 
 // list is a handler whose entries read "good BORN" or name the reason why they are refused.
--- a/internal/catalog/entry.go
+++ b/internal/front/catalog/entry.go
@@ -3,7 +3,7 @@
 import (
 	"errors"
 
-	"github.com/rookpass/rookpass/internal/objectapi"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
 )
 
 // Refusal is why an entry of the list of servers names no server to use. Entries may come from writers that are no
--- a/internal/catalog/organisation.go
+++ b/internal/front/catalog/organisation.go
@@ -1,8 +1,8 @@
 package catalog
 
 import (
-	"github.com/rookpass/rookpass/internal/quota"
-	"github.com/rookpass/rookpass/internal/secret"
+	"github.com/rookpass/rookpass/internal/base/secret"
+	"github.com/rookpass/rookpass/internal/decide/quota"
 )
 
 // Organisation is a customer whose callers prove themselves by a key.
--- a/internal/catalog/servers.go
+++ b/internal/front/catalog/servers.go
@@ -6,9 +6,9 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/rookpass/rookpass/internal/incarnation"
-	"github.com/rookpass/rookpass/internal/objectapi"
-	"github.com/rookpass/rookpass/internal/policy"
+	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/decide/policy"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
 )
 
 // ServersOptions are what a ServersHandler works with.
--- a/internal/catalog/view.go
+++ b/internal/front/catalog/view.go
@@ -9,8 +9,8 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/rookpass/rookpass/internal/incarnation"
-	"github.com/rookpass/rookpass/internal/objectapi"
+	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
 )
 
 // Servers are the backend servers known at one time. They are immutable.
--- a/internal/exchange/exchange.go
+++ b/internal/front/exchange/exchange.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
-	"github.com/rookpass/rookpass/internal/incarnation"
-	"github.com/rookpass/rookpass/internal/peerlink"
+	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/transport/peerlink"
 )
 
 // ServiceName is the net/rpc name of the service.
--- a/internal/exchange/exchange_test.go
+++ b/internal/front/exchange/exchange_test.go
@@ -9,8 +9,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/exchange"
-	"github.com/rookpass/rookpass/internal/incarnation"
+	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/front/exchange"
 )
 
 // id names the only start of a server.
--- a/internal/exchange/sums.go
+++ b/internal/front/exchange/sums.go
@@ -5,7 +5,7 @@
 	"maps"
 	"time"
 
-	"github.com/rookpass/rookpass/internal/incarnation"
+	"github.com/rookpass/rookpass/internal/base/incarnation"
 )
 
 // sums are what all daemons have said last, added up as reports come: to add up 259 reports for each of them costs 13
--- a/internal/exchange/sums_test.go
+++ b/internal/front/exchange/sums_test.go
@@ -10,8 +10,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/exchange"
-	"github.com/rookpass/rookpass/internal/incarnation"
+	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/front/exchange"
 )
 
 // TestSumsAreThoseOfTheLastReports: however reports come, an answer is the sum of what the others said last, as far as it is
--- a/internal/gateway/attempt.go
+++ b/internal/front/gateway/attempt.go
@@ -10,11 +10,11 @@
 	"strings"
 	"time"
 
-	"github.com/rookpass/rookpass/internal/balance"
-	"github.com/rookpass/rookpass/internal/catalog"
-	"github.com/rookpass/rookpass/internal/incarnation"
-	"github.com/rookpass/rookpass/internal/upstream"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/front/balance"
+	"github.com/rookpass/rookpass/internal/front/catalog"
+	"github.com/rookpass/rookpass/internal/transport/upstream"
 )
 
 // attempt is one try of a request at one server, for the log.
--- a/internal/gateway/enter.go
+++ b/internal/front/gateway/enter.go
@@ -6,7 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/rookpass/rookpass/internal/dispatch"
+	"github.com/rookpass/rookpass/internal/decide/dispatch"
 )
 
 const (
--- a/internal/gateway/gateway.go
+++ b/internal/front/gateway/gateway.go
@@ -16,15 +16,15 @@
 	"github.com/zeebo/errs"
 	"golang.org/x/sync/semaphore"
 
-	"github.com/rookpass/rookpass/internal/balance"
-	"github.com/rookpass/rookpass/internal/call"
-	"github.com/rookpass/rookpass/internal/catalog"
-	"github.com/rookpass/rookpass/internal/dispatch"
-	"github.com/rookpass/rookpass/internal/ledger"
-	"github.com/rookpass/rookpass/internal/policy"
-	"github.com/rookpass/rookpass/internal/quota"
-	"github.com/rookpass/rookpass/internal/turn"
-	"github.com/rookpass/rookpass/internal/upstream"
+	"github.com/rookpass/rookpass/internal/decide/dispatch"
+	"github.com/rookpass/rookpass/internal/decide/policy"
+	"github.com/rookpass/rookpass/internal/decide/quota"
+	"github.com/rookpass/rookpass/internal/front/balance"
+	"github.com/rookpass/rookpass/internal/front/catalog"
+	"github.com/rookpass/rookpass/internal/transport/call"
+	"github.com/rookpass/rookpass/internal/transport/upstream"
+	"github.com/rookpass/rookpass/internal/turns/ledger"
+	"github.com/rookpass/rookpass/internal/turns/turn"
 )
 
 // Error is the class of this package's errors.
--- a/internal/gateway/gateway_test.go
+++ b/internal/front/gateway/gateway_test.go
@@ -14,8 +14,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/ledger"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/turns/ledger"
 )
 
 // echo answers with the request's body, signed.
--- a/internal/gateway/organisation.go
+++ b/internal/front/gateway/organisation.go
@@ -7,9 +7,9 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/rookpass/rookpass/internal/policy"
-	"github.com/rookpass/rookpass/internal/quota"
-	"github.com/rookpass/rookpass/internal/wait"
+	"github.com/rookpass/rookpass/internal/base/wait"
+	"github.com/rookpass/rookpass/internal/decide/policy"
+	"github.com/rookpass/rookpass/internal/decide/quota"
 )
 
 const (
--- a/internal/gateway/organisation_test.go
+++ b/internal/front/gateway/organisation_test.go
@@ -12,10 +12,10 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/catalog"
-	"github.com/rookpass/rookpass/internal/objectapi"
-	"github.com/rookpass/rookpass/internal/quota"
-	"github.com/rookpass/rookpass/internal/secret"
+	"github.com/rookpass/rookpass/internal/base/secret"
+	"github.com/rookpass/rookpass/internal/decide/quota"
+	"github.com/rookpass/rookpass/internal/front/catalog"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
 )
 
 const (
--- a/internal/gateway/plain.go
+++ b/internal/front/gateway/plain.go
@@ -9,11 +9,11 @@
 	"strconv"
 	"time"
 
-	"github.com/rookpass/rookpass/internal/balance"
-	"github.com/rookpass/rookpass/internal/catalog"
-	"github.com/rookpass/rookpass/internal/incarnation"
-	"github.com/rookpass/rookpass/internal/upstream"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/front/balance"
+	"github.com/rookpass/rookpass/internal/front/catalog"
+	"github.com/rookpass/rookpass/internal/transport/upstream"
 )
 
 // bufferBytes of an answer are read before any of it is passed on, so that a broken answer can be replaced
--- a/internal/gateway/restart_test.go
+++ b/internal/front/gateway/restart_test.go
@@ -10,7 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/objectapi"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
 )
 
 // restart says that the first server has started again, at its address and under its name.
--- a/internal/gateway/stream.go
+++ b/internal/front/gateway/stream.go
@@ -10,11 +10,11 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/rookpass/rookpass/internal/balance"
-	"github.com/rookpass/rookpass/internal/call"
-	"github.com/rookpass/rookpass/internal/incarnation"
-	"github.com/rookpass/rookpass/internal/upstream"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/front/balance"
+	"github.com/rookpass/rookpass/internal/transport/call"
+	"github.com/rookpass/rookpass/internal/transport/upstream"
 )
 
 // serveStream answers a request by the events of a server as they come: a turn of a program, kept or not, or a
--- a/internal/gateway/stream_test.go
+++ b/internal/front/gateway/stream_test.go
@@ -11,8 +11,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/incarnation"
-	"github.com/rookpass/rookpass/internal/turn"
+	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/turns/turn"
 )
 
 // events returns the text of some events of a stream.
--- a/internal/gateway/turn.go
+++ b/internal/front/gateway/turn.go
@@ -8,9 +8,9 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/rookpass/rookpass/internal/catalog"
-	"github.com/rookpass/rookpass/internal/ledger"
-	"github.com/rookpass/rookpass/internal/turn"
+	"github.com/rookpass/rookpass/internal/front/catalog"
+	"github.com/rookpass/rookpass/internal/turns/ledger"
+	"github.com/rookpass/rookpass/internal/turns/turn"
 )
 
 const (
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -6,7 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/testbubble"
+	"github.com/rookpass/rookpass/internal/testing/testbubble"
 )
 
 // TestCallsToThePlatformDoNotGrowWithStoreDaemons: three of them read its objects where one may be lost, however many there
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,13 +15,13 @@
 	"github.com/sirupsen/logrus"
 	"github.com/zeebo/errs"
 
-	"github.com/rookpass/rookpass/internal/eventlog"
-	"github.com/rookpass/rookpass/internal/metrics"
-	"github.com/rookpass/rookpass/internal/network"
-	"github.com/rookpass/rookpass/internal/objectapi"
-	"github.com/rookpass/rookpass/internal/peerlink"
-	"github.com/rookpass/rookpass/internal/telemetry"
-	"github.com/rookpass/rookpass/internal/watch"
+	"github.com/rookpass/rookpass/internal/base/eventlog"
+	"github.com/rookpass/rookpass/internal/base/metrics"
+	"github.com/rookpass/rookpass/internal/base/telemetry"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
+	"github.com/rookpass/rookpass/internal/objects/watch"
+	"github.com/rookpass/rookpass/internal/transport/network"
+	"github.com/rookpass/rookpass/internal/transport/peerlink"
 	"github.com/rookpass/rookpass/platform"
 )
 
--- a/internal/node/organisation_test.go
+++ b/internal/node/organisation_test.go
@@ -9,8 +9,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/testbubble"
-	"github.com/rookpass/rookpass/internal/workload"
+	"github.com/rookpass/rookpass/internal/testing/testbubble"
+	"github.com/rookpass/rookpass/internal/testing/workload"
 	"github.com/rookpass/rookpass/platform/platformtest"
 )
 
--- a/internal/node/sources.go
+++ b/internal/node/sources.go
@@ -8,12 +8,12 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/rookpass/rookpass/internal/feed"
-	"github.com/rookpass/rookpass/internal/layout"
-	"github.com/rookpass/rookpass/internal/mirror"
-	"github.com/rookpass/rookpass/internal/objectapi"
-	"github.com/rookpass/rookpass/internal/peerlink"
-	"github.com/rookpass/rookpass/internal/replica"
+	"github.com/rookpass/rookpass/internal/objects/feed"
+	"github.com/rookpass/rookpass/internal/objects/mirror"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
+	"github.com/rookpass/rookpass/internal/transport/peerlink"
+	"github.com/rookpass/rookpass/internal/turns/layout"
+	"github.com/rookpass/rookpass/internal/turns/replica"
 	"github.com/rookpass/rookpass/platform"
 )
 
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -7,11 +7,11 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/rookpass/rookpass/internal/balance"
-	"github.com/rookpass/rookpass/internal/catalog"
-	"github.com/rookpass/rookpass/internal/layout"
-	"github.com/rookpass/rookpass/internal/policy"
-	"github.com/rookpass/rookpass/internal/replica"
+	"github.com/rookpass/rookpass/internal/decide/policy"
+	"github.com/rookpass/rookpass/internal/front/balance"
+	"github.com/rookpass/rookpass/internal/front/catalog"
+	"github.com/rookpass/rookpass/internal/turns/layout"
+	"github.com/rookpass/rookpass/internal/turns/replica"
 )
 
 // StatusPath is where a daemon's metrics address tells operators what is in force there.
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -18,10 +18,10 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/network/memnet"
-	"github.com/rookpass/rookpass/internal/quota"
-	"github.com/rookpass/rookpass/internal/testbubble"
-	"github.com/rookpass/rookpass/internal/workload"
+	"github.com/rookpass/rookpass/internal/decide/quota"
+	"github.com/rookpass/rookpass/internal/testing/testbubble"
+	"github.com/rookpass/rookpass/internal/testing/workload"
+	"github.com/rookpass/rookpass/internal/transport/network/memnet"
 	"github.com/rookpass/rookpass/platform"
 	"github.com/rookpass/rookpass/platform/platformtest"
 )
--- a/internal/feed/feed.go
+++ b/internal/objects/feed/feed.go
@@ -12,7 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/rookpass/rookpass/internal/objectapi"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
 )
 
 // Source answers lists and watches of one prefix.
--- a/internal/feed/feed_test.go
+++ b/internal/objects/feed/feed_test.go
@@ -12,9 +12,9 @@
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/feed"
-	"github.com/rookpass/rookpass/internal/objectapi"
-	"github.com/rookpass/rookpass/internal/peerlink"
+	"github.com/rookpass/rookpass/internal/objects/feed"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
+	"github.com/rookpass/rookpass/internal/transport/peerlink"
 )
 
 // source answers with a version, or fails.
--- a/internal/feed/sources.go
+++ b/internal/objects/feed/sources.go
@@ -8,7 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/rookpass/rookpass/internal/peerlink"
+	"github.com/rookpass/rookpass/internal/transport/peerlink"
 )
 
 // How long the store itself is left alone after it has failed. Where mirrors answer that they have lost it too, they say
--- a/internal/mirror/file.go
+++ b/internal/objects/mirror/file.go
@@ -11,9 +11,9 @@
 	"github.com/sirupsen/logrus"
 	"github.com/zeebo/errs"
 
-	"github.com/rookpass/rookpass/internal/atomicfile"
-	"github.com/rookpass/rookpass/internal/objectapi"
-	"github.com/rookpass/rookpass/internal/wait"
+	"github.com/rookpass/rookpass/internal/base/atomicfile"
+	"github.com/rookpass/rookpass/internal/base/wait"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
 )
 
 // Error is the class of this package's errors.
--- a/internal/mirror/mirror.go
+++ b/internal/objects/mirror/mirror.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/rookpass/rookpass/internal/objectapi"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
 )
 
 // leastHistory is how many past events a watch can resume over at least. Where there are many objects it is twice
--- a/internal/mirror/mirror_test.go
+++ b/internal/objects/mirror/mirror_test.go
@@ -10,10 +10,10 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/mirror"
-	"github.com/rookpass/rookpass/internal/network/memnet"
-	"github.com/rookpass/rookpass/internal/objectapi"
-	"github.com/rookpass/rookpass/internal/peerlink"
+	"github.com/rookpass/rookpass/internal/objects/mirror"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
+	"github.com/rookpass/rookpass/internal/transport/network/memnet"
+	"github.com/rookpass/rookpass/internal/transport/peerlink"
 )
 
 func object(key string, version uint64) objectapi.Object {
--- a/internal/mirror/pack.go
+++ b/internal/objects/mirror/pack.go
@@ -6,7 +6,7 @@
 	"encoding/gob"
 	"io"
 
-	"github.com/rookpass/rookpass/internal/objectapi"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
 )
 
 // maxListBytes bounds an unpacked list: some ten thousand servers' entries.
--- a/internal/mirror/rpc.go
+++ b/internal/objects/mirror/rpc.go
@@ -5,8 +5,8 @@
 	"errors"
 	"time"
 
-	"github.com/rookpass/rookpass/internal/objectapi"
-	"github.com/rookpass/rookpass/internal/peerlink"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
+	"github.com/rookpass/rookpass/internal/transport/peerlink"
 )
 
 // ServiceName is the net/rpc name of the service.
--- a/internal/objectapi/apitest/faulty.go
+++ b/internal/objects/objectapi/apitest/faulty.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/rookpass/rookpass/internal/objectapi"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
 )
 
 // Fault is a way in which requests fail.
--- a/internal/objectapi/contract_test.go
+++ b/internal/objects/objectapi/contract_test.go
@@ -11,12 +11,12 @@
 	"github.com/valyala/fasthttp/fasthttputil"
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/objectapi"
-	"github.com/rookpass/rookpass/internal/objectapi/apitest"
-	"github.com/rookpass/rookpass/internal/objectapi/httpapi"
-	"github.com/rookpass/rookpass/internal/objectapi/memapi"
-	"github.com/rookpass/rookpass/internal/standin"
-	"github.com/rookpass/rookpass/internal/testbubble"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
+	"github.com/rookpass/rookpass/internal/objects/objectapi/apitest"
+	"github.com/rookpass/rookpass/internal/objects/objectapi/httpapi"
+	"github.com/rookpass/rookpass/internal/objects/objectapi/memapi"
+	"github.com/rookpass/rookpass/internal/testing/standin"
+	"github.com/rookpass/rookpass/internal/testing/testbubble"
 )
 
 // harness is one implementation under the contract, over a store whose faults can be switched.
--- a/internal/objectapi/httpapi/client.go
+++ b/internal/objects/objectapi/httpapi/client.go
@@ -12,8 +12,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rookpass/rookpass/internal/httpclient"
-	"github.com/rookpass/rookpass/internal/objectapi"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
+	"github.com/rookpass/rookpass/internal/transport/httpclient"
 )
 
 // Bounds on one request.
--- a/internal/objectapi/memapi/memapi.go
+++ b/internal/objects/objectapi/memapi/memapi.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/rookpass/rookpass/internal/objectapi"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
 )
 
 // historyLimit is the number of past events that a watch can resume over.
--- a/internal/watch/link.go
+++ b/internal/objects/watch/link.go
@@ -8,8 +8,8 @@
 
 	"github.com/cenkalti/backoff/v5"
 
-	"github.com/rookpass/rookpass/internal/objectapi"
-	"github.com/rookpass/rookpass/internal/wait"
+	"github.com/rookpass/rookpass/internal/base/wait"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
 )
 
 // Pauses between attempts while the source does not answer. They stay short however long an outage lasts: what is
--- a/internal/watch/watch.go
+++ b/internal/objects/watch/watch.go
@@ -10,8 +10,8 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/rookpass/rookpass/internal/objectapi"
-	"github.com/rookpass/rookpass/internal/wait"
+	"github.com/rookpass/rookpass/internal/base/wait"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
 )
 
 // Handler receives the objects below one prefix. Calls come one at a time, from one goroutine.
--- a/internal/watch/watch_test.go
+++ b/internal/objects/watch/watch_test.go
@@ -11,11 +11,11 @@
 	logtest "github.com/sirupsen/logrus/hooks/test"
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/objectapi"
-	"github.com/rookpass/rookpass/internal/objectapi/apitest"
-	"github.com/rookpass/rookpass/internal/objectapi/memapi"
-	"github.com/rookpass/rookpass/internal/testbubble"
-	"github.com/rookpass/rookpass/internal/watch"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
+	"github.com/rookpass/rookpass/internal/objects/objectapi/apitest"
+	"github.com/rookpass/rookpass/internal/objects/objectapi/memapi"
+	"github.com/rookpass/rookpass/internal/objects/watch"
+	"github.com/rookpass/rookpass/internal/testing/testbubble"
 )
 
 // copied is a handler that keeps a copy.
--- a/internal/admin/admin.go
+++ b/internal/rookpassd/admin/admin.go
@@ -13,13 +13,13 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
-	"github.com/rookpass/rookpass/internal/auth"
-	"github.com/rookpass/rookpass/internal/cluster"
-	"github.com/rookpass/rookpass/internal/config"
-	"github.com/rookpass/rookpass/internal/entry"
-	"github.com/rookpass/rookpass/internal/objectapi"
-	"github.com/rookpass/rookpass/internal/peer"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
+	"github.com/rookpass/rookpass/internal/rookpassd/auth"
+	"github.com/rookpass/rookpass/internal/rookpassd/cluster"
+	"github.com/rookpass/rookpass/internal/rookpassd/config"
+	"github.com/rookpass/rookpass/internal/rookpassd/entry"
+	"github.com/rookpass/rookpass/internal/rookpassd/peer"
 )
 
 // probeTimeout bounds a question to one daemon.
--- a/internal/admin/validate.go
+++ b/internal/rookpassd/admin/validate.go
@@ -6,9 +6,9 @@
 	"strings"
 
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
-	"github.com/rookpass/rookpass/internal/auth"
-	"github.com/rookpass/rookpass/internal/config"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/rookpassd/auth"
+	"github.com/rookpass/rookpass/internal/rookpassd/config"
 )
 
 // maxPriority is the highest priority of a program.
--- a/internal/auth/auth.go
+++ b/internal/rookpassd/auth/auth.go
@@ -1,5 +1,5 @@
 // Package auth checks the secrets of callers and operators. Secrets are random and at least MinSecretBytes
-// long; they are stored as internal/secret says.
+// long; they are stored as internal/base/secret says.
 package auth
 
 import (
@@ -9,9 +9,9 @@
 	"strings"
 
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
-	"github.com/rookpass/rookpass/internal/config"
-	"github.com/rookpass/rookpass/internal/secret"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/secret"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/rookpassd/config"
 )
 
 // MinSecretBytes is the least length of a secret.
--- a/internal/backend/contract_test.go
+++ b/internal/rookpassd/backend/contract_test.go
@@ -11,10 +11,10 @@
 	"github.com/valyala/fasthttp/fasthttputil"
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/backend"
-	"github.com/rookpass/rookpass/internal/standin"
-	"github.com/rookpass/rookpass/internal/testbubble"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/rookpassd/backend"
+	"github.com/rookpass/rookpass/internal/testing/standin"
+	"github.com/rookpass/rookpass/internal/testing/testbubble"
 )
 
 func TestMain(m *testing.M) {
--- a/internal/backend/engine.go
+++ b/internal/rookpassd/backend/engine.go
@@ -12,9 +12,9 @@
 	"strconv"
 	"time"
 
-	"github.com/rookpass/rookpass/internal/guard"
-	"github.com/rookpass/rookpass/internal/httpclient"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/guard"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/transport/httpclient"
 )
 
 // CompletionRequest is the body of POST /v1/completions, the usual streaming completion API with the
--- a/internal/backend/errors.go
+++ b/internal/rookpassd/backend/errors.go
@@ -8,8 +8,8 @@
 	"net/http"
 	"time"
 
-	"github.com/rookpass/rookpass/internal/httpclient"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/transport/httpclient"
 )
 
 // defaultIdleTimeout is how long a backend server may send nothing.
--- a/internal/backend/pool.go
+++ b/internal/rookpassd/backend/pool.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"github.com/rookpass/rookpass/internal/policy"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/decide/policy"
 )
 
 // Bounds on waiting for a backend server.
--- a/internal/backend/runner.go
+++ b/internal/rookpassd/backend/runner.go
@@ -13,12 +13,12 @@
 	"go.opentelemetry.io/otel/trace"
 
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
-	"github.com/rookpass/rookpass/internal/config"
-	"github.com/rookpass/rookpass/internal/guard"
-	"github.com/rookpass/rookpass/internal/holder"
-	"github.com/rookpass/rookpass/internal/httpclient"
-	"github.com/rookpass/rookpass/internal/policy"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/guard"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/decide/policy"
+	"github.com/rookpass/rookpass/internal/rookpassd/config"
+	"github.com/rookpass/rookpass/internal/rookpassd/holder"
+	"github.com/rookpass/rookpass/internal/transport/httpclient"
 )
 
 // defaultCapacity is how many calls a backend server runs at once when its configuration names no number.
--- a/internal/backend/service.go
+++ b/internal/rookpassd/backend/service.go
@@ -6,8 +6,8 @@
 	"net/url"
 	"time"
 
-	"github.com/rookpass/rookpass/internal/httpclient"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/transport/httpclient"
 )
 
 // Service is the client of one tool service or plain service.
--- a/internal/cli/cli.go
+++ b/internal/rookpassd/cli/cli.go
@@ -11,8 +11,8 @@
 
 	"github.com/jessevdk/go-flags"
 
-	"github.com/rookpass/rookpass/internal/client"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/rookpassd/client"
 )
 
 // Exit codes. A script can tell from them whether a request may have run.
--- a/internal/cli/objects.go
+++ b/internal/rookpassd/cli/objects.go
@@ -15,8 +15,8 @@
 	"google.golang.org/protobuf/proto"
 
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
-	"github.com/rookpass/rookpass/internal/client"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/rookpassd/client"
 )
 
 var kinds = map[string]rookpassv1.Kind{
--- a/internal/cli/programs.go
+++ b/internal/rookpassd/cli/programs.go
@@ -9,8 +9,8 @@
 	"github.com/tailscale/hujson"
 
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
-	"github.com/rookpass/rookpass/internal/client"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/rookpassd/client"
 )
 
 var callKinds = map[string]rookpassv1.CallKind{
--- a/internal/cli/tools.go
+++ b/internal/rookpassd/cli/tools.go
@@ -10,8 +10,8 @@
 	"strings"
 	"time"
 
-	"github.com/rookpass/rookpass/internal/auth"
-	"github.com/rookpass/rookpass/internal/tlsfiles"
+	"github.com/rookpass/rookpass/internal/base/tlsfiles"
+	"github.com/rookpass/rookpass/internal/rookpassd/auth"
 )
 
 type secretCommand struct {
--- a/internal/client/client.go
+++ b/internal/rookpassd/client/client.go
@@ -18,11 +18,11 @@
 	"google.golang.org/grpc/metadata"
 
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
-	"github.com/rookpass/rookpass/internal/auth"
-	"github.com/rookpass/rookpass/internal/route"
-	"github.com/rookpass/rookpass/internal/sent"
-	"github.com/rookpass/rookpass/internal/verdict"
-	"github.com/rookpass/rookpass/internal/wait"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/base/wait"
+	"github.com/rookpass/rookpass/internal/rookpassd/auth"
+	"github.com/rookpass/rookpass/internal/rookpassd/route"
+	"github.com/rookpass/rookpass/internal/rookpassd/sent"
 )
 
 // Error is the class of this package's errors.
--- a/internal/cluster/bench_test.go
+++ b/internal/rookpassd/cluster/bench_test.go
@@ -9,9 +9,9 @@
 	"gotest.tools/v3/assert"
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
-	"github.com/rookpass/rookpass/internal/cluster"
-	"github.com/rookpass/rookpass/internal/keyspace"
-	"github.com/rookpass/rookpass/internal/objectapi"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
+	"github.com/rookpass/rookpass/internal/rookpassd/cluster"
+	"github.com/rookpass/rookpass/internal/rookpassd/keyspace"
 )
 
 func lease(i int) *peerv1.Daemon {
--- a/internal/cluster/tracker.go
+++ b/internal/rookpassd/cluster/tracker.go
@@ -12,8 +12,8 @@
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
-	"github.com/rookpass/rookpass/internal/keyspace"
-	"github.com/rookpass/rookpass/internal/objectapi"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
+	"github.com/rookpass/rookpass/internal/rookpassd/keyspace"
 )
 
 // leaseMargin is added to a lease's time to live before anyone takes it as lapsed.
--- a/internal/config/kinds.go
+++ b/internal/rookpassd/config/kinds.go
@@ -2,7 +2,7 @@
 
 import (
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
-	"github.com/rookpass/rookpass/internal/keyspace"
+	"github.com/rookpass/rookpass/internal/rookpassd/keyspace"
 )
 
 // The kinds as they stand in keys.
--- a/internal/config/view.go
+++ b/internal/rookpassd/config/view.go
@@ -11,9 +11,9 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
-	"github.com/rookpass/rookpass/internal/guard"
-	"github.com/rookpass/rookpass/internal/keyspace"
-	"github.com/rookpass/rookpass/internal/objectapi"
+	"github.com/rookpass/rookpass/internal/base/guard"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
+	"github.com/rookpass/rookpass/internal/rookpassd/keyspace"
 )
 
 // View is an immutable state of the configuration.
--- a/internal/daemon/incarnation.go
+++ b/internal/rookpassd/daemon/incarnation.go
@@ -11,17 +11,17 @@
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
-	"github.com/rookpass/rookpass/internal/holder"
-	"github.com/rookpass/rookpass/internal/holds"
-	"github.com/rookpass/rookpass/internal/journal"
-	"github.com/rookpass/rookpass/internal/lease"
-	"github.com/rookpass/rookpass/internal/membership"
-	"github.com/rookpass/rookpass/internal/ownership"
-	"github.com/rookpass/rookpass/internal/program"
-	"github.com/rookpass/rookpass/internal/route"
-	"github.com/rookpass/rookpass/internal/spending"
-	"github.com/rookpass/rookpass/internal/verdict"
-	"github.com/rookpass/rookpass/internal/wait"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/base/wait"
+	"github.com/rookpass/rookpass/internal/rookpassd/holder"
+	"github.com/rookpass/rookpass/internal/rookpassd/holds"
+	"github.com/rookpass/rookpass/internal/rookpassd/journal"
+	"github.com/rookpass/rookpass/internal/rookpassd/lease"
+	"github.com/rookpass/rookpass/internal/rookpassd/membership"
+	"github.com/rookpass/rookpass/internal/rookpassd/ownership"
+	"github.com/rookpass/rookpass/internal/rookpassd/program"
+	"github.com/rookpass/rookpass/internal/rookpassd/route"
+	"github.com/rookpass/rookpass/internal/rookpassd/spending"
 )
 
 // errOver means that another daemon sealed this incarnation's log. The daemon goes on as a new one.
--- a/internal/daemon/layout.go
+++ b/internal/rookpassd/daemon/layout.go
@@ -8,9 +8,9 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/rookpass/rookpass/internal/keyspace"
-	"github.com/rookpass/rookpass/internal/objectapi"
-	"github.com/rookpass/rookpass/internal/wait"
+	"github.com/rookpass/rookpass/internal/base/wait"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
+	"github.com/rookpass/rookpass/internal/rookpassd/keyspace"
 )
 
 // layoutPause is the time between attempts to read the layout.
--- a/internal/daemon/local.go
+++ b/internal/rookpassd/daemon/local.go
@@ -5,8 +5,8 @@
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
-	"github.com/rookpass/rookpass/internal/objectapi"
-	"github.com/rookpass/rookpass/internal/peer"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
+	"github.com/rookpass/rookpass/internal/rookpassd/peer"
 )
 
 // local implements peer.Local for the present incarnation.
--- a/internal/daemon/servers.go
+++ b/internal/rookpassd/daemon/servers.go
@@ -16,9 +16,9 @@
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
-	"github.com/rookpass/rookpass/internal/entry"
-	"github.com/rookpass/rookpass/internal/peer"
-	"github.com/rookpass/rookpass/internal/route"
+	"github.com/rookpass/rookpass/internal/rookpassd/entry"
+	"github.com/rookpass/rookpass/internal/rookpassd/peer"
+	"github.com/rookpass/rookpass/internal/rookpassd/route"
 )
 
 // maxCallerMessageBytes bounds what callers send in one message.
--- a/internal/daemon/stop.go
+++ b/internal/rookpassd/daemon/stop.go
@@ -9,11 +9,11 @@
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
-	"github.com/rookpass/rookpass/internal/guard"
-	"github.com/rookpass/rookpass/internal/keyspace"
-	"github.com/rookpass/rookpass/internal/objectapi"
-	"github.com/rookpass/rookpass/internal/program"
-	"github.com/rookpass/rookpass/internal/wait"
+	"github.com/rookpass/rookpass/internal/base/guard"
+	"github.com/rookpass/rookpass/internal/base/wait"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
+	"github.com/rookpass/rookpass/internal/rookpassd/keyspace"
+	"github.com/rookpass/rookpass/internal/rookpassd/program"
 )
 
 // configFreshness is how lately the object API must have answered for this daemon's word on the
--- a/internal/entry/caller.go
+++ b/internal/rookpassd/entry/caller.go
@@ -10,8 +10,8 @@
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
-	"github.com/rookpass/rookpass/internal/filter"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/rookpassd/filter"
 )
 
 // Caller implements the Caller service. Use NewCaller.
--- a/internal/entry/forward.go
+++ b/internal/rookpassd/entry/forward.go
@@ -6,7 +6,7 @@
 	"google.golang.org/grpc"
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/verdict"
 )
 
 // Executor serves the partitions of this daemon.
--- a/internal/entry/http.go
+++ b/internal/rookpassd/entry/http.go
@@ -13,8 +13,8 @@
 	"go.opentelemetry.io/otel/propagation"
 
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
-	"github.com/rookpass/rookpass/internal/filter"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/rookpassd/filter"
 )
 
 // Headers of plain requests over HTTP.
--- a/internal/entry/plain.go
+++ b/internal/rookpassd/entry/plain.go
@@ -6,8 +6,8 @@
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
-	"github.com/rookpass/rookpass/internal/filter"
-	"github.com/rookpass/rookpass/internal/holder"
+	"github.com/rookpass/rookpass/internal/rookpassd/filter"
+	"github.com/rookpass/rookpass/internal/rookpassd/holder"
 )
 
 // lookupTimeout bounds a plain lookup whose caller sets no deadline.
--- a/internal/filter/admit.go
+++ b/internal/rookpassd/filter/admit.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"github.com/rookpass/rookpass/internal/config"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/rookpassd/config"
 )
 
 // staleRetry is when to come back to a daemon whose configuration may be old.
--- a/internal/filter/authenticate.go
+++ b/internal/rookpassd/filter/authenticate.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 
-	"github.com/rookpass/rookpass/internal/auth"
-	"github.com/rookpass/rookpass/internal/config"
-	"github.com/rookpass/rookpass/internal/program"
+	"github.com/rookpass/rookpass/internal/rookpassd/auth"
+	"github.com/rookpass/rookpass/internal/rookpassd/config"
+	"github.com/rookpass/rookpass/internal/rookpassd/program"
 )
 
 // WithAuthentication proves the caller's organisation and names the program in its name: the ids of starts
--- a/internal/filter/limit.go
+++ b/internal/rookpassd/filter/limit.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
-	"github.com/rookpass/rookpass/internal/config"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/rookpassd/config"
 )
 
 // defaultMaxCalls bounds an organisation that names no bound.
--- a/internal/filter/trace.go
+++ b/internal/rookpassd/filter/trace.go
@@ -7,7 +7,7 @@
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/trace"
 
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/verdict"
 )
 
 // WithTrace makes the span of a request's entry. A request's whole path is found by rookpass.request_id.
--- a/internal/filter/validate.go
+++ b/internal/rookpassd/filter/validate.go
@@ -4,7 +4,7 @@
 	"context"
 
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/verdict"
 )
 
 // Bounds on what callers send, in bytes.
--- a/internal/holder/budget.go
+++ b/internal/rookpassd/holder/budget.go
@@ -3,8 +3,8 @@
 import (
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
-	"github.com/rookpass/rookpass/internal/guard"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/guard"
+	"github.com/rookpass/rookpass/internal/base/verdict"
 )
 
 // reserveAhead is how many tokens beyond the known need a record reserves, so that the next call seldom
--- a/internal/holder/call.go
+++ b/internal/rookpassd/holder/call.go
@@ -11,9 +11,9 @@
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
-	"github.com/rookpass/rookpass/internal/journal"
-	"github.com/rookpass/rookpass/internal/program"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/rookpassd/journal"
+	"github.com/rookpass/rookpass/internal/rookpassd/program"
 )
 
 // Limits of a definition that names none.
--- a/internal/holder/generate.go
+++ b/internal/rookpassd/holder/generate.go
@@ -8,8 +8,8 @@
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
-	"github.com/rookpass/rookpass/internal/verdict"
-	"github.com/rookpass/rookpass/internal/wait"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/base/wait"
 )
 
 // maxGenerateAttempts is the retry budget of one model call, over different engines.
--- a/internal/holder/holder.go
+++ b/internal/rookpassd/holder/holder.go
@@ -16,11 +16,11 @@
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
-	"github.com/rookpass/rookpass/internal/config"
-	"github.com/rookpass/rookpass/internal/guard"
-	"github.com/rookpass/rookpass/internal/journal"
-	"github.com/rookpass/rookpass/internal/program"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/guard"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/rookpassd/config"
+	"github.com/rookpass/rookpass/internal/rookpassd/journal"
+	"github.com/rookpass/rookpass/internal/rookpassd/program"
 )
 
 // Journal makes records durable; journal.Writer is the one in use.
--- a/internal/holder/holds.go
+++ b/internal/rookpassd/holder/holds.go
@@ -4,7 +4,7 @@
 	"context"
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
-	"github.com/rookpass/rookpass/internal/program"
+	"github.com/rookpass/rookpass/internal/rookpassd/program"
 )
 
 // HeldProgram is an ended program for which backend servers may still hold cache.
--- a/internal/holder/lifecycle.go
+++ b/internal/rookpassd/holder/lifecycle.go
@@ -5,8 +5,8 @@
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
-	"github.com/rookpass/rookpass/internal/journal"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/rookpassd/journal"
 )
 
 // start makes a new program durable, or returns the one started earlier under the same id.
--- a/internal/holder/move.go
+++ b/internal/rookpassd/holder/move.go
@@ -8,9 +8,9 @@
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
-	"github.com/rookpass/rookpass/internal/program"
-	"github.com/rookpass/rookpass/internal/verdict"
-	"github.com/rookpass/rookpass/internal/wait"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/base/wait"
+	"github.com/rookpass/rookpass/internal/rookpassd/program"
 )
 
 // Recover puts a partition that was taken from a dead owner in service. Calls that were under way are
--- a/internal/holder/move_test.go
+++ b/internal/rookpassd/holder/move_test.go
@@ -8,11 +8,11 @@
 	"gotest.tools/v3/assert"
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
-	"github.com/rookpass/rookpass/internal/config"
-	"github.com/rookpass/rookpass/internal/holder"
-	"github.com/rookpass/rookpass/internal/journal"
-	"github.com/rookpass/rookpass/internal/program"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/rookpassd/config"
+	"github.com/rookpass/rookpass/internal/rookpassd/holder"
+	"github.com/rookpass/rookpass/internal/rookpassd/journal"
+	"github.com/rookpass/rookpass/internal/rookpassd/program"
 )
 
 // noJournal takes nothing: recoveries in these tests need no record.
--- a/internal/holder/run.go
+++ b/internal/rookpassd/holder/run.go
@@ -6,7 +6,7 @@
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/verdict"
 )
 
 // maxOutputBytes bounds one call's answer, so that its record fits into a segment.
--- a/internal/holder/send.go
+++ b/internal/rookpassd/holder/send.go
@@ -6,8 +6,8 @@
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
-	"github.com/rookpass/rookpass/internal/journal"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/rookpassd/journal"
 )
 
 // sendOnce runs a plain request that must not be repeated. It is kept as a program of one call, so that a
--- a/internal/holder/service.go
+++ b/internal/rookpassd/holder/service.go
@@ -8,8 +8,8 @@
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
-	"github.com/rookpass/rookpass/internal/guard"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/guard"
+	"github.com/rookpass/rookpass/internal/base/verdict"
 )
 
 // defaultServiceTimeout bounds a service call whose definition names no bound.
--- a/internal/holds/controller.go
+++ b/internal/rookpassd/holds/controller.go
@@ -11,11 +11,11 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
-	"github.com/rookpass/rookpass/internal/backend"
-	"github.com/rookpass/rookpass/internal/cluster"
-	"github.com/rookpass/rookpass/internal/guard"
-	"github.com/rookpass/rookpass/internal/holder"
-	"github.com/rookpass/rookpass/internal/program"
+	"github.com/rookpass/rookpass/internal/base/guard"
+	"github.com/rookpass/rookpass/internal/rookpassd/backend"
+	"github.com/rookpass/rookpass/internal/rookpassd/cluster"
+	"github.com/rookpass/rookpass/internal/rookpassd/holder"
+	"github.com/rookpass/rookpass/internal/rookpassd/program"
 )
 
 // Programs tells which programs live here; *holder.Holder implements it.
--- a/internal/journal/checkpoint.go
+++ b/internal/rookpassd/journal/checkpoint.go
@@ -10,8 +10,8 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
-	"github.com/rookpass/rookpass/internal/keyspace"
-	"github.com/rookpass/rookpass/internal/objectapi"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
+	"github.com/rookpass/rookpass/internal/rookpassd/keyspace"
 )
 
 // maxChunkBytes is the size of a checkpoint's objects.
--- a/internal/journal/journal_test.go
+++ b/internal/rookpassd/journal/journal_test.go
@@ -12,11 +12,11 @@
 	"pgregory.net/rapid"
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
-	"github.com/rookpass/rookpass/internal/journal"
-	"github.com/rookpass/rookpass/internal/objectapi"
-	"github.com/rookpass/rookpass/internal/objectapi/apitest"
-	"github.com/rookpass/rookpass/internal/objectapi/memapi"
-	"github.com/rookpass/rookpass/internal/testbubble"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
+	"github.com/rookpass/rookpass/internal/objects/objectapi/apitest"
+	"github.com/rookpass/rookpass/internal/objects/objectapi/memapi"
+	"github.com/rookpass/rookpass/internal/rookpassd/journal"
+	"github.com/rookpass/rookpass/internal/testing/testbubble"
 )
 
 func TestMain(m *testing.M) {
--- a/internal/journal/seal.go
+++ b/internal/rookpassd/journal/seal.go
@@ -5,8 +5,8 @@
 	"errors"
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
-	"github.com/rookpass/rookpass/internal/keyspace"
-	"github.com/rookpass/rookpass/internal/objectapi"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
+	"github.com/rookpass/rookpass/internal/rookpassd/keyspace"
 )
 
 // Read returns the segments from..to of a log. Every one of them must be there.
--- a/internal/journal/writer.go
+++ b/internal/rookpassd/journal/writer.go
@@ -12,9 +12,9 @@
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
-	"github.com/rookpass/rookpass/internal/keyspace"
-	"github.com/rookpass/rookpass/internal/objectapi"
-	"github.com/rookpass/rookpass/internal/wait"
+	"github.com/rookpass/rookpass/internal/base/wait"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
+	"github.com/rookpass/rookpass/internal/rookpassd/keyspace"
 )
 
 var (
--- a/internal/lease/lease.go
+++ b/internal/rookpassd/lease/lease.go
@@ -16,8 +16,8 @@
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
-	"github.com/rookpass/rookpass/internal/keyspace"
-	"github.com/rookpass/rookpass/internal/objectapi"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
+	"github.com/rookpass/rookpass/internal/rookpassd/keyspace"
 )
 
 // ErrSealed means that another daemon ended this incarnation.
--- a/internal/membership/prober.go
+++ b/internal/rookpassd/membership/prober.go
@@ -9,10 +9,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rookpass/rookpass/internal/cluster"
-	"github.com/rookpass/rookpass/internal/config"
-	"github.com/rookpass/rookpass/internal/objectapi"
-	"github.com/rookpass/rookpass/internal/peer"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
+	"github.com/rookpass/rookpass/internal/rookpassd/cluster"
+	"github.com/rookpass/rookpass/internal/rookpassd/config"
+	"github.com/rookpass/rookpass/internal/rookpassd/peer"
 )
 
 // Options of a Prober.
--- a/internal/ownership/bench_test.go
+++ b/internal/rookpassd/ownership/bench_test.go
@@ -6,8 +6,8 @@
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
-	"github.com/rookpass/rookpass/internal/journal"
-	"github.com/rookpass/rookpass/internal/program"
+	"github.com/rookpass/rookpass/internal/rookpassd/journal"
+	"github.com/rookpass/rookpass/internal/rookpassd/program"
 )
 
 // BenchmarkRecovery is the time to decode and replay a log, by programs and bytes of history, without the
--- a/internal/ownership/checkpoint.go
+++ b/internal/rookpassd/ownership/checkpoint.go
@@ -8,10 +8,10 @@
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
-	"github.com/rookpass/rookpass/internal/cluster"
-	"github.com/rookpass/rookpass/internal/journal"
-	"github.com/rookpass/rookpass/internal/keyspace"
-	"github.com/rookpass/rookpass/internal/objectapi"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
+	"github.com/rookpass/rookpass/internal/rookpassd/cluster"
+	"github.com/rookpass/rookpass/internal/rookpassd/journal"
+	"github.com/rookpass/rookpass/internal/rookpassd/keyspace"
 )
 
 // needsCheckpoint tells whether a partition's recovery would read too much of this daemon's log, or any of
--- a/internal/ownership/claim.go
+++ b/internal/rookpassd/ownership/claim.go
@@ -9,13 +9,13 @@
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
-	"github.com/rookpass/rookpass/internal/cluster"
-	"github.com/rookpass/rookpass/internal/journal"
-	"github.com/rookpass/rookpass/internal/keyspace"
-	"github.com/rookpass/rookpass/internal/objectapi"
-	"github.com/rookpass/rookpass/internal/program"
-	"github.com/rookpass/rookpass/internal/verdict"
-	"github.com/rookpass/rookpass/internal/wait"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/base/wait"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
+	"github.com/rookpass/rookpass/internal/rookpassd/cluster"
+	"github.com/rookpass/rookpass/internal/rookpassd/journal"
+	"github.com/rookpass/rookpass/internal/rookpassd/keyspace"
+	"github.com/rookpass/rookpass/internal/rookpassd/program"
 )
 
 // claim makes this daemon the owner of a partition without a living one, and recovers it.
--- a/internal/ownership/controller.go
+++ b/internal/rookpassd/ownership/controller.go
@@ -16,10 +16,10 @@
 	"golang.org/x/time/rate"
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
-	"github.com/rookpass/rookpass/internal/cluster"
-	"github.com/rookpass/rookpass/internal/objectapi"
-	"github.com/rookpass/rookpass/internal/program"
-	"github.com/rookpass/rookpass/internal/wait"
+	"github.com/rookpass/rookpass/internal/base/wait"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
+	"github.com/rookpass/rookpass/internal/rookpassd/cluster"
+	"github.com/rookpass/rookpass/internal/rookpassd/program"
 )
 
 // Holder serves partitions; *holder.Holder implements it.
--- a/internal/ownership/seal.go
+++ b/internal/rookpassd/ownership/seal.go
@@ -13,11 +13,11 @@
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
-	"github.com/rookpass/rookpass/internal/cluster"
-	"github.com/rookpass/rookpass/internal/guard"
-	"github.com/rookpass/rookpass/internal/journal"
-	"github.com/rookpass/rookpass/internal/keyspace"
-	"github.com/rookpass/rookpass/internal/objectapi"
+	"github.com/rookpass/rookpass/internal/base/guard"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
+	"github.com/rookpass/rookpass/internal/rookpassd/cluster"
+	"github.com/rookpass/rookpass/internal/rookpassd/journal"
+	"github.com/rookpass/rookpass/internal/rookpassd/keyspace"
 )
 
 // sealDead seals the logs of dead daemons. The few that probed it dead do it at once; of those that only saw
--- a/internal/peer/client.go
+++ b/internal/rookpassd/peer/client.go
@@ -11,7 +11,7 @@
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
-	"github.com/rookpass/rookpass/internal/objectapi"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
 )
 
 // DialFunc connects to a daemon's peer address, with mutual TLS unless the settings allow plain text.
--- a/internal/peer/messages.go
+++ b/internal/rookpassd/peer/messages.go
@@ -6,8 +6,8 @@
 import (
 	"time"
 
-	"github.com/rookpass/rookpass/internal/objectapi"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
 )
 
 // Failure carries a typed error in a reply, as net/rpc itself only carries text. The zero value is success.
--- a/internal/peer/relay.go
+++ b/internal/rookpassd/peer/relay.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rookpass/rookpass/internal/objectapi"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
 )
 
 // Outcomes of a relayed request, as they travel.
--- a/internal/peer/server.go
+++ b/internal/rookpassd/peer/server.go
@@ -11,8 +11,8 @@
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
-	"github.com/rookpass/rookpass/internal/objectapi"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
 )
 
 // serviceName is the net/rpc name of the service.
--- a/internal/route/forward.go
+++ b/internal/rookpassd/route/forward.go
@@ -15,8 +15,8 @@
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
-	"github.com/rookpass/rookpass/internal/sent"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/rookpassd/sent"
 )
 
 // MaxMessageBytes bounds one gRPC message between daemons and towards callers. A program with its whole
--- a/internal/route/router.go
+++ b/internal/rookpassd/route/router.go
@@ -13,9 +13,9 @@
 	"golang.org/x/time/rate"
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
-	"github.com/rookpass/rookpass/internal/cluster"
-	"github.com/rookpass/rookpass/internal/program"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/rookpassd/cluster"
+	"github.com/rookpass/rookpass/internal/rookpassd/program"
 )
 
 // Local serves the partitions of this daemon; *holder.Holder implements it.
--- a/internal/sent/sent.go
+++ b/internal/rookpassd/sent/sent.go
@@ -10,7 +10,7 @@
 	"google.golang.org/grpc/stats"
 	"google.golang.org/grpc/status"
 
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/verdict"
 )
 
 // connectRetry is when to come back to a daemon that could not be reached.
--- a/internal/settings/settings_test.go
+++ b/internal/rookpassd/settings/settings_test.go
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/settings"
+	"github.com/rookpass/rookpass/internal/rookpassd/settings"
 )
 
 const valid = `{
--- a/internal/spending/spending.go
+++ b/internal/rookpassd/spending/spending.go
@@ -15,10 +15,10 @@
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
-	"github.com/rookpass/rookpass/internal/keyspace"
-	"github.com/rookpass/rookpass/internal/objectapi"
-	"github.com/rookpass/rookpass/internal/verdict"
-	"github.com/rookpass/rookpass/internal/wait"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/base/wait"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
+	"github.com/rookpass/rookpass/internal/rookpassd/keyspace"
 )
 
 // A slice is borrowed for several calls at once: a share of what is left, but not less than some calls' worth.
--- a/internal/spending/spending_test.go
+++ b/internal/rookpassd/spending/spending_test.go
@@ -10,11 +10,11 @@
 	"golang.org/x/time/rate"
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/objectapi/apitest"
-	"github.com/rookpass/rookpass/internal/objectapi/memapi"
-	"github.com/rookpass/rookpass/internal/spending"
-	"github.com/rookpass/rookpass/internal/testbubble"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/objects/objectapi/apitest"
+	"github.com/rookpass/rookpass/internal/objects/objectapi/memapi"
+	"github.com/rookpass/rookpass/internal/rookpassd/spending"
+	"github.com/rookpass/rookpass/internal/testing/testbubble"
 )
 
 const budget = 10_000
--- a/internal/faultmatrix/badinput_test.go
+++ b/internal/testing/faultmatrix/badinput_test.go
@@ -9,9 +9,9 @@
 	"gotest.tools/v3/assert"
 
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
-	"github.com/rookpass/rookpass/internal/client"
-	"github.com/rookpass/rookpass/internal/testbubble"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/rookpassd/client"
+	"github.com/rookpass/rookpass/internal/testing/testbubble"
 )
 
 // TestBadInput: each bad request is refused with its code, as not run, and changes nothing.
--- a/internal/faultmatrix/checker_test.go
+++ b/internal/testing/faultmatrix/checker_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/verdict"
 )
 
 // promise is one of the ten things that must always hold.
--- a/internal/faultmatrix/cluster_test.go
+++ b/internal/testing/faultmatrix/cluster_test.go
@@ -15,16 +15,16 @@
 	"gotest.tools/v3/assert"
 
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
-	"github.com/rookpass/rookpass/internal/auth"
-	"github.com/rookpass/rookpass/internal/client"
-	"github.com/rookpass/rookpass/internal/config"
-	"github.com/rookpass/rookpass/internal/daemon"
-	"github.com/rookpass/rookpass/internal/network/memnet"
-	"github.com/rookpass/rookpass/internal/objectapi/apitest"
-	"github.com/rookpass/rookpass/internal/objectapi/memapi"
-	"github.com/rookpass/rookpass/internal/settings"
-	"github.com/rookpass/rookpass/internal/standin"
-	"github.com/rookpass/rookpass/internal/telemetry"
+	"github.com/rookpass/rookpass/internal/base/telemetry"
+	"github.com/rookpass/rookpass/internal/objects/objectapi/apitest"
+	"github.com/rookpass/rookpass/internal/objects/objectapi/memapi"
+	"github.com/rookpass/rookpass/internal/rookpassd/auth"
+	"github.com/rookpass/rookpass/internal/rookpassd/client"
+	"github.com/rookpass/rookpass/internal/rookpassd/config"
+	"github.com/rookpass/rookpass/internal/rookpassd/daemon"
+	"github.com/rookpass/rookpass/internal/rookpassd/settings"
+	"github.com/rookpass/rookpass/internal/testing/standin"
+	"github.com/rookpass/rookpass/internal/transport/network/memnet"
 )
 
 // Addresses of the outside systems in memory.
--- a/internal/faultmatrix/guards_test.go
+++ b/internal/testing/faultmatrix/guards_test.go
@@ -9,11 +9,11 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/guard"
-	"github.com/rookpass/rookpass/internal/objectapi/apitest"
-	"github.com/rookpass/rookpass/internal/standin"
-	"github.com/rookpass/rookpass/internal/testbubble"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/guard"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/objects/objectapi/apitest"
+	"github.com/rookpass/rookpass/internal/testing/standin"
+	"github.com/rookpass/rookpass/internal/testing/testbubble"
 )
 
 // guarded is a promise with the protection that keeps it and a course of events in which it matters.
--- a/internal/faultmatrix/history_test.go
+++ b/internal/testing/faultmatrix/history_test.go
@@ -8,8 +8,8 @@
 	"time"
 
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
-	"github.com/rookpass/rookpass/internal/client"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/rookpassd/client"
 )
 
 // outcome is what the caller was last told of one request.
--- a/internal/faultmatrix/matrix_test.go
+++ b/internal/testing/faultmatrix/matrix_test.go
@@ -10,10 +10,10 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/objectapi/apitest"
-	"github.com/rookpass/rookpass/internal/standin"
-	"github.com/rookpass/rookpass/internal/testbubble"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/objects/objectapi/apitest"
+	"github.com/rookpass/rookpass/internal/testing/standin"
+	"github.com/rookpass/rookpass/internal/testing/testbubble"
 )
 
 // fault is a column of the matrix. strike does the harm and returns what undoes it, which is called after
--- a/internal/faultmatrix/measure_test.go
+++ b/internal/testing/faultmatrix/measure_test.go
@@ -10,8 +10,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/objectapi/apitest"
-	"github.com/rookpass/rookpass/internal/testbubble"
+	"github.com/rookpass/rookpass/internal/objects/objectapi/apitest"
+	"github.com/rookpass/rookpass/internal/testing/testbubble"
 )
 
 // measuring skips a test that only prints figures, unless ROOKPASS_MEASURE is set. The figures are in virtual
--- a/internal/faultmatrix/outage_test.go
+++ b/internal/testing/faultmatrix/outage_test.go
@@ -7,9 +7,9 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/objectapi/apitest"
-	"github.com/rookpass/rookpass/internal/testbubble"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/objects/objectapi/apitest"
+	"github.com/rookpass/rookpass/internal/testing/testbubble"
 )
 
 // TestOutageOfAnHour: the object API is away for an hour. A call under way keeps its answer until it is durable,
--- a/internal/faultmatrix/rows_test.go
+++ b/internal/testing/faultmatrix/rows_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/verdict"
 )
 
 // row is a row of the matrix: what is under way when the fault strikes.
--- a/internal/faultmatrix/smoke_test.go
+++ b/internal/testing/faultmatrix/smoke_test.go
@@ -9,7 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
-	"github.com/rookpass/rookpass/internal/testbubble"
+	"github.com/rookpass/rookpass/internal/testing/testbubble"
 )
 
 // memoryLimit makes the collector work harder when many clusters run at once.
--- a/internal/loadlog/loadlog_test.go
+++ b/internal/testing/loadlog/loadlog_test.go
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/loadlog"
+	"github.com/rookpass/rookpass/internal/testing/loadlog"
 )
 
 const lines = `
--- a/internal/plots/plots_test.go
+++ b/internal/testing/plots/plots_test.go
@@ -8,7 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/plots"
+	"github.com/rookpass/rookpass/internal/testing/plots"
 )
 
 func TestEveryPlotIsAPicture(t *testing.T) {
--- a/internal/soak/world.go
+++ b/internal/testing/soak/world.go
@@ -12,7 +12,7 @@
 	"syscall"
 	"time"
 
-	"github.com/rookpass/rookpass/internal/workload"
+	"github.com/rookpass/rookpass/internal/testing/workload"
 	"github.com/rookpass/rookpass/platform/platformtest"
 )
 
--- a/internal/standin/engine.go
+++ b/internal/testing/standin/engine.go
@@ -14,7 +14,7 @@
 	"github.com/fasthttp/router"
 	"github.com/valyala/fasthttp"
 
-	"github.com/rookpass/rookpass/internal/backend"
+	"github.com/rookpass/rookpass/internal/rookpassd/backend"
 )
 
 // EngineOptions configure a model engine.
--- a/internal/standin/objectapi.go
+++ b/internal/testing/standin/objectapi.go
@@ -14,7 +14,7 @@
 	"github.com/fasthttp/router"
 	"github.com/valyala/fasthttp"
 
-	"github.com/rookpass/rookpass/internal/objectapi"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
 )
 
 // ObjectAPI serves an objectapi.API over HTTP.
--- a/internal/testbubble/testbubble.go
+++ b/internal/testing/testbubble/testbubble.go
@@ -9,7 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
-	"github.com/rookpass/rookpass/internal/journal"
+	"github.com/rookpass/rookpass/internal/rookpassd/journal"
 )
 
 // settle is longer than any timer that a closed client or server leaves behind.
--- a/internal/workload/caller.go
+++ b/internal/testing/workload/caller.go
@@ -13,7 +13,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rookpass/rookpass/internal/network"
+	"github.com/rookpass/rookpass/internal/transport/network"
 	"github.com/rookpass/rookpass/platform/platformtest"
 )
 
--- a/internal/workload/config.go
+++ b/internal/testing/workload/config.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"github.com/rookpass/rookpass/internal/catalog"
+	"github.com/rookpass/rookpass/internal/front/catalog"
 	"github.com/rookpass/rookpass/platform/platformtest"
 )
 
--- a/internal/workload/server.go
+++ b/internal/testing/workload/server.go
@@ -14,8 +14,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rookpass/rookpass/internal/catalog"
-	"github.com/rookpass/rookpass/internal/incarnation"
+	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/front/catalog"
 	"github.com/rookpass/rookpass/platform/platformtest"
 )
 
--- a/internal/call/call.go
+++ b/internal/transport/call/call.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"github.com/rookpass/rookpass/internal/secret"
+	"github.com/rookpass/rookpass/internal/base/secret"
 )
 
 // Part is a run of prompt tokens that several requests may share.
--- a/internal/httpclient/httpclient.go
+++ b/internal/transport/httpclient/httpclient.go
@@ -14,7 +14,7 @@
 	"sync"
 	"time"
 
-	"github.com/rookpass/rookpass/internal/guard"
+	"github.com/rookpass/rookpass/internal/base/guard"
 	"github.com/valyala/fasthttp"
 	"go.opentelemetry.io/otel/propagation"
 )
--- a/internal/httpclient/once_test.go
+++ b/internal/transport/httpclient/once_test.go
@@ -11,7 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/httpclient"
+	"github.com/rookpass/rookpass/internal/transport/httpclient"
 )
 
 // What was seen: a call that must not run twice took effect 6 ms after its frozen owner had thawed, behind a call of the
--- a/internal/network/memnet/timed_test.go
+++ b/internal/transport/network/memnet/timed_test.go
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/network/memnet"
+	"github.com/rookpass/rookpass/internal/transport/network/memnet"
 )
 
 // TestLiftedDeadlineStaysLifted: also where it is lifted at the moment when it passes, as net/http's server does
--- a/internal/network/network.go
+++ b/internal/transport/network/network.go
@@ -7,7 +7,7 @@
 	"net"
 	"time"
 
-	"github.com/rookpass/rookpass/internal/tlsfiles"
+	"github.com/rookpass/rookpass/internal/base/tlsfiles"
 )
 
 // Network is how a daemon reaches callers, peers and backend servers. Tests put connections in memory in its
--- a/internal/peerlink/peerlink.go
+++ b/internal/transport/peerlink/peerlink.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"github.com/rookpass/rookpass/internal/network"
+	"github.com/rookpass/rookpass/internal/transport/network"
 )
 
 // ErrUnreachable means that no answer came; the call may have been carried out.
--- a/internal/peerlink/peerlink_test.go
+++ b/internal/transport/peerlink/peerlink_test.go
@@ -11,9 +11,9 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/network"
-	"github.com/rookpass/rookpass/internal/network/memnet"
-	"github.com/rookpass/rookpass/internal/peerlink"
+	"github.com/rookpass/rookpass/internal/transport/network"
+	"github.com/rookpass/rookpass/internal/transport/network/memnet"
+	"github.com/rookpass/rookpass/internal/transport/peerlink"
 )
 
 // Echo is an RPC service that counts its calls.
--- a/internal/tunnel/tunnel.go
+++ b/internal/transport/tunnel/tunnel.go
@@ -19,7 +19,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/zeebo/errs"
 
-	"github.com/rookpass/rookpass/internal/network"
+	"github.com/rookpass/rookpass/internal/transport/network"
 )
 
 // Error is the class of this package's errors.
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/transport/tunnel/tunnel_test.go
@@ -11,7 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/tunnel"
+	"github.com/rookpass/rookpass/internal/transport/tunnel"
 )
 
 func listen(t *testing.T) net.Listener {
--- a/internal/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -8,10 +8,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rookpass/rookpass/internal/call"
-	"github.com/rookpass/rookpass/internal/incarnation"
-	"github.com/rookpass/rookpass/internal/network"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/transport/call"
+	"github.com/rookpass/rookpass/internal/transport/network"
 )
 
 const (
--- a/internal/upstream/rest_test.go
+++ b/internal/transport/upstream/rest_test.go
@@ -12,7 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/upstream"
+	"github.com/rookpass/rookpass/internal/transport/upstream"
 )
 
 // TestRestedConnectionsServeWhatMayRunTwice: a server that says nothing keeps idle connections for 4 s. One that has rested for
--- a/internal/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -14,8 +14,8 @@
 
 	"github.com/zeebo/errs"
 
-	"github.com/rookpass/rookpass/internal/call"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/transport/call"
 )
 
 // Error is the class of this package's errors.
--- a/internal/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -13,11 +13,11 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/call"
-	"github.com/rookpass/rookpass/internal/incarnation"
-	"github.com/rookpass/rookpass/internal/network"
-	"github.com/rookpass/rookpass/internal/upstream"
-	"github.com/rookpass/rookpass/internal/verdict"
+	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/transport/call"
+	"github.com/rookpass/rookpass/internal/transport/network"
+	"github.com/rookpass/rookpass/internal/transport/upstream"
 )
 
 // dialect is the least that a pool needs: the header Id names the request.
--- a/internal/layout/layout_test.go
+++ b/internal/turns/layout/layout_test.go
@@ -8,7 +8,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"github.com/rookpass/rookpass/internal/layout"
+	"github.com/rookpass/rookpass/internal/turns/layout"
 )
 
 func drawLayout(t *rapid.T) *layout.Layout {
--- a/internal/ledger/cache.go
+++ b/internal/turns/ledger/cache.go
@@ -4,7 +4,7 @@
 	"container/list"
 	"sync"
 
-	"github.com/rookpass/rookpass/internal/turn"
+	"github.com/rookpass/rookpass/internal/turns/turn"
 )
 
 // recordOverhead is about what a cached record takes beside its texts.
--- a/internal/ledger/chain.go
+++ b/internal/turns/ledger/chain.go
@@ -7,11 +7,11 @@
 	"slices"
 	"time"
 
-	"github.com/rookpass/rookpass/internal/layout"
-	"github.com/rookpass/rookpass/internal/peerlink"
-	"github.com/rookpass/rookpass/internal/replica"
-	"github.com/rookpass/rookpass/internal/turn"
-	"github.com/rookpass/rookpass/internal/wait"
+	"github.com/rookpass/rookpass/internal/base/wait"
+	"github.com/rookpass/rookpass/internal/transport/peerlink"
+	"github.com/rookpass/rookpass/internal/turns/layout"
+	"github.com/rookpass/rookpass/internal/turns/replica"
+	"github.com/rookpass/rookpass/internal/turns/turn"
 )
 
 // Chain returns a turn and all before it in its line, the oldest first. ErrNoTurn means that the turn does
--- a/internal/ledger/ledger.go
+++ b/internal/turns/ledger/ledger.go
@@ -11,11 +11,11 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/rookpass/rookpass/internal/layout"
-	"github.com/rookpass/rookpass/internal/peerlink"
-	"github.com/rookpass/rookpass/internal/replica"
-	"github.com/rookpass/rookpass/internal/turn"
-	"github.com/rookpass/rookpass/internal/wait"
+	"github.com/rookpass/rookpass/internal/base/wait"
+	"github.com/rookpass/rookpass/internal/transport/peerlink"
+	"github.com/rookpass/rookpass/internal/turns/layout"
+	"github.com/rookpass/rookpass/internal/turns/replica"
+	"github.com/rookpass/rookpass/internal/turns/turn"
 )
 
 var (
--- a/internal/ledger/ledger_test.go
+++ b/internal/turns/ledger/ledger_test.go
@@ -12,11 +12,11 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/incarnation"
-	"github.com/rookpass/rookpass/internal/layout"
-	"github.com/rookpass/rookpass/internal/ledger"
-	"github.com/rookpass/rookpass/internal/testbubble"
-	"github.com/rookpass/rookpass/internal/turn"
+	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/testing/testbubble"
+	"github.com/rookpass/rookpass/internal/turns/layout"
+	"github.com/rookpass/rookpass/internal/turns/ledger"
+	"github.com/rookpass/rookpass/internal/turns/turn"
 )
 
 // texts returns a chain's inputs and outputs as one text.
--- a/internal/ledger/losses_test.go
+++ b/internal/turns/ledger/losses_test.go
@@ -9,10 +9,10 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/layout"
+	"github.com/rookpass/rookpass/internal/turns/layout"
 
-	"github.com/rookpass/rookpass/internal/ledger"
-	"github.com/rookpass/rookpass/internal/testbubble"
+	"github.com/rookpass/rookpass/internal/testing/testbubble"
+	"github.com/rookpass/rookpass/internal/turns/ledger"
 )
 
 // TestTwoDisksLostAtOnce: with a tolerance of two, both come back empty, refill at the same time, and then two
--- a/internal/replica/clean.go
+++ b/internal/turns/replica/clean.go
@@ -6,8 +6,8 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/rookpass/rookpass/internal/turn"
-	"github.com/rookpass/rookpass/internal/turnlog"
+	"github.com/rookpass/rookpass/internal/turns/turn"
+	"github.com/rookpass/rookpass/internal/turns/turnlog"
 )
 
 const (
--- a/internal/replica/fill.go
+++ b/internal/turns/replica/fill.go
@@ -7,9 +7,9 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/rookpass/rookpass/internal/layout"
-	"github.com/rookpass/rookpass/internal/peerlink"
-	"github.com/rookpass/rookpass/internal/turnlog"
+	"github.com/rookpass/rookpass/internal/transport/peerlink"
+	"github.com/rookpass/rookpass/internal/turns/layout"
+	"github.com/rookpass/rookpass/internal/turns/turnlog"
 )
 
 // pageTimeout bounds one page of an export: half a megabyte over a link that others use too.
--- a/internal/replica/form.go
+++ b/internal/turns/replica/form.go
@@ -10,8 +10,8 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/rookpass/rookpass/internal/layout"
-	"github.com/rookpass/rookpass/internal/objectapi"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
+	"github.com/rookpass/rookpass/internal/turns/layout"
 )
 
 const (
--- a/internal/replica/identity.go
+++ b/internal/turns/replica/identity.go
@@ -9,8 +9,8 @@
 	"os"
 	"path/filepath"
 
-	"github.com/rookpass/rookpass/internal/atomicfile"
-	"github.com/rookpass/rookpass/internal/layout"
+	"github.com/rookpass/rookpass/internal/base/atomicfile"
+	"github.com/rookpass/rookpass/internal/turns/layout"
 )
 
 const identityFile = "disk.json"
--- a/internal/replica/index.go
+++ b/internal/turns/replica/index.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"github.com/rookpass/rookpass/internal/turn"
-	"github.com/rookpass/rookpass/internal/turnlog"
+	"github.com/rookpass/rookpass/internal/turns/turn"
+	"github.com/rookpass/rookpass/internal/turns/turnlog"
 )
 
 // keepMargin is how much longer than its retention a program is kept: answers reach callers late, and
--- a/internal/replica/leave.go
+++ b/internal/turns/replica/leave.go
@@ -7,8 +7,8 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/rookpass/rookpass/internal/layout"
-	"github.com/rookpass/rookpass/internal/peerlink"
+	"github.com/rookpass/rookpass/internal/transport/peerlink"
+	"github.com/rookpass/rookpass/internal/turns/layout"
 )
 
 const (
--- a/internal/replica/messages.go
+++ b/internal/turns/replica/messages.go
@@ -5,8 +5,8 @@
 import (
 	"time"
 
-	"github.com/rookpass/rookpass/internal/layout"
-	"github.com/rookpass/rookpass/internal/turn"
+	"github.com/rookpass/rookpass/internal/turns/layout"
+	"github.com/rookpass/rookpass/internal/turns/turn"
 )
 
 // ServiceName is the net/rpc name of the service.
--- a/internal/replica/service.go
+++ b/internal/turns/replica/service.go
@@ -8,9 +8,9 @@
 	"github.com/sirupsen/logrus"
 	"github.com/zeebo/errs"
 
-	"github.com/rookpass/rookpass/internal/layout"
-	"github.com/rookpass/rookpass/internal/turn"
-	"github.com/rookpass/rookpass/internal/turnlog"
+	"github.com/rookpass/rookpass/internal/turns/layout"
+	"github.com/rookpass/rookpass/internal/turns/turn"
+	"github.com/rookpass/rookpass/internal/turns/turnlog"
 )
 
 // Error is the class of this package's errors.
--- a/internal/replica/service_test.go
+++ b/internal/turns/replica/service_test.go
@@ -10,9 +10,9 @@
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/layout"
-	"github.com/rookpass/rookpass/internal/turn"
-	"github.com/rookpass/rookpass/internal/turnlog"
+	"github.com/rookpass/rookpass/internal/turns/layout"
+	"github.com/rookpass/rookpass/internal/turns/turn"
+	"github.com/rookpass/rookpass/internal/turns/turnlog"
 )
 
 func openStore(t *testing.T, dir string) *Store {
--- a/internal/replica/vacancy.go
+++ b/internal/turns/replica/vacancy.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
-	"github.com/rookpass/rookpass/internal/layout"
-	"github.com/rookpass/rookpass/internal/peerlink"
+	"github.com/rookpass/rookpass/internal/transport/peerlink"
+	"github.com/rookpass/rookpass/internal/turns/layout"
 )
 
 const (
--- a/internal/turn/turn.go
+++ b/internal/turns/turn/turn.go
@@ -8,7 +8,7 @@
 
 	"github.com/zeebo/errs"
 
-	"github.com/rookpass/rookpass/internal/incarnation"
+	"github.com/rookpass/rookpass/internal/base/incarnation"
 )
 
 // Error is the class of this package's errors.
--- a/internal/turn/turn_test.go
+++ b/internal/turns/turn/turn_test.go
@@ -7,8 +7,8 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"github.com/rookpass/rookpass/internal/incarnation"
-	"github.com/rookpass/rookpass/internal/turn"
+	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/turns/turn"
 )
 
 func TestCodecKeepsEveryField(t *testing.T) {
--- a/internal/turnlog/turnlog.go
+++ b/internal/turns/turnlog/turnlog.go
@@ -18,8 +18,8 @@
 
 	"github.com/zeebo/errs"
 
-	"github.com/rookpass/rookpass/internal/atomicfile"
-	"github.com/rookpass/rookpass/internal/turn"
+	"github.com/rookpass/rookpass/internal/base/atomicfile"
+	"github.com/rookpass/rookpass/internal/turns/turn"
 )
 
 // Error is the class of this package's errors.
--- a/internal/turnlog/turnlog_test.go
+++ b/internal/turns/turnlog/turnlog_test.go
@@ -10,9 +10,9 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/rookpass/rookpass/internal/incarnation"
-	"github.com/rookpass/rookpass/internal/turn"
-	"github.com/rookpass/rookpass/internal/turnlog"
+	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/turns/turn"
+	"github.com/rookpass/rookpass/internal/turns/turnlog"
 )
 
 func record(id string) turn.Record {
