--- /dev/null
+++ b/internal/decide/quota/ways_test.go
@@ -0,0 +1,158 @@
+package quota_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/rookpass/rookpass/internal/decide/quota"
+)
+
+// way is a way to keep one organisation's limit over many fronts.
+type way interface {
+	// take tells whether a front may run a request at a time.
+	take(front int, now time.Time) bool
+	// messages returns how many messages were sent between daemons.
+	messages() int
+}
+
+// shares gives each front a fixed share of the limit.
+type shares struct{ buckets []*quota.Bucket }
+
+func newShares(fronts int, l quota.Limit, now time.Time) way {
+	n := float64(fronts)
+	own := quota.Tolerance{Window: tolerance.Window, Excess: tolerance.Excess, Slack: tolerance.Slack / n}
+	s := &shares{}
+	for range fronts {
+		s.buckets = append(s.buckets, quota.NewBucket(own, quota.Limit{PerSecond: l.PerSecond / n, Burst: l.Burst / n}, 1, now.Add(-time.Minute), now))
+	}
+	return s
+}
+
+func (s *shares) take(front int, now time.Time) bool { return s.buckets[front].Take(true, now).Granted }
+func (s *shares) messages() int                      { return 0 }
+
+// gossip counts at each front; every pause each front learns what all had counted at its last report.
+type gossip struct {
+	limit  float64
+	pause  time.Duration
+	own    [][]time.Time
+	seen   []int
+	told   []time.Time
+	report []int
+	sent   int
+}
+
+func newGossip(fronts int, l quota.Limit, now time.Time) way {
+	pause := 300 * time.Millisecond * time.Duration(max(1, (fronts+149)/150)) // as fronts swap what they have seen
+	g := &gossip{limit: l.PerSecond*tolerance.Window.Seconds() + l.Burst, pause: pause, own: make([][]time.Time, fronts), seen: make([]int, fronts),
+		told: make([]time.Time, fronts), report: make([]int, fronts)}
+	for i := range g.told {
+		g.told[i] = now.Add(-time.Duration(i) * pause / time.Duration(fronts))
+	}
+	return g
+}
+
+func (g *gossip) recent(front int, now time.Time) int {
+	old := 0
+	for old < len(g.own[front]) && now.Sub(g.own[front][old]) > tolerance.Window {
+		old++
+	}
+	g.own[front] = g.own[front][old:]
+	return len(g.own[front])
+}
+
+func (g *gossip) take(front int, now time.Time) bool {
+	for i := range g.told {
+		for now.Sub(g.told[i]) >= g.pause {
+			g.told[i] = g.told[i].Add(g.pause)
+			g.report[i] = g.recent(i, g.told[i])
+			g.sent++
+			g.seen[i] = 0
+			for j, n := range g.report {
+				if j != i {
+					g.seen[i] += n
+				}
+			}
+		}
+	}
+	if float64(g.recent(front, now)+g.seen[front]) >= g.limit {
+		return false
+	}
+	g.own[front] = append(g.own[front], now)
+	return true
+}
+
+func (g *gossip) messages() int { return g.sent }
+
+// counted asks homes at each request.
+type counted struct {
+	bucket *quota.Bucket
+	sent   int
+}
+
+func newCounted(_ int, l quota.Limit, now time.Time) way {
+	return &counted{bucket: quota.NewBucket(tolerance, l, 1, now.Add(-time.Minute), now)}
+}
+
+func (c *counted) take(_ int, now time.Time) bool {
+	c.sent += 3
+	return c.bucket.Take(true, now).Granted
+}
+func (c *counted) messages() int { return c.sent }
+
+// fared is how a way fared: shares of what was asked, and the fullest window by what is borne.
+type fared struct {
+	refused, fullest float64
+	perSecond        float64
+}
+
+// compare lets an organisation ask at a multiple of its usual load through a few fronts or all.
+func compare(make func(int, quota.Limit, time.Time) way, fronts, through int, usual, times float64) fared {
+	var f fared
+	const seeds, seconds = 10, 12
+	for seed := range uint64(seeds) {
+		r := rand.New(rand.NewPCG(seed, 3))
+		now := time.Unix(0, 0)
+		limit := quota.Limit{PerSecond: 1.6 * usual, Burst: 1.6 * usual}
+		w := make(fronts, limit, now)
+		places := r.Perm(fronts)[:min(through, fronts)]
+		var ran []time.Time
+		asked, refused := 0, 0
+		for end := now.Add(seconds * time.Second); now.Before(end); {
+			now = now.Add(time.Duration(r.ExpFloat64() / (usual * times) * float64(time.Second)))
+			asked++
+			if w.take(places[r.IntN(len(places))], now) {
+				ran = append(ran, now)
+			} else {
+				refused++
+			}
+		}
+		f.refused += float64(refused) / float64(asked) / seeds
+		f.fullest = max(f.fullest, float64(most(ran, tolerance.Window))/allowed(limit))
+		f.perSecond += float64(w.messages()) / seconds / seeds
+	}
+	return f
+}
+
+// TestWaysToKeepALimit compares three ways for a small and a large organisation: at its usual load through few fronts, and
+// at ten times that through all of them. What is used must refuse next to nothing of the first and never exceed what is
+// borne in the second; its messages grow with requests, not with fronts.
+func TestWaysToKeepALimit(t *testing.T) {
+	ways := map[string]func(int, quota.Limit, time.Time) way{"shares": newShares, "gossip": newGossip, "homes": newCounted}
+	for _, fronts := range []int{7, 58, 259, 400} {
+		for _, usual := range []float64{5, 140} {
+			for name, make := range ways {
+				calm, hot := compare(make, fronts, 3, usual, 1), compare(make, fronts, fronts, usual, 10)
+				t.Log(fmt.Sprintf("%d fronts, %v a second, %s: usual load %.3f refused, %.0f messages a second; ten times %.2f of what is borne", fronts, usual, name,
+					calm.refused, calm.perSecond, hot.fullest))
+				if name == "homes" {
+					assert.Assert(t, calm.refused < 0.02 && hot.fullest <= 1, "%+v %+v", calm, hot)
+				}
+			}
+		}
+	}
+}
--- a/internal/objects/feed/feed_test.go
+++ b/internal/objects/feed/feed_test.go
@@ -395,3 +395,23 @@
 		assert.Equal(t, asked(10, 3), 10*3)
 	})
 }
+
+// TestMirrorsThatKnowNothingYetHaveLostNothing: after a kill of all, fronts start while store daemons wait for their own
+// first lists. That says nothing of the store: it is asked at once, however many mirrors there are.
+func TestMirrorsThatKnowNothingYetHaveLostNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for range 20 {
+			direct := &source{version: 9}
+			mirrors := make([]*source, 9)
+			for i := range mirrors {
+				mirrors[i] = &source{err: objectapi.ErrNothingKnown}
+			}
+			f := newFeed(direct, mirrors...)
+			began := time.Now()
+			snapshot, err := f.List(t.Context(), "k/")
+			assert.NilError(t, err)
+			assert.Equal(t, snapshot.Version, uint64(9))
+			assert.Assert(t, time.Since(began) <= 300*time.Millisecond, "known after %v", time.Since(began))
+		}
+	})
+}
--- a/internal/objects/feed/sources.go
+++ b/internal/objects/feed/sources.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
 	"github.com/rookpass/rookpass/internal/transport/peerlink"
 )
 
@@ -96,6 +97,7 @@
 	switch {
 	case s.direct:
 		f.directDue = now.Add(f.leaveAloneFor(now))
+	case errors.Is(err, objectapi.ErrNothingKnown): // it has just started, and has not lost the store
 	case !errors.Is(err, peerlink.ErrUnreachable):
 		f.noteLoss(now)
 	}
--- a/internal/objects/mirror/mirror.go
+++ b/internal/objects/mirror/mirror.go
@@ -154,6 +154,18 @@
 	return !m.confirmed.IsZero() && time.Since(m.confirmed) <= m.maxAge
 }
 
+// problem returns why the copy may not be answered from, or nil. It is called with the lock held.
+func (m *Mirror) problem() error {
+	switch {
+	case m.fresh():
+		return nil
+	case m.confirmed.IsZero() && !m.lost:
+		return objectapi.ErrNothingKnown
+	default:
+		return objectapi.ErrUnavailable
+	}
+}
+
 // wake lets the waiters look again. It is called with the lock held.
 func (m *Mirror) wake() {
 	close(m.changed)
@@ -174,8 +186,8 @@
 func (m *Mirror) Ages() (Ages, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.fresh() {
-		return Ages{Certain: unknownAge}, objectapi.ErrUnavailable
+	if err := m.problem(); err != nil {
+		return Ages{Certain: unknownAge}, err
 	}
 	return Ages{Age: time.Since(m.confirmed), SinceOutage: m.sinceOutage(), Certain: ageOf(m.certain)}, nil
 }
@@ -244,8 +256,8 @@
 func (m *Mirror) since(after uint64) (objectapi.Batch, <-chan struct{}, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.fresh() {
-		return objectapi.Batch{}, nil, objectapi.ErrUnavailable
+	if err := m.problem(); err != nil {
+		return objectapi.Batch{}, nil, err
 	}
 	if after < m.trimmed {
 		return objectapi.Batch{}, nil, objectapi.ErrGone
--- a/internal/objects/mirror/rpc.go
+++ b/internal/objects/mirror/rpc.go
@@ -26,6 +26,7 @@
 	outcomeOK outcome = iota + 1
 	outcomeGone
 	outcomeUnavailable
+	outcomeNothingKnown
 )
 
 func outcomeOf(err error) outcome {
@@ -34,6 +35,8 @@
 		return outcomeOK
 	case errors.Is(err, objectapi.ErrGone):
 		return outcomeGone
+	case errors.Is(err, objectapi.ErrNothingKnown):
+		return outcomeNothingKnown
 	default:
 		return outcomeUnavailable
 	}
@@ -45,6 +48,8 @@
 		return nil
 	case outcomeGone:
 		return objectapi.ErrGone
+	case outcomeNothingKnown:
+		return objectapi.ErrNothingKnown
 	default:
 		return objectapi.ErrUnavailable
 	}
