--- a/cmd/rookpass-node/main.go
+++ b/cmd/rookpass-node/main.go
@@ -26,7 +26,9 @@
 	LogLevel string `long:"log-level" default:"info" description:"least level of the lines written"`
 	Address  string `long:"address" description:"show: a daemon's metrics address, IP:port"`
 	Program  string `long:"program" description:"show: also the turns of a program that a store daemon keeps"`
-	Args     struct {
+	// Organisation is empty where callers need no key.
+	Organisation string `long:"organisation" description:"show: the organisation that the program belongs to"`
+	Args         struct {
 		Verb string `positional-arg-name:"verb" description:"front or store to run a daemon, check to check the settings, show to see what is in force on a daemon"`
 	} `positional-args:"yes" required:"yes"`
 }
@@ -44,7 +46,7 @@
 
 func run(opts options) error {
 	if opts.Args.Verb == "show" {
-		return show(os.Stdout, opts.Address, opts.Program)
+		return show(os.Stdout, opts.Address, opts.Organisation, opts.Program)
 	}
 	settings, err := platform.LoadSettings()
 	if err != nil {
@@ -70,12 +72,12 @@
 const showTimeout = 5 * time.Second
 
 // show prints what is in force on a daemon.
-func show(out io.Writer, address, program string) error {
+func show(out io.Writer, address, organisation, program string) error {
 	if address == "" {
 		return errors.New("show needs --address")
 	}
 	client := &http.Client{Timeout: showTimeout}
-	resp, err := client.Get("http://" + address + node.StatusPath + "?program=" + url.QueryEscape(program))
+	resp, err := client.Get("http://" + address + node.StatusPath + "?" + url.Values{"organisation": {organisation}, "program": {program}}.Encode())
 	if err != nil {
 		return err
 	}
--- a/internal/decide/quota/bucket.go
+++ b/internal/decide/quota/bucket.go
@@ -113,8 +113,11 @@
 	return b.level >= b.capacity()
 }
 
-// Level returns how many requests may be granted now.
-func (b *Bucket) Level() float64 { return b.level }
+// free returns how many requests may be granted now.
+func (b *Bucket) free(now time.Time) float64 {
+	b.advance(now)
+	return b.level
+}
 
 // capacity returns the most that the bucket holds. What the limit allows on top for a burst comes in by rate.
 func (b *Bucket) capacity() float64 { return max(1, spareShare*b.tolerance.over(b.limit)) }
--- a/internal/decide/quota/service.go
+++ b/internal/decide/quota/service.go
@@ -1,6 +1,8 @@
 package quota
 
 import (
+	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -85,6 +87,27 @@
 	return len(s.buckets)
 }
 
+// Count is what is known of one organisation, for operators.
+type Count struct {
+	Organisation string  `json:"organisation"`
+	PerSecond    float64 `json:"per_second"`
+	Burst        float64 `json:"burst"`
+	// Free is how many requests may be granted now; below 0 that many are granted for soon.
+	Free float64 `json:"free"`
+}
+
+// Counts returns what is counted here, in the order of the names.
+func (s *Service) Counts() []Count {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counts := make([]Count, 0, len(s.buckets))
+	for name, b := range s.buckets {
+		counts = append(counts, Count{Organisation: name, PerSecond: b.limit.PerSecond, Burst: b.limit.Burst, Free: b.free(time.Now())})
+	}
+	slices.SortFunc(counts, func(a, b Count) int { return strings.Compare(a.Organisation, b.Organisation) })
+	return counts
+}
+
 // forget drops buckets that know nothing any more. It is called with the lock held.
 func (s *Service) forget(now time.Time) {
 	if now.Sub(s.looked) < idlePause {
--- a/internal/front/catalog/catalog.go
+++ b/internal/front/catalog/catalog.go
@@ -121,6 +121,7 @@
 	services map[string]*Service
 	// owners has the organisation of each key; nil for a key that two of them claim.
 	owners map[secret.Hash]*Organisation
+	labels map[string]string
 }
 
 // NewTable indexes a configuration.
@@ -130,6 +131,7 @@
 		routes:   make(map[string]map[string]*Route),
 		services: make(map[string]*Service, len(config.Services)),
 		owners:   owners(config.Organisations),
+		labels:   labels(config.Organisations),
 	}
 	for i := range config.Routes {
 		route := &config.Routes[i]
--- a/internal/front/catalog/catalog_test.go
+++ b/internal/front/catalog/catalog_test.go
@@ -1,6 +1,7 @@
 package catalog_test
 
 import (
+	"fmt"
 	"io"
 	"strconv"
 	"strings"
@@ -13,6 +14,7 @@
 
 	"github.com/rookpass/rookpass/internal/base/incarnation"
 	"github.com/rookpass/rookpass/internal/decide/policy"
+	"github.com/rookpass/rookpass/internal/decide/quota"
 	"github.com/rookpass/rookpass/internal/front/catalog"
 	"github.com/rookpass/rookpass/internal/objects/objectapi"
 )
@@ -101,6 +103,21 @@
 	})
 }
 
+// TestOrganisationsAreCountedInBoundedNumber: the largest by name, however many there are.
+func TestOrganisationsAreCountedInBoundedNumber(t *testing.T) {
+	var config catalog.Config
+	for i := range 11_000 {
+		config.Organisations = append(config.Organisations, catalog.Organisation{Name: fmt.Sprint("o", i), Limit: quota.Limit{PerSecond: float64(i)}})
+	}
+	table := catalog.NewTable(config)
+	labels := map[string]bool{}
+	for _, o := range config.Organisations {
+		labels[table.Label(o.Name)] = true
+	}
+	assert.Assert(t, len(labels) <= 21, "%d", len(labels))
+	assert.Assert(t, labels["o10999"] && labels[catalog.Others])
+}
+
 // entries is a handler of servers written as id=service@address.
 func entries(c *catalog.Catalog) *catalog.ServersHandler {
 	return catalog.NewServersHandler(options(c))
--- a/internal/front/catalog/organisation.go
+++ b/internal/front/catalog/organisation.go
@@ -1,6 +1,9 @@
 package catalog
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/rookpass/rookpass/internal/base/secret"
 	"github.com/rookpass/rookpass/internal/decide/quota"
 )
@@ -34,15 +37,29 @@
 	return owners
 }
 
-// Owner returns the organisation that a key proves, or nil.
-func (t *Table) Owner(key secret.Hash) *Organisation { return t.owners[key] }
+// namedOrganisations is how many organisations are counted by name on a metrics page: the rest, of a few thousand, are
+// counted together.
+const namedOrganisations = 20
 
-// Organisation returns an organisation by name, or nil.
-func (t *Table) Organisation(name string) *Organisation {
-	for i := range t.Config.Organisations {
-		if o := &t.Config.Organisations[i]; o.Name == name {
-			return o
-		}
+// Others stands for the organisations that are not counted by name.
+const Others = "others"
+
+// labels returns how each organisation is counted: those with the largest limits by name.
+func labels(organisations []Organisation) map[string]string {
+	largest := make([]*Organisation, len(organisations))
+	for i := range organisations {
+		largest[i] = &organisations[i]
 	}
-	return nil
+	slices.SortStableFunc(largest, func(a, b *Organisation) int { return cmp.Compare(b.Limit.PerSecond, a.Limit.PerSecond) })
+	labels := map[string]string{}
+	for _, o := range largest[:min(namedOrganisations, len(largest))] {
+		labels[o.Name] = o.Name
+	}
+	return labels
 }
+
+// Label returns the name under which an organisation's requests are counted.
+func (t *Table) Label(organisation string) string { return cmp.Or(t.labels[organisation], Others) }
+
+// Owner returns the organisation that a key proves, or nil.
+func (t *Table) Owner(key secret.Hash) *Organisation { return t.owners[key] }
--- a/internal/front/gateway/gateway.go
+++ b/internal/front/gateway/gateway.go
@@ -239,6 +239,9 @@
 	if x.info.Program != "" {
 		fields["program"] = x.info.Program
 	}
+	if x.organisation != nil {
+		x.g.stats.organisation(x.table.Label(x.organisation.Name), reason)
+	}
 	if x.table != nil && x.table.Config.Keyed {
 		fields["organisation"], fields["config_age_ms"] = x.organisationName(), x.tableAge.Milliseconds()
 	}
--- a/internal/front/gateway/organisation.go
+++ b/internal/front/gateway/organisation.go
@@ -21,6 +21,8 @@
 	retryUncounted = 200 * time.Millisecond
 	// leastReturn is the least time that a caller over its organisation's limit is told to stay away.
 	leastReturn = 20 * time.Millisecond
+	// reasonOverLimit is why a request is refused whose organisation is at its limit.
+	reasonOverLimit = "over-limit"
 )
 
 // withOrganisation finds the organisation that the caller's key proves, before anything is spent on the request.
@@ -73,7 +75,7 @@
 		_ = wait.For(x.ctx, grant.Wait) // a caller that leaves meanwhile is seen by the next step
 		return nil
 	case errors.As(err, &over):
-		return &refusal{status: http.StatusTooManyRequests, reason: "over-limit", retryAfter: jitter(max(over.Wait, leastReturn)), err: err}
+		return &refusal{status: http.StatusTooManyRequests, reason: reasonOverLimit, retryAfter: jitter(max(over.Wait, leastReturn)), err: err}
 	default:
 		return &refusal{status: http.StatusServiceUnavailable, reason: "limit-unsure", retryAfter: jitter(retryUncounted), err: err}
 	}
--- a/internal/front/gateway/stats.go
+++ b/internal/front/gateway/stats.go
@@ -28,6 +28,15 @@
 
 func (s *Stats) attempt(outcome string) { s.observer.Count("rookpass_attempts_total", outcome) }
 
+// organisation counts a request of an organisation, by the name under which it is counted and by outcome where the
+// organisation's key or limit decided it.
+func (s *Stats) organisation(label, outcome string) {
+	s.observer.Count("rookpass_organisation_requests_total", label)
+	if outcome == reasonOverLimit {
+		s.observer.Count("rookpass_organisation_over_limit_total", label)
+	}
+}
+
 func (s *Stats) quota(took time.Duration) {
 	s.observer.Observe("rookpass_quota_seconds", "asked", took)
 }
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -3,15 +3,18 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"net/http"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/rookpass/rookpass/internal/decide/policy"
+	"github.com/rookpass/rookpass/internal/decide/quota"
 	"github.com/rookpass/rookpass/internal/front/balance"
 	"github.com/rookpass/rookpass/internal/front/catalog"
 	"github.com/rookpass/rookpass/internal/turns/layout"
 	"github.com/rookpass/rookpass/internal/turns/replica"
+	"github.com/rookpass/rookpass/internal/turns/turn"
 )
 
 // StatusPath is where a daemon's metrics address tells operators what is in force there.
@@ -30,6 +33,31 @@
 	Servers        []ServerStatus `json:"servers"`
 	// Costs are learnt of turns, by service.
 	Costs map[string]policy.Costs `json:"costs"`
+	// ConfigAgeMS is how old the configuration may be by which keys are judged; -1 where nobody can say.
+	ConfigAgeMS   int64                `json:"config_age_ms"`
+	Organisations []OrganisationStatus `json:"organisations,omitempty"`
+}
+
+// OrganisationStatus is an organisation in force on a front daemon.
+type OrganisationStatus struct {
+	Name string `json:"name"`
+	// Keys are the fingerprints of its keys: "printf KEY | sha256sum" begins with one.
+	Keys     []string `json:"keys"`
+	Priority *int     `json:"priority,omitempty"`
+	// PerSecond and Burst are its limit; 0 for none.
+	PerSecond float64 `json:"per_second"`
+	Burst     float64 `json:"burst"`
+}
+
+func organisationStatus(o *catalog.Organisation) OrganisationStatus {
+	s := OrganisationStatus{Name: o.Name, Keys: []string{}, PerSecond: o.Limit.PerSecond, Burst: o.Limit.Burst}
+	if o.HasPriority {
+		s.Priority = &o.Priority
+	}
+	for _, key := range o.Keys {
+		s.Keys = append(s.Keys, key.Fingerprint())
+	}
+	return s
 }
 
 // ServerStatus is one backend server as a front daemon sees it.
@@ -48,13 +76,23 @@
 	Bytes    int64           `json:"bytes"`
 	Layout   *layout.Layout  `json:"layout"`
 	Turns    []replica.Entry `json:"program_turns,omitempty"`
+	// Limits are the organisations whose requests are counted here.
+	Limits []quota.Count `json:"limits"`
 }
 
 func (f *front) status(*http.Request) any {
 	s := FrontStatus{Node: f.settings.Node, Ready: f.ready(), Stopping: f.stopping.Load(), ActiveRequests: f.gateway.Active(),
 		Layout: f.ledger.Layout(), Costs: f.balancer.Costs(), ServerRevision: f.catalog.Servers().Revision}
-	if table := f.catalog.Table(); table != nil {
+	table, age := f.catalog.Confirmed()
+	s.ConfigAgeMS = -1
+	if age < math.MaxInt64 {
+		s.ConfigAgeMS = age.Milliseconds()
+	}
+	if table != nil {
 		s.ConfigVersion, s.Routes = table.Config.Version, len(table.Config.Routes)
+		for i := range table.Config.Organisations {
+			s.Organisations = append(s.Organisations, organisationStatus(&table.Config.Organisations[i]))
+		}
 	}
 	for _, server := range f.catalog.Servers().All() {
 		s.Servers = append(s.Servers, ServerStatus{server, f.balancer.View(server.ID)})
@@ -63,15 +101,15 @@
 }
 
 // storeStatus returns the status page of a store daemon.
-func storeStatus(node string, store *replica.Store) func(*http.Request) any {
+func storeStatus(node string, store *replica.Store, quotas *quota.Service) func(*http.Request) any {
 	return func(r *http.Request) any {
-		s := StoreStatus{Node: node, Disk: store.Self().ID, Slot: -1, Bytes: store.Bytes(), Layout: store.Layout()}
+		s := StoreStatus{Node: node, Disk: store.Self().ID, Slot: -1, Bytes: store.Bytes(), Layout: store.Layout(), Limits: quotas.Counts()}
 		s.Programs, s.Kept = store.Size()
 		if s.Layout != nil {
 			s.Slot = s.Layout.SlotOf(s.Disk)
 		}
 		if program := r.URL.Query().Get("program"); program != "" {
-			s.Turns = store.Turns(program)
+			s.Turns = store.Turns(turn.Key(r.URL.Query().Get("organisation"), program))
 		}
 		return s
 	}
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -90,8 +90,8 @@
 		b.watcher(link, rareWait, both{mirrors[3], retiring.handler()}),
 	}
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return b.servePages(ctx, storeStatus(s.Node, store)) })
 	quotas := quota.NewService(s.Quota)
+	group.Go(func() error { return b.servePages(ctx, storeStatus(s.Node, store, quotas)) })
 	b.metrics.Gauge("rookpass_quota_organisations", func() float64 { return float64(quotas.Len()) })
 	services := map[string]any{
 		replica.ServiceName:  replica.NewService(store),
