Soak: an organisation at its limit, taken away and brought back

Each run has callers of an organisation that asks for more than its limit and is taken away for longer than the time in which everybody must know; the checker holds withdrawal and sliding windows against what backend servers saw. Draws of the other faults are as before.

--- a/internal/testing/soak/plan.go
+++ b/internal/testing/soak/plan.go
@@ -55,6 +55,8 @@
 	LinkSilent Kind = "link-silent"
 	// Config brings a new version with one more route.
 	Config Kind = "config"
+	// KeyWithdraw takes an organisation away with its keys, and brings it back.
+	KeyWithdraw Kind = "key-withdraw"
 )
 
 // Fault is one entry of a plan.
@@ -118,6 +120,7 @@
 		p.Faults = append(p.Faults, f)
 	}
 	p.Faults = append(p.Faults, drawEntries(seed, size)...)
+	p.Faults = append(p.Faults, drawKeys(seed))
 	slices.SortStableFunc(p.Faults, byTime)
 	return p
 }
@@ -136,6 +139,13 @@
 	return faults
 }
 
+// drawKeys draws when an organisation is taken away: for longer than the time within which everybody must know.
+func drawKeys(seed uint64) Fault {
+	r := rand.New(rand.NewPCG(seed, 3))
+	return Fault{Kind: KeyWithdraw, At: time.Duration(500+r.IntN(2000)) * time.Millisecond,
+		For: withdrawal + time.Duration(500+r.IntN(1500))*time.Millisecond}
+}
+
 // Parse reads a plan that String wrote, and names what is wrong with it.
 func Parse(data []byte) (Plan, error) {
 	var p Plan
--- a/internal/testing/soak/run.go
+++ b/internal/testing/soak/run.go
@@ -52,11 +52,17 @@
 		}
 		callers.Go(func() { c.Run(work, stop) })
 	}
+	for i := range boundedCallers {
+		c := workload.NewCaller(fronts, w.checker, plan.Seed*1000+uint64(plan.Callers+i), nil).Of(boundedName)
+		callers.Go(func() { c.Run(workload.Lookups, stop) })
+	}
 	w.play(ctx)
+	w.wg.Wait() // the organisation is back
 	close(stop)
 	callers.Wait()
 	w.heal()
 	w.checkRecovery(all)
+	w.checkLimit()
 	return Result{Broken: w.checker.Broken(), Counts: w.checker.Counts()}, ctx.Err()
 }
 
@@ -101,6 +107,10 @@
 		w.spoilEntry(f)
 	case Config:
 		w.configure()
+	case KeyWithdraw:
+		w.setBounded(false)
+		time.Sleep(f.For)
+		w.setBounded(true)
 	default:
 		s := w.servers[f.Target%len(w.servers)]
 		s.SetFault(serverFaults[f.Kind])
@@ -206,6 +216,40 @@
 	w.store.SetServer(s.Entry())
 }
 
+const (
+	// boundedName is an organisation whose callers ask for more than its limit, boundedCallers how many there are.
+	boundedName    = "west"
+	boundedCallers = 3
+	boundedRate    = 20
+	// withdrawal is within which a withdrawn key must be refused everywhere.
+	withdrawal = 5 * time.Second
+	// quotaWindow is the time over which limits are looked at; excess and slack are what may be exceeded there.
+	quotaWindow = 5 * time.Second
+	quotaExcess = 0.1
+	quotaSlack  = 20
+)
+
+// setBounded takes the bounded organisation away, or brings it back.
+func (w *World) setBounded(there bool) {
+	w.mu.Lock()
+	w.withdrawn = !there
+	w.mu.Unlock()
+	w.configure()
+	from := time.Time{}
+	if !there {
+		from = time.Now().Add(withdrawal)
+	}
+	w.checker.Withdrawn(boundedName, from)
+}
+
+// checkLimit asks that no window held more of the bounded organisation's requests than is borne.
+func (w *World) checkLimit() {
+	allowed := (boundedRate*quotaWindow.Seconds()+boundedRate)*(1+quotaExcess) + quotaSlack
+	if n := w.checker.Most(boundedName, quotaWindow); float64(n) > allowed {
+		w.checker.Fail("%d requests of %s ran within %v, of %.0f", n, boundedName, quotaWindow, allowed)
+	}
+}
+
 // heal waits until every fault has been undone and every process runs.
 func (w *World) heal() {
 	w.wg.Wait()
--- a/internal/testing/soak/world.go
+++ b/internal/testing/soak/world.go
@@ -70,8 +70,12 @@
 	storeHTTP *http.Server
 	processes []*process
 	servers   []*server
-	version   int64
 	wg        sync.WaitGroup
+
+	mu      sync.Mutex
+	version int64
+	// withdrawn tells that the bounded organisation is taken away.
+	withdrawn bool
 }
 
 // NewWorld starts the stand-ins and the daemons of a plan. network picks the second byte of the VMs' loopback
@@ -125,7 +129,8 @@
 	}
 	p.store = link
 	p.settings = platformtest.Process{Node: p.node, Class: p.class, IP: p.ip, DataCentre: fmt.Sprint("dc", i%3), FirstStart: true,
-		StoreAddress: link.address(), Seeds: seeds[:min(3, len(seeds))], Tolerance: tolerance, GraceSeconds: graceSeconds}
+		StoreAddress: link.address(), Seeds: seeds[:min(3, len(seeds))], Tolerance: tolerance, GraceSeconds: graceSeconds,
+		WithdrawalMS: int(withdrawal.Milliseconds())}
 	if p.class == "front" {
 		if p.callers, err = newProxy(fmt.Sprintf("%s:%d", p.ip, platformtest.CallerPort)); err != nil {
 			return err
@@ -139,8 +144,14 @@
 
 // configure puts the next version in force.
 func (w *World) configure() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.version++
-	w.store.SetConfig(workload.Config(w.version), workload.Organisations()...)
+	organisations := workload.Organisations()
+	if !w.withdrawn {
+		organisations = append(organisations, workload.OrganisationOf(boundedName, boundedRate))
+	}
+	w.store.SetConfig(workload.Config(w.version), organisations...)
 }
 
 // start runs a daemon's program. A daemon that ends without being asked to breaks a promise.
