What daemons keep on disk is read by its owner only

The copy of the platform's objects on a store VM's disk holds keys, and was open to everybody who could log in (0644). TestOnlyTheOwnerReads was red before.

--- a/internal/base/atomicfile/atomicfile.go
+++ b/internal/base/atomicfile/atomicfile.go
@@ -7,9 +7,16 @@
 	"path/filepath"
 )
 
-// Write replaces the file at path. Once it returns nil, the new content outlives a loss of power.
+// ownerOnly lets nobody else read a file: what rookpass keeps holds callers' words and keys.
+const ownerOnly = 0o600
+
+// Write replaces the file at path, which only its owner may read. Once it returns nil, the new content outlives a loss of power.
 func Write(path string, data []byte) error {
-	file, err := os.Create(path + ".new")
+	// A file that was left by a crash may be open to others.
+	if err := os.Remove(path + ".new"); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return err
+	}
+	file, err := os.OpenFile(path+".new", os.O_WRONLY|os.O_CREATE|os.O_EXCL, ownerOnly)
 	if err != nil {
 		return err
 	}
--- a/internal/base/atomicfile/atomicfile_test.go
+++ b/internal/base/atomicfile/atomicfile_test.go
@@ -21,3 +21,16 @@
 	_, err := os.Stat(path + ".new")
 	assert.ErrorIs(t, err, os.ErrNotExist)
 }
+
+// TestOnlyTheOwnerReads: also where an earlier writing was cut off and left its file.
+func TestOnlyTheOwnerReads(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "f")
+	assert.NilError(t, os.WriteFile(path+".new", []byte("left by a crash"), 0o644))
+	assert.NilError(t, atomicfile.Write(path, []byte("secret")))
+	info, err := os.Stat(path)
+	assert.NilError(t, err)
+	assert.Equal(t, info.Mode().Perm(), os.FileMode(0o600))
+	data, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	assert.Equal(t, string(data), "secret")
+}
