A refusal that stands for a moment tells when there will be room

Cause: a front answers further requests of an organisation for up to 0.1 s without asking its homes, and told callers to come back within that time, though the bucket would have room later only.

TestRefusalStandsForAMoment was red before.

--- a/internal/decide/quota/asker.go
+++ b/internal/decide/quota/asker.go
@@ -58,8 +58,8 @@
 	mu sync.Mutex
 	// silent has the addresses that did not answer, and until when they are asked last.
 	silent map[string]time.Time
-	// denied has who was refused, and until when.
-	denied map[denial]time.Time
+	// denied has who was refused just now.
+	denied map[denial]refusal
 	// held has until when requests of an organisation were granted for later.
 	held map[string]time.Time
 }
@@ -70,9 +70,12 @@
 	first        bool
 }
 
+// refusal stands until a time; room is when there will be room.
+type refusal struct{ until, room time.Time }
+
 // NewAsker returns an asker over links.
 func NewAsker(links *peerlink.Set, candidates func(organisation string) []string) *Asker {
-	return &Asker{links: links, candidates: candidates, silent: map[string]time.Time{}, denied: map[denial]time.Time{}, held: map[string]time.Time{}}
+	return &Asker{links: links, candidates: candidates, silent: map[string]time.Time{}, denied: map[denial]refusal{}, held: map[string]time.Time{}}
 }
 
 // Grant is the right to run one request.
@@ -122,26 +125,27 @@
 	}
 }
 
-// deniedFor returns how long a refusal of just now still stands.
+// deniedFor returns when there will be room for a request that is refused without asking; 0 where homes must be asked.
 func (a *Asker) deniedFor(r Request) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	key := denial{r.Organisation, r.First}
-	until, denied := a.denied[key]
+	last, denied := a.denied[key]
 	if !denied {
 		return 0
 	}
-	left := time.Until(until)
-	if left <= 0 {
+	if !time.Now().Before(last.until) {
 		delete(a.denied, key)
+		return 0
 	}
-	return left
+	return time.Until(last.room)
 }
 
 func (a *Asker) deny(r Request, wait time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.denied[denial{r.Organisation, r.First}] = time.Now().Add(min(wait, longestDenial))
+	now := time.Now()
+	a.denied[denial{r.Organisation, r.First}] = refusal{until: now.Add(min(wait, longestDenial)), room: now.Add(wait)}
 }
 
 // home is a daemon to ask, and whether it is one in the place of another.
--- a/internal/decide/quota/asker_test.go
+++ b/internal/decide/quota/asker_test.go
@@ -151,12 +151,16 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 3, small)
 		f.takeAll()
+		var first, over *quota.OverError
+		_, err := f.take(f.asker, true)
+		assert.Assert(t, errors.As(err, &first), "%v", err)
 		for i := range 3 {
 			f.fabric.Cut("front", storeName(i))
 		}
-		_, err := f.take(f.asker, true)
-		var over *quota.OverError
+		_, err = f.take(f.asker, true)
 		assert.Assert(t, errors.As(err, &over), "without asking: %v", err)
+		// One more comes in after 0.42 s; of the first refusal half of that is left.
+		assert.Assert(t, first.Wait > 150*time.Millisecond && over.Wait > 150*time.Millisecond, "it tells when there is room all the same: %v, %v", first.Wait, over.Wait)
 		time.Sleep(200 * time.Millisecond)
 		_, err = f.take(f.asker, true)
 		assert.ErrorIs(t, err, quota.ErrUnsure)
