--- a/internal/decide/quota/ways_test.go
+++ b/internal/decide/quota/ways_test.go
@@ -1,7 +1,6 @@
 package quota_test
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -147,8 +146,8 @@
 		for _, usual := range []float64{5, 140} {
 			for name, make := range ways {
 				calm, hot := compare(make, fronts, 3, usual, 1), compare(make, fronts, fronts, usual, 10)
-				t.Log(fmt.Sprintf("%d fronts, %v a second, %s: usual load %.3f refused, %.0f messages a second; ten times %.2f of what is borne", fronts, usual, name,
-					calm.refused, calm.perSecond, hot.fullest))
+				t.Logf("%d fronts, %v a second, %s: usual load %.3f refused, %.0f messages a second; ten times %.2f of what is borne", fronts, usual, name,
+					calm.refused, calm.perSecond, hot.fullest)
 				if name == "homes" {
 					assert.Assert(t, calm.refused < 0.02 && hot.fullest <= 1, "%+v %+v", calm, hot)
 				}
