Fronts remember the servers that they meet, and hold each entry once

Cause: what a front held grew with the fleet and not with its work. The list of servers was kept four times (entries, by name, by service, and anew with each change): 680 bytes a server. The balancer made a state with a set of prompt parts for every server of a service at a front's first turn, though a front of a fleet meets a handful of 4,688: 386 bytes a server, and three passes over all of them a turn.

Ruled out: the log's queue (bounded), the packed list (one copy, in the store daemons).

Change: an entry is one record, to which the views point; a view is made from the one before by the changes of its batch; words that all servers share are held once; what was never met reads as unseen and leaves no state behind. The first list is one log line, not one for each server.

--- a/internal/front/balance/balance.go
+++ b/internal/front/balance/balance.go
@@ -112,8 +112,13 @@
 // Ask is what a choice depends on.
 type Ask struct {
 	// Route names requests of one kind, whose answers take like times.
-	Route   string
-	Servers []catalog.Server
+	Route string
+	// Servers are those of the service in the order in which a data centre turns to them; DataCentres is in how many they
+	// stand.
+	Servers     []*catalog.Server
+	DataCentres int
+	// Known returns a start of a server that is in use, or nil; nil where that is not known.
+	Known func(incarnation.ID) *catalog.Server
 	// Tried servers are passed over.
 	Tried map[incarnation.ID]bool
 	// PromptTokens is the size of the prompt; 0 for plain requests.
@@ -122,8 +127,9 @@
 	Parts []call.Part
 	// Connected tells whether a connection to a server rests that the request may use; nil where that is not known.
 	Connected func(*catalog.Server) bool
-	// mean is how many calls of this daemon a server has in the mean; Pick sets it.
-	mean float64
+	// width is how many servers are weighed, mean how many calls of this daemon one has in the mean; Pick sets both.
+	width int
+	mean  float64
 }
 
 // Choice is the server chosen. Done must be called once.
@@ -152,21 +158,22 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
-	best, candidates := -1, 0
-	ask.mean = b.meanInFlight(ask.Servers)
+	var best *catalog.Server
+	candidates := 0
+	ask.width = len(ask.Servers)
+	ask.mean = b.meanInFlight(ask)
 	// Rather a server that others suspect than one that fails here, and rather that one than none at all.
 	for _, trust := range []trust{unsuspected, alive, anyServer} {
 		best, candidates = b.choose(ask, now, trust)
-		if best >= 0 {
+		if best != nil {
 			break
 		}
 	}
-	if best < 0 {
+	if best == nil {
 		return nil, false
 	}
-	server := ask.Servers[best]
-	s := b.state(server.ID)
-	c := &Choice{Server: server, InFlight: s.inFlight, Candidates: candidates, balancer: b, state: s, route: ask.Route, began: now}
+	s := b.state(best.ID)
+	c := &Choice{Server: *best, InFlight: s.inFlight, Candidates: candidates, balancer: b, state: s, route: ask.Route, began: now}
 	if ask.PromptTokens > 0 {
 		c.observed = policy.Observation{Uncached: max(0, ask.PromptTokens-s.parts.cached(ask.Parts)),
 			InFlight: float64(s.inFlight), MeanInFlight: ask.mean}
@@ -191,26 +198,35 @@
 	anyServer
 )
 
-// choose returns the place of the cheapest server, or -1, and how many there were to choose from.
-func (b *Balancer) choose(ask *Ask, now time.Time, trust trust) (best, candidates int) {
-	best = -1
+// choose returns the cheapest server, or nil, and how many there were to choose from. Servers are weighed in their order up
+// to the width, so that those of a data centre's daemons that are up take all, and beside them the one that holds most of
+// the prompt.
+func (b *Balancer) choose(ask *Ask, now time.Time, trust trust) (best *catalog.Server, candidates int) {
 	ignoreReports := trust > unsuspected || b.tooManyReported(ask.Servers)
 	var bestCost float64
-	for i := range ask.Servers {
-		server := &ask.Servers[i]
+	weigh := func(server *catalog.Server) {
 		if server.Draining || ask.Tried[server.ID] {
-			continue
+			return
 		}
-		s := b.state(server.ID)
+		s := b.seen(server.ID)
 		if trust < anyServer && b.shunned(ask.Route, s, now) || !ignoreReports && b.suspected(server.ID) {
-			continue
+			return
 		}
 		candidates++
 		cost := b.cost(ask, server, s) * (1 + 0.02*rand.Float64())
-		if best < 0 || cost < bestCost {
-			best, bestCost = i, cost
+		if best == nil || cost < bestCost {
+			best, bestCost = server, cost
 		}
 	}
+	for _, server := range ask.Servers {
+		if candidates >= ask.width {
+			break
+		}
+		weigh(server)
+	}
+	if holder := b.holder(ask); holder != nil {
+		weigh(holder)
+	}
 	return best, candidates
 }
 
@@ -249,13 +265,14 @@
 	return m
 }
 
-// meanInFlight returns this daemon's calls on a server in the mean.
-func (b *Balancer) meanInFlight(servers []catalog.Server) float64 {
+// meanInFlight returns this daemon's calls on one of the servers that are weighed, in the mean.
+func (b *Balancer) meanInFlight(ask *Ask) float64 {
+	weighed := ask.Servers[:min(ask.width, len(ask.Servers))]
 	sum := 0
-	for i := range servers {
-		sum += b.state(servers[i].ID).inFlight
+	for _, server := range weighed {
+		sum += b.seen(server.ID).inFlight
 	}
-	return float64(sum) / float64(max(1, len(servers)))
+	return float64(sum) / float64(max(1, len(weighed)))
 }
 
 // SetPeers tells how many other daemons send to the same servers.
@@ -290,6 +307,18 @@
 	return max(hedgeLeast, time.Duration(hedgeTimes*mean*float64(time.Second)))
 }
 
+// unseen is the state of every server that this daemon has had nothing to do with. Nobody may change it.
+var unseen = &state{parts: newPartSet()}
+
+// seen returns what is known of a server, without remembering it: of thousands a daemon meets few.
+func (b *Balancer) seen(id incarnation.ID) *state {
+	if s := b.states[id]; s != nil {
+		return s
+	}
+	return unseen
+}
+
+// state returns what is known of a server that this daemon has to do with.
 func (b *Balancer) state(id incarnation.ID) *state {
 	s := b.states[id]
 	if s == nil {
--- a/internal/front/balance/balance_test.go
+++ b/internal/front/balance/balance_test.go
@@ -18,10 +18,10 @@
 // id names the only start of a server.
 func id(server string) incarnation.ID { return incarnation.ID{Server: server} }
 
-func servers(n int) []catalog.Server {
-	var list []catalog.Server
+func servers(n int) []*catalog.Server {
+	var list []*catalog.Server
 	for i := range n {
-		list = append(list, catalog.Server{ID: id(fmt.Sprint(i)), Service: "svc", DataCentre: "here", Slots: 6})
+		list = append(list, &catalog.Server{ID: id(fmt.Sprint(i)), Service: "svc", DataCentre: "here", Slots: 6})
 	}
 	return list
 }
--- a/internal/front/balance/connections_test.go
+++ b/internal/front/balance/connections_test.go
@@ -67,9 +67,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		random := rand.New(rand.NewPCG(5, 6))
 		sigma := math.Sqrt(math.Ln2)
-		var list []catalog.Server
-		for i := range 145 {
-			list = append(list, catalog.Server{ID: id(fmt.Sprint(i)), Service: "svc", DataCentre: fmt.Sprint("dc", i%5), Slots: 6})
+		var list []*catalog.Server
+		for i := range 145 { // those of its own data centre first
+			list = append(list, &catalog.Server{ID: id(fmt.Sprint(i)), Service: "svc", DataCentre: fmt.Sprint("dc", i/29), Slots: 6})
 		}
 		b := balance.New("dc0")
 		connections := &resting{since: map[incarnation.ID]time.Time{}}
--- a/internal/front/balance/crowd_test.go
+++ b/internal/front/balance/crowd_test.go
@@ -38,7 +38,7 @@
 type crowd struct {
 	daemons []*balance.Balancer
 	hub     *exchange.Service
-	servers []catalog.Server
+	servers []*catalog.Server
 	random  *rand.Rand
 	// tells lets daemons tell what fails them.
 	tells bool
@@ -50,7 +50,7 @@
 		c.daemons = append(c.daemons, balance.New("here"))
 	}
 	for i := range servers {
-		c.servers = append(c.servers, catalog.Server{ID: id(fmt.Sprint(i)), Service: "svc", DataCentre: "here", Slots: 6})
+		c.servers = append(c.servers, &catalog.Server{ID: id(fmt.Sprint(i)), Service: "svc", DataCentre: "here", Slots: 6})
 	}
 	return c
 }
--- a/internal/front/balance/load.go
+++ b/internal/front/balance/load.go
@@ -5,6 +5,7 @@
 
 	"github.com/rookpass/rookpass/internal/base/incarnation"
 	"github.com/rookpass/rookpass/internal/decide/policy"
+	"github.com/rookpass/rookpass/internal/front/catalog"
 )
 
 // othersWeight is the weight of the newest report in what others have on a server: at a report each 300 ms the
@@ -65,10 +66,30 @@
 	if len(ask.Servers) == 0 {
 		return 0
 	}
-	var cached int64
-	for i := range ask.Servers {
-		cached = max(cached, b.state(ask.Servers[i].ID).parts.cached(ask.Parts))
-	}
+	_, cached := b.mostCached(ask)
 	o := policy.Observation{Uncached: max(0, ask.PromptTokens-cached), Generated: generated}
 	return time.Duration(b.model(ask.Servers[0].Service).Expected(o) * float64(time.Second))
 }
+
+// mostCached returns the server that is known to hold most of a prompt, and how many tokens it holds.
+func (b *Balancer) mostCached(ask *Ask) (holder incarnation.ID, tokens int64) {
+	for id, s := range b.states {
+		if cached := s.parts.cached(ask.Parts); cached > tokens {
+			holder, tokens = id, cached
+		}
+	}
+	return holder, tokens
+}
+
+// holder returns the server that is known to hold most of a turn's prompt, or nil where none does or all servers are
+// weighed anyway.
+func (b *Balancer) holder(ask *Ask) *catalog.Server {
+	if ask.PromptTokens == 0 || ask.Known == nil || ask.width >= len(ask.Servers) {
+		return nil
+	}
+	id, tokens := b.mostCached(ask)
+	if tokens == 0 {
+		return nil
+	}
+	return ask.Known(id)
+}
--- a/internal/front/balance/parts_test.go
+++ b/internal/front/balance/parts_test.go
@@ -46,7 +46,7 @@
 // though this daemon has never sent that server any part of the prompt.
 func TestTurnsGoWhereOthersSentThem(t *testing.T) {
 	a, b, c := incarnation.ID{Server: "a"}, incarnation.ID{Server: "b"}, incarnation.ID{Server: "c"}
-	list := []catalog.Server{{ID: a, Slots: 8}, {ID: b, Slots: 8}, {ID: c, Slots: 8}}
+	list := []*catalog.Server{{ID: a, Slots: 8}, {ID: b, Slots: 8}, {ID: c, Slots: 8}}
 	prompt := []call.Part{{ID: "shared", Tokens: 500}, {ID: "parent", Tokens: 2000}, {ID: "session", Tokens: 700}}
 	for range 20 {
 		balancer := New("")
--- a/internal/front/balance/restart_test.go
+++ b/internal/front/balance/restart_test.go
@@ -18,10 +18,10 @@
 	return incarnation.ID{Server: server, Born: born}
 }
 
-func startsOf(server string, born ...int64) []catalog.Server {
-	var list []catalog.Server
+func startsOf(server string, born ...int64) []*catalog.Server {
+	var list []*catalog.Server
 	for _, b := range born {
-		list = append(list, catalog.Server{ID: start(server, b), Service: "svc", DataCentre: "here", Slots: 6})
+		list = append(list, &catalog.Server{ID: start(server, b), Service: "svc", DataCentre: "here", Slots: 6})
 	}
 	return list
 }
@@ -52,7 +52,7 @@
 func TestCallsAtEarlierStartsEnd(t *testing.T) {
 	b := balance.New("here")
 	causes := map[string]context.Context{}
-	bind := func(name string, server []catalog.Server) *balance.Choice {
+	bind := func(name string, server []*catalog.Server) *balance.Choice {
 		choice := pick(t, b, balance.Ask{Servers: server})
 		ctx, cancel := context.WithCancelCause(context.Background())
 		choice.Bind(cancel)
--- a/internal/front/balance/suspects.go
+++ b/internal/front/balance/suspects.go
@@ -8,17 +8,18 @@
 )
 
 // tooManyReported tells whether others suspect so many servers that the rest could not bear the load.
-func (b *Balancer) tooManyReported(servers []catalog.Server) bool {
-	if len(b.reported) == 0 && len(b.failing) == 0 {
+func (b *Balancer) tooManyReported(servers []*catalog.Server) bool {
+	most := maxReportedShare * float64(len(servers))
+	if float64(len(b.reported)+len(b.failing)) <= most {
 		return false
 	}
 	n := 0
-	for i := range servers {
-		if b.suspected(servers[i].ID) {
+	for _, server := range servers {
+		if b.suspected(server.ID) {
 			n++
 		}
 	}
-	return float64(n) > maxReportedShare*float64(len(servers))
+	return float64(n) > most
 }
 
 // suspected tells whether other daemons make a server look dead.
--- a/internal/front/catalog/entry.go
+++ b/internal/front/catalog/entry.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 
+	"github.com/rookpass/rookpass/internal/base/incarnation"
 	"github.com/rookpass/rookpass/internal/objects/objectapi"
 )
 
@@ -58,10 +59,26 @@
 	return RefusedUnreadable
 }
 
-// entry is what the list holds under one name.
+// entry is what the list holds under one name. Views point to its server, which never changes.
 type entry struct {
 	// server is the server described; the zero value where the entry is refused.
 	server   Server
 	refused  Refusal
 	revision uint64
 }
+
+// start names the start of the server described; the zero value where there is none.
+func (e *entry) start() incarnation.ID {
+	if e == nil {
+		return incarnation.ID{}
+	}
+	return e.server.ID
+}
+
+// inUse returns the server described, or nil where the entry is refused.
+func (e *entry) inUse() *Server {
+	if e.refused != "" {
+		return nil
+	}
+	return &e.server
+}
--- a/internal/front/catalog/servers.go
+++ b/internal/front/catalog/servers.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"time"
+	"unique"
 
 	"github.com/sirupsen/logrus"
 
@@ -14,6 +15,8 @@
 // ServersOptions are what a ServersHandler works with.
 type ServersOptions struct {
 	Catalog *Catalog
+	// DataCentre is this daemon's.
+	DataCentre string
 	// Prefix is the part of a key before a server's name.
 	Prefix string
 	Decode DecodeServer
@@ -32,21 +35,24 @@
 
 	mu sync.Mutex
 	// entries has what the list holds, by name; held and missing are servers that are in use without an entry.
-	entries  map[string]entry
-	held     map[string]Server
+	entries  map[string]*entry
+	held     map[string]*Server
 	revision uint64
-	// changed tells that entries differ from what is published.
-	changed bool
+	// first tells that the first list is taken in: it is logged as a whole, not server by server.
+	first bool
+	// changed has the names of servers that may differ from what is published.
+	changed map[string]bool
 	// lost tells that the store does not answer; missing are entries of which nobody can say before it has.
 	lost    bool
-	missing map[string]Server
+	missing map[string]*Server
 	// confirmed is when the store said last that the entries were whole; missing ones are held until holding.
 	confirmed, holding time.Time
 }
 
 // NewServersHandler returns a handler that knows no server yet.
 func NewServersHandler(o ServersOptions) *ServersHandler {
-	return &ServersHandler{ServersOptions: o, entries: map[string]entry{}, held: map[string]Server{}, missing: map[string]Server{}}
+	return &ServersHandler{ServersOptions: o, entries: map[string]*entry{}, held: map[string]*Server{}, changed: map[string]bool{},
+		missing: map[string]*Server{}}
 }
 
 // Prefix implements watch.Handler.
@@ -57,31 +63,38 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	old := h.entries
-	h.entries = make(map[string]entry, len(objects))
+	h.entries = make(map[string]*entry, len(objects))
+	h.first = h.revision == 0
 	for _, object := range objects {
 		h.set(object, old)
 	}
 	for name, e := range old {
 		if _, there := h.entries[name]; !there {
-			h.gone(e)
+			h.gone(name, e.inUse())
 		}
 	}
 	h.revision = version
 	h.publish()
+	if h.first {
+		h.first = false
+		h.Log.WithFields(logrus.Fields{"event": "servers-listed", "revision": version, "entries": len(objects),
+			"servers": h.Catalog.Servers().Len()}).Info("first list of servers in force")
+	}
 }
 
-// Change implements watch.Handler. Requests see it with the Confirm that follows: a batch may hold thousands, and
-// each view is made anew from all servers.
+// Change implements watch.Handler. Requests see it with the Confirm that follows: a batch may hold thousands.
 func (h *ServersHandler) Change(event objectapi.Event) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !event.Deleted {
 		h.set(event.Object, h.entries)
-	} else if e, there := h.entries[h.name(event.Key)]; there {
-		delete(h.entries, h.name(event.Key))
-		h.gone(e)
+		return
+	}
+	name := h.name(event.Key)
+	if e, there := h.entries[name]; there {
+		delete(h.entries, name)
+		h.gone(name, e.inUse())
 	}
-	h.changed = true
 }
 
 // Confirm implements watch.Handler.
@@ -93,7 +106,7 @@
 	}
 	h.confirmed = at
 	h.revision = max(h.revision, version)
-	if h.changed {
+	if len(h.changed) > 0 {
 		h.publish()
 	}
 }
@@ -125,11 +138,10 @@
 		fields["unconfirmed_ms"] = at.Sub(h.confirmed).Milliseconds()
 	}
 	h.Log.WithFields(fields).Info("list of servers confirmed again")
-	for _, server := range h.missing {
-		h.gone(entry{server: server})
+	for name, server := range h.missing {
+		h.gone(name, server)
 	}
 	clear(h.missing)
-	h.changed = true
 }
 
 // expire removes the servers whose entries are not back.
@@ -139,7 +151,8 @@
 	if len(h.held) == 0 || time.Now().Before(h.holding) {
 		return // all are back, or another outage has ended meanwhile
 	}
-	for _, server := range h.held {
+	for name, server := range h.held {
+		h.changed[name] = true
 		h.Log.WithFields(logrus.Fields{"event": "server-gone", "server": server.ID, "why": "lapsed and not back"}).Info("server removed")
 	}
 	clear(h.held)
@@ -149,7 +162,7 @@
 func (h *ServersHandler) name(key string) string { return key[len(h.Prefix()):] }
 
 // set takes in an object of the list; old is what was known before.
-func (h *ServersHandler) set(object objectapi.Object, old map[string]entry) {
+func (h *ServersHandler) set(object objectapi.Object, old map[string]*entry) {
 	name := h.name(object.Key)
 	before, known := old[name]
 	if known && object.Version < before.revision {
@@ -160,52 +173,69 @@
 	}
 	delete(h.held, name)
 	delete(h.missing, name)
-	now := entry{revision: object.Version}
-	var err error
-	if now.server, err = h.Decode(object); err != nil {
-		now.server, now.refused = Server{}, refusalOf(err)
-		h.refuse(name, before, now, err)
-	} else if !known || before.server != now.server {
-		h.enter(before, now)
+	h.changed[name] = true
+	server, err := h.Decode(object)
+	if err == nil && known && before.refused == "" && before.server == server {
+		before.revision = object.Version
+		h.entries[name] = before
+		return
 	}
+	now := &entry{revision: object.Version}
 	h.entries[name] = now
+	if err != nil {
+		now.refused = refusalOf(err)
+		h.refuse(name, before, now, err)
+		return
+	}
+	now.server = shared(server)
+	h.enter(before, now)
+}
+
+// shared returns a server whose words that many servers have in common are held once.
+func shared(s Server) Server {
+	s.Service = unique.Make(s.Service).Value()
+	s.DataCentre = unique.Make(s.DataCentre).Value()
+	return s
 }
 
 // enter notes a server's entry that differs from the one before.
-func (h *ServersHandler) enter(before, now entry) {
+func (h *ServersHandler) enter(before, now *entry) {
 	server := now.server
-	h.Log.WithFields(logrus.Fields{"event": "server", "server": server.ID, "service": server.Service, "address": server.Address,
-		"draining": server.Draining, "revision": now.revision}).Info("server's entry in force")
-	if h.Started != nil && before.server.ID != server.ID {
+	if !h.first {
+		h.Log.WithFields(logrus.Fields{"event": "server", "server": server.ID, "service": server.Service, "address": server.Address,
+			"draining": server.Draining, "revision": now.revision}).Info("server's entry in force")
+	}
+	if h.Started != nil && before.start() != server.ID {
 		h.Started(server.ID)
 	}
 }
 
 // refuse notes an entry that names no server to use. One that is written again for the same reason is only counted.
-func (h *ServersHandler) refuse(name string, before, now entry, err error) {
+func (h *ServersHandler) refuse(name string, before, now *entry, err error) {
 	if h.Refused != nil {
 		h.Refused(now.refused)
 	}
-	if before.refused == now.refused {
+	if before != nil && before.refused == now.refused {
 		return
 	}
-	h.Log.WithFields(logrus.Fields{"event": "server-refused", "server": name, "in_use": before.server.ID, "revision": now.revision,
+	h.Log.WithFields(logrus.Fields{"event": "server-refused", "server": name, "in_use": before.start(), "revision": now.revision,
 		"reason": now.refused, "error": err}).Warn("entry names no server to use")
 }
 
 // gone removes a server whose entry is missing, keeps it for a while, or leaves that to the end of the outage. A refused
 // entry leaves nothing behind.
-func (h *ServersHandler) gone(e entry) {
-	if e.refused != "" {
+func (h *ServersHandler) gone(name string, server *Server) {
+	h.changed[name] = true
+	if server == nil {
 		return
 	}
-	server, why := e.server, "entry gone"
+	why := "entry gone"
 	switch {
 	case h.lost && !server.Draining:
-		h.missing[server.ID.Server] = server
+		h.missing[name] = server
 		why = "entry missing in an outage"
 	case time.Now().Before(h.holding) && !server.Draining:
-		h.held[server.ID.Server] = server
+		h.held[name] = server
 		why = "held after an outage"
 	}
 	h.Log.WithFields(logrus.Fields{"event": "server-gone", "server": server.ID, "address": server.Address, "why": why}).Info("server's entry gone")
@@ -213,18 +243,17 @@
 
 // publish makes the servers known to requests. It is called with the lock held.
 func (h *ServersHandler) publish() {
-	h.changed = false
-	view := &Servers{Revision: h.revision, byName: make(map[string]Server, len(h.entries)), services: map[string][]Server{}}
-	for _, server := range h.missing {
-		view.add(server)
-	}
-	for _, server := range h.held {
-		view.add(server)
+	h.Catalog.servers.Store(h.Catalog.Servers().with(h.revision, h.DataCentre, h.changed, h.inUse))
+	h.changed = map[string]bool{} // not cleared: it would keep the room of the largest batch
+}
+
+// inUse returns the server that requests may use under a name, or nil.
+func (h *ServersHandler) inUse(name string) *Server {
+	if e, listed := h.entries[name]; listed {
+		return e.inUse()
 	}
-	for _, e := range h.entries {
-		if e.refused == "" {
-			view.add(e.server)
-		}
+	if server := h.held[name]; server != nil {
+		return server
 	}
-	h.Catalog.servers.Store(view)
+	return h.missing[name]
 }
--- a/internal/front/catalog/view.go
+++ b/internal/front/catalog/view.go
@@ -2,44 +2,14 @@
 
 import (
 	"math"
-	"slices"
-	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/rookpass/rookpass/internal/base/incarnation"
 	"github.com/rookpass/rookpass/internal/objects/objectapi"
 )
 
-// Servers are the backend servers known at one time. They are immutable.
-type Servers struct {
-	// Revision of the last change.
-	Revision uint64
-	// byName has the newest start of each server.
-	byName   map[string]Server
-	services map[string][]Server
-}
-
-// Of returns the servers of a service, draining ones too.
-func (s *Servers) Of(service string) []Server { return s.services[service] }
-
-// add takes a server in while the view is made.
-func (s *Servers) add(server Server) {
-	s.byName[server.ID.Server] = server
-	s.services[server.Service] = append(s.services[server.Service], server)
-}
-
-// At returns the address of a server's start, or false where another start or none of the server is known.
-func (s *Servers) At(id incarnation.ID) (string, bool) {
-	server, known := s.byName[id.Server]
-	return server.Address, known && server.ID == id
-}
-
-// Len returns the number of servers.
-func (s *Servers) Len() int { return len(s.byName) }
-
 // Catalog holds the view that requests read.
 type Catalog struct {
 	table atomic.Pointer[Table]
@@ -147,19 +117,3 @@
 		h.log.WithFields(logrus.Fields{"event": "organisation-refused", "version": config.Version, "error": problem}).Error("organisation can't be read; its callers are refused")
 	}
 }
-
-// Has tells whether a server's start is known.
-func (s *Servers) Has(id incarnation.ID) bool {
-	_, known := s.At(id)
-	return known
-}
-
-// All returns every server, in order of their IDs.
-func (s *Servers) All() []Server {
-	all := make([]Server, 0, len(s.byName))
-	for _, server := range s.byName {
-		all = append(all, server)
-	}
-	slices.SortFunc(all, func(a, b Server) int { return strings.Compare(a.ID.Server, b.ID.Server) })
-	return all
-}
--- a/internal/front/gateway/attempt.go
+++ b/internal/front/gateway/attempt.go
@@ -138,4 +138,13 @@
 
 // servers returns the servers of the request's service as they are known now: one that has begun to leave
 // since the last try must get nothing more.
-func (x *exchange) servers() []catalog.Server { return x.g.catalog.Servers().Of(x.service) }
+func (x *exchange) servers() catalog.Fleet { return x.g.catalog.Servers().Of(x.service) }
+
+// known returns a start of a server that is in use now, or nil.
+func (x *exchange) known(id incarnation.ID) *catalog.Server { return x.g.catalog.Servers().Server(id) }
+
+// look tells the choice of a server which there are now.
+func (x *exchange) look(ask *balance.Ask) {
+	fleet := x.servers()
+	ask.Servers, ask.DataCentres = fleet.Servers, fleet.DataCentres
+}
--- a/internal/front/gateway/enter.go
+++ b/internal/front/gateway/enter.go
@@ -25,15 +25,9 @@
 // call returns what the dispatcher goes by.
 func (s *stream) call(p prepared) *dispatch.Call {
 	x := s.x
-	servers := x.servers()
-	c := &dispatch.Call{Service: x.service, Route: x.route.Name, Begun: p.begun, Aim: p.aim,
+	c := &dispatch.Call{Service: x.service, Route: x.route.Name, Begun: p.begun, Aim: p.aim, Slots: x.servers().Slots,
 		Priority: int32(max(0, lowestPriority-x.priority()))}
-	for i := range servers {
-		if !servers[i].Draining {
-			c.Slots += servers[i].Slots
-		}
-	}
-	s.ask.Servers = servers
+	x.look(&s.ask)
 	c.Alone = x.g.balancer.Alone(&s.ask, x.info.LikelyOutputTokens)
 	if x.info.FinishIn > 0 {
 		c.Finish = x.arrived.Add(x.info.FinishIn)
--- a/internal/front/gateway/plain.go
+++ b/internal/front/gateway/plain.go
@@ -79,7 +79,7 @@
 	if c.sent >= c.x.route.MaxAttempts {
 		return false
 	}
-	c.ask.Servers = c.x.servers()
+	c.x.look(&c.ask)
 	choice, found := c.x.g.balancer.Pick(&c.ask)
 	if !found {
 		return false
--- a/internal/front/gateway/stream.go
+++ b/internal/front/gateway/stream.go
@@ -88,7 +88,7 @@
 func (x *exchange) newStream(p prepared) *stream {
 	s := &stream{x: x, body: x.prompt(p.chain), events: relayed{last: x.info.LastEvent}}
 	s.ask = balance.Ask{Route: x.route.Name, Tried: map[incarnation.ID]bool{}, PromptTokens: max(1, x.info.PromptTokens), Parts: x.info.Parts,
-		Connected: x.connected}
+		Connected: x.connected, Known: x.known}
 	s.last = upstream.NewFailure(verdict.NotRun, "no-server", Error.New("no server of the route's service is known"))
 	return s
 }
@@ -109,7 +109,7 @@
 // open sends the request until a server begins to answer, or returns false where no more may be tried.
 func (s *stream) open() bool {
 	for s.sent < s.x.route.MaxAttempts && s.x.ctx.Err() == nil {
-		s.ask.Servers = s.x.servers()
+		s.x.look(&s.ask)
 		choice, found := s.x.g.balancer.Pick(&s.ask)
 		if !found {
 			return false
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -187,7 +187,7 @@
 	for h, limit := range map[watch.Handler]time.Duration{
 		catalog.NewConfigHandler(f.catalog, platform.ConfigPrefix, platform.DecodeConfig, f.log): f.configWait(frontWait, hopShare),
 		catalog.NewServersHandler(catalog.ServersOptions{
-			Catalog: f.catalog, Prefix: platform.ServersPrefix, Decode: platform.DecodeServer, Lapse: policy.NewLapse(f.settings.Heartbeat),
+			Catalog: f.catalog, DataCentre: f.settings.DataCentre, Prefix: platform.ServersPrefix, Decode: platform.DecodeServer, Lapse: policy.NewLapse(f.settings.Heartbeat),
 			Log: f.log, Started: f.serverStarted,
 			Refused: func(reason catalog.Refusal) { f.metrics.Count("rookpass_entries_refused_total", string(reason)) },
 		}): frontWait,
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -95,7 +95,7 @@
 		}
 	}
 	for _, server := range f.catalog.Servers().All() {
-		s.Servers = append(s.Servers, ServerStatus{server, f.balancer.View(server.ID)})
+		s.Servers = append(s.Servers, ServerStatus{*server, f.balancer.View(server.ID)})
 	}
 	return s
 }
