Fronts of a data centre turn to as many servers as the work needs

Cause: each front chose among all servers of a service. On a fleet with half a turn a second at each front and 4,688 servers that meant a server of its own for each front: one that has not read the shared part of the prompt (68 ms of an objective of 200), to which a connection must be opened, and about which nobody knows anything. What was read again grew with the fronts, and a choice's time with the servers.

Ruled out: a subset for each front (865 of them cover the fleet); a fixed size (it holds at one load only); a subset by hash of the prompt alone (knows nothing of load, and the plain services have no prompts).

Change: a service's servers stand in one order for all fronts of a data centre (its own first, then by a hash of their names), and a choice weighs the first that may take the request, up to a width: 1.5 servers for each call that all fronts have under way, shared out over the data centres, 16 at least. Those of them that fail, are silent or draining give way to the next in order. The server that holds most of a turn's prompt is weighed wherever it stands. Demand goes over the exchange as before, plain calls with it, and falls slowly (10 s). policy.Width and policy.Peak decide, without a network; they answer a light load before many servers, and leave none out where servers are few.

The crowd tests now tell the daemons' demand, as daemons do; their bounds stay.

--- a/internal/front/balance/balance.go
+++ b/internal/front/balance/balance.go
@@ -98,6 +98,11 @@
 	// peers are the other daemons that send to the same servers. Each is taken to have as many calls there as this
 	// one.
 	peers int
+	// calls are this daemon's under way at servers, by service; demand is the most of late that all daemons had.
+	calls  map[string]int
+	demand map[string]*policy.Peak
+	// demandKnown tells that other daemons have told of theirs.
+	demandKnown bool
 	// othersMean is the mean of the others' calls on a server; reportedAt is when this daemon last told of its own.
 	othersMean float64
 	reportedAt time.Time
@@ -106,7 +111,7 @@
 // New returns a balancer of a daemon in a data centre.
 func New(dataCentre string) *Balancer {
 	return &Balancer{dataCentre: dataCentre, states: map[incarnation.ID]*state{}, means: map[string]float64{}, heads: map[string]float64{},
-		models: map[string]*policy.CostModel{}}
+		models: map[string]*policy.CostModel{}, calls: map[string]int{}, demand: map[string]*policy.Peak{}}
 }
 
 // Ask is what a choice depends on.
@@ -160,7 +165,7 @@
 	now := time.Now()
 	var best *catalog.Server
 	candidates := 0
-	ask.width = len(ask.Servers)
+	ask.width = b.width(ask, now)
 	ask.mean = b.meanInFlight(ask)
 	// Rather a server that others suspect than one that fails here, and rather that one than none at all.
 	for _, trust := range []trust{unsuspected, alive, anyServer} {
@@ -180,6 +185,7 @@
 		c.Uncached = c.observed.Uncached
 	}
 	s.count(now, 1)
+	b.calls[best.Service]++
 	s.waiting = append(s.waiting, now)
 	s.waitingRoute = ask.Route
 	s.parts.read(ask.Parts)
--- a/internal/front/balance/crowd_test.go
+++ b/internal/front/balance/crowd_test.go
@@ -42,8 +42,13 @@
 	random  *rand.Rand
 	// tells lets daemons tell what fails them.
 	tells bool
+	// demand is how many calls all daemons have under way.
+	demand int
 }
 
+// callTime is how long a call counts as under way.
+const callTime = 150 * time.Millisecond
+
 func newCrowd(daemons, servers int, tells bool) *crowd {
 	c := &crowd{hub: exchange.NewService(), random: rand.New(rand.NewPCG(1, 2)), tells: tells}
 	for range daemons {
@@ -65,6 +70,7 @@
 	var reply exchange.Reply
 	err := c.hub.Swap(args, &reply)
 	b.SetReported(reply.Suspects, reply.Failing)
+	b.SetDemand(map[string]int{"svc": c.demand})
 	return err
 }
 
@@ -72,6 +78,7 @@
 // server answers a request at a time.
 func (c *crowd) play(t *testing.T, perSecond int, length time.Duration, fails func(server int, at time.Duration) bool) (failed int) {
 	const step = 10 * time.Millisecond
+	c.demand = int(callTime.Seconds() * float64(perSecond*len(c.servers)))
 	pause := int(exchange.PauseFor(len(c.daemons)) / step)
 	for tick := range int(length / step) {
 		for place := tick % pause; place < len(c.daemons); place += pause {
--- a/internal/front/balance/memory_test.go
+++ b/internal/front/balance/memory_test.go
@@ -43,6 +43,7 @@
 func BenchmarkTurn(b *testing.B) {
 	list := servers(5000)
 	balancer := balance.New("here")
+	balancer.SetDemand(map[string]int{"svc": 60})
 	for b.Loop() {
 		ask := balance.Ask{Route: "r", Servers: list, PromptTokens: 3000, Parts: []call.Part{{ID: "shared", Tokens: 2560}}}
 		balancer.Alone(&ask, 40)
--- a/internal/front/balance/outcome.go
+++ b/internal/front/balance/outcome.go
@@ -57,6 +57,7 @@
 	now := time.Now()
 	s := c.state
 	s.count(now, -1)
+	b.ended(c.Server.Service)
 	delete(s.calls, c)
 	c.stopWaiting()
 	switch outcome {
--- /dev/null
+++ b/internal/front/balance/width_test.go
@@ -0,0 +1,145 @@
+package balance_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/front/balance"
+	"github.com/rookpass/rookpass/internal/front/catalog"
+	"github.com/rookpass/rookpass/internal/front/exchange"
+	"github.com/rookpass/rookpass/internal/transport/call"
+)
+
+// thinFleet is many daemons that have little to do before many servers, both spread over five data centres.
+type thinFleet struct {
+	random  *rand.Rand
+	hub     *exchange.Service
+	daemons []*thinDaemon
+	// tells lets daemons tell one another what they have under way.
+	tells bool
+	// dark servers answer nothing.
+	dark map[incarnation.ID]bool
+
+	turns, failed, readAgain int
+	// reads are the servers that have read the shared part.
+	reads map[incarnation.ID]bool
+}
+
+type thinDaemon struct {
+	balancer *balance.Balancer
+	servers  []*catalog.Server
+	running  int
+}
+
+const (
+	thinDataCentres  = 5
+	thinSharedTokens = 2560
+	thinTurnTime     = 120 * time.Millisecond
+	thinStep         = 20 * time.Millisecond
+)
+
+// newThinFleet has 5.4 servers and half a turn a second for each daemon.
+func newThinFleet(daemons int, tells bool) *thinFleet {
+	f := &thinFleet{random: rand.New(rand.NewPCG(3, 4)), hub: exchange.NewService(), tells: tells, dark: map[incarnation.ID]bool{},
+		reads: map[incarnation.ID]bool{}}
+	var all [thinDataCentres][]*catalog.Server
+	for i := range daemons * 54 / 10 {
+		at := i % thinDataCentres
+		all[at] = append(all[at], &catalog.Server{ID: id(fmt.Sprint(i)), Service: "svc", DataCentre: fmt.Sprint("dc", at), Slots: 6})
+	}
+	var orders [thinDataCentres][]*catalog.Server
+	for at := range orders {
+		orders[at] = append(orders[at], all[at]...)
+		for other := range all {
+			if other != at {
+				orders[at] = append(orders[at], all[other]...)
+			}
+		}
+	}
+	for i := range daemons {
+		at := i % thinDataCentres
+		f.daemons = append(f.daemons, &thinDaemon{balancer: balance.New(fmt.Sprint("dc", at)), servers: orders[at]})
+	}
+	return f
+}
+
+// play lets the fleet work. Daemons swap as they do on a fleet of their number.
+func (f *thinFleet) play(t *testing.T, length time.Duration) {
+	pause := int(exchange.PauseFor(len(f.daemons)) / thinStep)
+	perStep := 0.52 * float64(len(f.daemons)) * thinStep.Seconds()
+	due := 0.0
+	for tick := range int(length / thinStep) {
+		for place := tick % pause; place < len(f.daemons); place += pause {
+			f.swap(t, place)
+		}
+		for due += perStep; due >= 1; due-- {
+			go f.turn(t, f.daemons[f.random.IntN(len(f.daemons))])
+			synctest.Wait()
+		}
+		time.Sleep(thinStep)
+	}
+	time.Sleep(10 * time.Second)
+}
+
+func (f *thinFleet) swap(t *testing.T, place int) {
+	d := f.daemons[place]
+	args := &exchange.Args{From: fmt.Sprint(place), Suspects: d.balancer.Suspects(), Failing: d.balancer.Failing(), Loads: d.balancer.Loads(),
+		Demand: d.balancer.Calls()}
+	var reply exchange.Reply
+	assert.NilError(t, f.hub.Swap(args, &reply))
+	d.balancer.SetReported(reply.Suspects, reply.Failing)
+	d.balancer.SetPeers(reply.Daemons)
+	d.balancer.SetOthers(reply.Loads)
+	if f.tells {
+		d.balancer.SetDemand(reply.Demand)
+	}
+}
+
+// turn is a program's first turn.
+func (f *thinFleet) turn(t *testing.T, d *thinDaemon) {
+	ask := balance.Ask{Route: "r", Servers: d.servers, DataCentres: thinDataCentres, PromptTokens: 3590,
+		Parts: []call.Part{{ID: "shared", Tokens: thinSharedTokens}, {ID: fmt.Sprint("own", f.turns), Tokens: 1030}}}
+	choice := pick(t, d.balancer, ask)
+	f.turns++
+	server := choice.Server.ID
+	if f.dark[server] {
+		time.Sleep(2 * time.Second)
+		f.failed++
+		choice.Done(balance.Failed)
+		return
+	}
+	if !f.reads[server] {
+		f.reads[server] = true
+		f.readAgain++
+	}
+	time.Sleep(thinTurnTime)
+	choice.Responded()
+	choice.Generated = 24
+	choice.Done(balance.Answered)
+}
+
+// TestThinFleetsReadSharedPartsSeldom: how many servers read the shared part of a prompt follows the work, and not how many
+// daemons or servers there are. Where each daemon chooses among all servers, each makes one of its own read it.
+func TestThinFleetsReadSharedPartsSeldom(t *testing.T) {
+	for _, daemons := range []int{57, 259, 865} {
+		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newThinFleet(daemons, true)
+				for place := range f.daemons {
+					f.swap(t, place)
+					f.swap(t, place)
+				}
+				f.play(t, 10*time.Second)
+				share := float64(f.readAgain) / float64(f.turns)
+				t.Logf("%d turns, %d servers read the shared part: %.3f", f.turns, f.readAgain, share)
+				assert.Assert(t, f.readAgain <= thinDataCentres*max(16, daemons/20), "%d servers read the shared part", f.readAgain)
+			})
+		})
+	}
+}
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -295,7 +296,7 @@
 			place = 0
 		}
 		args := &exchange.Args{From: f.settings.PeerAddress(), Suspects: f.balancer.Suspects(), Failing: f.balancer.Failing(),
-			Demand: f.gate.Demand(), Loads: f.balancer.Loads()}
+			Demand: f.demand(), Loads: f.balancer.Loads()}
 		disks := l.Disks()
 		reply, err := exchange.Swap(ctx, f.links.To(disks[place%len(disks)].Address), args)
 		if err != nil {
@@ -310,12 +311,20 @@
 		f.balancer.SetReported(reply.Suspects, reply.Failing)
 		f.balancer.SetPeers(daemons)
 		f.balancer.SetOthers(reply.Loads)
+		f.balancer.SetDemand(reply.Demand)
 		f.gate.SetOthers(reply.Demand)
 		f.detour.SetHelpers(reply.Peers)
 	}
 	return ctx.Err()
 }
 
+// demand returns this daemon's calls under way and waiting, by service.
+func (f *front) demand() map[string]int {
+	demand := f.balancer.Calls()
+	maps.Copy(demand, f.gate.Demand()) // those under way among them
+	return demand
+}
+
 // sweep closes connections that are no longer needed, again and again.
 func (f *front) sweep(ctx context.Context) error {
 	logged := map[string]policy.Costs{}
