A server that fails a request in silence is passed over at once

Cause: a server that went dark was suspected while a request waited at it and no longer: once that was given up it counted as one failure, two take it out, and on a fleet no front meets it twice soon. Word of it came and went with each request lost on it.

Ruled out: counting each failure as two (servers that lose three answers in a hundred would leave the choice).

--- a/internal/front/balance/balance.go
+++ b/internal/front/balance/balance.go
@@ -298,8 +298,13 @@
 	if len(s.waiting) == 0 {
 		return false
 	}
+	return b.tooLong(route, s.waiting[0], now)
+}
+
+// tooLong tells whether a request that was sent at a time has waited for the head of its answer for much longer than is usual.
+func (b *Balancer) tooLong(route string, sent, now time.Time) bool {
 	limit := max(silentLeast, time.Duration(silentTimes*b.heads[route]*float64(time.Second)))
-	return now.Sub(s.waiting[0]) > limit
+	return now.Sub(sent) > limit
 }
 
 // HedgeAfter returns how long to wait for the head of an answer before another server is asked too.
--- a/internal/front/balance/outcome.go
+++ b/internal/front/balance/outcome.go
@@ -59,6 +59,7 @@
 	s.count(now, -1)
 	b.ended(c.Server.Service)
 	delete(s.calls, c)
+	silent := !c.responded && b.tooLong(c.route, c.began, now)
 	c.stopWaiting()
 	switch outcome {
 	case Answered:
@@ -72,9 +73,8 @@
 	case Failed:
 		s.failures++
 		s.failedAt = now
-		if s.failures >= ejectAfter {
-			pause := min(ejectTime<<min(s.failures-ejectAfter, 4), maxEject)
-			s.ejectedUntil = now.Add(pause)
+		if until := now.Add(ejectionFor(s.failures, silent)); until.After(s.ejectedUntil) {
+			s.ejectedUntil = until
 		}
 	case Overtaken:
 		b.learn(c.route, s, now.Sub(c.began).Seconds())
@@ -82,6 +82,18 @@
 	}
 }
 
+// ejectionFor returns how long a server is passed over after so many failures in a row, the last of them in silence or not.
+func ejectionFor(failures int, silent bool) time.Duration {
+	switch {
+	case silent: // it is more likely dead than unlucky, and the other daemons should hear of it for a while
+		return maxEject
+	case failures >= ejectAfter:
+		return min(ejectTime<<min(failures-ejectAfter, 4), maxEject)
+	default:
+		return 0
+	}
+}
+
 // teach tells the service's model what a turn took. It is called with the lock held.
 func (c *Choice) teach(now time.Time) {
 	if c.Generated == 0 {
--- a/internal/front/balance/width_test.go
+++ b/internal/front/balance/width_test.go
@@ -143,3 +143,22 @@
 		})
 	}
 }
+
+// TestThinFleetPassesOverDarkServers: one in seven servers goes dark for good. Those next in order stand in for them, and word
+// of the dark ones goes round soon enough that few turns meet one.
+func TestThinFleetPassesOverDarkServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newThinFleet(259, true)
+		f.play(t, 2*time.Second)
+		for i, server := range f.daemons[0].servers {
+			if i%7 == 0 {
+				f.dark[server.ID] = true
+			}
+		}
+		before := f.turns
+		f.play(t, 10*time.Second)
+		share := float64(f.failed) / float64(f.turns-before)
+		t.Logf("%d of %d turns met a dark server: %.3f", f.failed, f.turns-before, share)
+		assert.Assert(t, share <= 0.07, "as many as half of those that would if nobody told: %.3f", share)
+	})
+}
