Evacuated data centres, cold servers and homes: one list of what may be used

Cause: nothing in the code knew an evacuation, a server that is cold, or a region. A request could go to a data centre that is being emptied; all fronts turn at once to servers that come back empty, which bear little; a route bound to regions went anywhere.

Ruled out: evacuations as draining entries (a server that starts there meanwhile is not draining); a share of a cold server's rate for each front with a bucket (all buckets are full when servers return, so 62 fronts send 62 in the first second); one front a cold server (fronts do not know all the others).

Change: catalog.Terms tells why a server may get no request: draining, evacuated, forbidden (homes of the route and of the organisation, both bind) or cold; it is pure and the only place. Store daemons mirror the evacuations where the settings name a bound for them, fronts watch them. Cold servers get requests only where no warm one may take them, and then in short turns that policy.ColdTurn spreads over all fronts: no front that does not know how many there are sends one. Places of data centres that are barred no longer count for the gate.

Conclusion: what goes to servers is bound by homes; turns that are kept still go to disks of any region, which stays open.

--- /dev/null
+++ b/internal/decide/policy/cold.go
@@ -0,0 +1,42 @@
+package policy
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// coldShare is how much of what a cold server bears is used: daemons know of one another late.
+	coldShare = 0.6
+	// coldWindow is how long a daemon's turn lasts. Were it open for long, all daemons could use theirs in one second.
+	coldWindow = 200 * time.Millisecond
+)
+
+// ColdTurn spreads what all daemons send to a cold server over time, so that together they stay below what it bears in
+// every second: each has a short turn now and then, at a time that its name and the server's give, and sends one request in it.
+//
+// It answers servers that all start at once, with nothing warm beside them.
+type ColdTurn struct {
+	Daemon, Server string
+	// Daemons is how many send to the server, PerSecond what it bears.
+	Daemons, PerSecond float64
+}
+
+// period returns the time from one turn to the next.
+func (c ColdTurn) period() time.Duration {
+	seconds := max(1, c.Daemons) / (coldShare * c.PerSecond)
+	return max(2*coldWindow, time.Duration(math.Ceil(seconds*float64(time.Second))))
+}
+
+// Open tells whether a turn is open at a time, and has not been used by the request sent last.
+func (c ColdTurn) Open(now, sent time.Time) bool {
+	if c.PerSecond <= 0 {
+		return false
+	}
+	period := c.period()
+	phase := time.Duration(xxhash.Sum64String(c.Daemon+" "+c.Server) % uint64(period))
+	into := time.Duration((now.UnixNano() + int64(phase)) % int64(period))
+	return into < coldWindow && (sent.IsZero() || now.Sub(sent) >= period-coldWindow)
+}
--- a/internal/front/balance/balance.go
+++ b/internal/front/balance/balance.go
@@ -73,6 +73,8 @@
 	waiting []time.Time
 	// waitingRoute is the route of the newest of them.
 	waitingRoute string
+	// coldSent is when it got the last request while it was cold.
+	coldSent time.Time
 	// parts are prompt parts that it has read.
 	parts *partSet
 	// calls are cancelled, and no more begin, once the server has started again.
@@ -82,6 +84,8 @@
 
 // Balancer keeps what was seen of servers. Use New.
 type Balancer struct {
+	// name is this daemon's, which differs from all others'.
+	name       string
 	dataCentre string
 	mu         sync.Mutex
 	states     map[incarnation.ID]*state
@@ -101,6 +105,9 @@
 	// calls are this daemon's under way at servers, by service; demand is the most of late that all daemons had.
 	calls  map[string]int
 	demand map[string]*policy.Peak
+	// daemons is the most of late that there were, this one among them, and daemonsAt when there were so many.
+	daemons   int
+	daemonsAt time.Time
 	// demandKnown tells that other daemons have told of theirs.
 	demandKnown bool
 	// othersMean is the mean of the others' calls on a server; reportedAt is when this daemon last told of its own.
@@ -109,8 +116,8 @@
 }
 
 // New returns a balancer of a daemon in a data centre.
-func New(dataCentre string) *Balancer {
-	return &Balancer{dataCentre: dataCentre, states: map[incarnation.ID]*state{}, means: map[string]float64{}, heads: map[string]float64{},
+func New(name, dataCentre string) *Balancer {
+	return &Balancer{name: name, dataCentre: dataCentre, states: map[incarnation.ID]*state{}, means: map[string]float64{}, heads: map[string]float64{},
 		models: map[string]*policy.CostModel{}, calls: map[string]int{}, demand: map[string]*policy.Peak{}}
 }
 
@@ -122,6 +129,12 @@
 	// stand.
 	Servers     []*catalog.Server
 	DataCentres int
+	// Slots are the requests that those take at once that may be used.
+	Slots int
+	// Terms are under which they may be used.
+	Terms catalog.Terms
+	// ColdPerSecond is what one of them bears while it is cold, of all daemons together.
+	ColdPerSecond float64
 	// Known returns a start of a server that is in use, or nil; nil where that is not known.
 	Known func(incarnation.ID) *catalog.Server
 	// Tried servers are passed over.
@@ -168,7 +181,7 @@
 	ask.width = b.width(ask, now)
 	ask.mean = b.meanInFlight(ask)
 	// Rather a server that others suspect than one that fails here, and rather that one than none at all.
-	for _, trust := range []trust{unsuspected, alive, anyServer} {
+	for _, trust := range []trust{unsuspected, alive, warming, anyServer} {
 		best, candidates = b.choose(ask, now, trust)
 		if best != nil {
 			break
@@ -186,6 +199,9 @@
 	}
 	s.count(now, 1)
 	b.calls[best.Service]++
+	if ask.Terms.Bar(best) == catalog.BarCold {
+		s.coldSent = now
+	}
 	s.waiting = append(s.waiting, now)
 	s.waitingRoute = ask.Route
 	s.parts.read(ask.Parts)
@@ -200,6 +216,8 @@
 	unsuspected trust = iota
 	// alive servers look alive here.
 	alive
+	// warming servers are cold or look alive here.
+	warming
 	// anyServer takes every server.
 	anyServer
 )
@@ -211,7 +229,7 @@
 	ignoreReports := trust > unsuspected || b.tooManyReported(ask.Servers)
 	var bestCost float64
 	weigh := func(server *catalog.Server) {
-		if server.Draining || ask.Tried[server.ID] {
+		if ask.Tried[server.ID] || !b.open(ask, server, now, trust) {
 			return
 		}
 		s := b.seen(server.ID)
@@ -236,6 +254,19 @@
 	return best, candidates
 }
 
+// open tells whether a server may get the request under its terms. A cold one may where no other does, and in this daemon's
+// turn: all of them together must not send it more than it bears.
+func (b *Balancer) open(ask *Ask, server *catalog.Server, now time.Time, trust trust) bool {
+	switch ask.Terms.Bar(server) {
+	case catalog.Free:
+		return true
+	case catalog.BarCold:
+		return trust >= warming && b.coldTurn(ask, server, now)
+	default:
+		return false
+	}
+}
+
 // cost is what a request is expected to take: seconds at a model server, a count of requests elsewhere.
 func (b *Balancer) cost(ask *Ask, server *catalog.Server, s *state) float64 {
 	remote := server.DataCentre != b.dataCentre
@@ -286,6 +317,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.peers = n
+	// Not each new number is taken: daemons that have just started know few others, and turns at cold servers go by it.
+	if now := time.Now(); n+1 >= b.daemons || now.Sub(b.daemonsAt) > daemonsMemory {
+		b.daemons, b.daemonsAt = n+1, now
+	}
 }
 
 // shunned tells whether a server is to be left alone for now.
--- a/internal/front/balance/crowd_test.go
+++ b/internal/front/balance/crowd_test.go
@@ -17,7 +17,7 @@
 
 func TestServersThatFailManyAreLeftAlone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := balance.New("here")
+		b := balance.New("front", "here")
 		b.SetReported(nil, map[incarnation.ID]int{id("0"): 3, id("1"): 2})
 		seen := map[incarnation.ID]bool{}
 		for range 60 {
@@ -52,7 +52,7 @@
 func newCrowd(daemons, servers int, tells bool) *crowd {
 	c := &crowd{hub: exchange.NewService(), random: rand.New(rand.NewPCG(1, 2)), tells: tells}
 	for range daemons {
-		c.daemons = append(c.daemons, balance.New("here"))
+		c.daemons = append(c.daemons, balance.New("front", "here"))
 	}
 	for i := range servers {
 		c.servers = append(c.servers, &catalog.Server{ID: id(fmt.Sprint(i)), Service: "svc", DataCentre: "here", Slots: 6})
--- a/internal/front/balance/memory_test.go
+++ b/internal/front/balance/memory_test.go
@@ -23,7 +23,7 @@
 // TestMemoryFollowsTheServersMet, and not those that there are.
 func TestMemoryFollowsTheServersMet(t *testing.T) {
 	list := servers(10_000)
-	b := balance.New("here")
+	b := balance.New("front", "here")
 	before := liveBytes()
 	for range 10 {
 		ask := balance.Ask{Route: "r", Servers: list, PromptTokens: 3000, Parts: []call.Part{{ID: "shared", Tokens: 2560}}}
@@ -42,7 +42,7 @@
 // BenchmarkTurn is the choice of a server for a turn among 5,000, of which a daemon has met few.
 func BenchmarkTurn(b *testing.B) {
 	list := servers(5000)
-	balancer := balance.New("here")
+	balancer := balance.New("front", "here")
 	balancer.SetDemand(map[string]int{"svc": 60})
 	for b.Loop() {
 		ask := balance.Ask{Route: "r", Servers: list, PromptTokens: 3000, Parts: []call.Part{{ID: "shared", Tokens: 2560}}}
--- a/internal/front/balance/parts_test.go
+++ b/internal/front/balance/parts_test.go
@@ -49,7 +49,7 @@
 	list := []*catalog.Server{{ID: a, Slots: 8}, {ID: b, Slots: 8}, {ID: c, Slots: 8}}
 	prompt := []call.Part{{ID: "shared", Tokens: 500}, {ID: "parent", Tokens: 2000}, {ID: "session", Tokens: 700}}
 	for range 20 {
-		balancer := New("")
+		balancer := New("front", "")
 		balancer.Learn(turn.Place{Server: b, Part: "parent", Held: 2000})
 		balancer.Learn(turn.Place{Server: c, Part: "session", Held: 400})
 		choice, found := balancer.Pick(&Ask{Servers: list, PromptTokens: 3200, Parts: prompt})
--- a/internal/front/balance/restart_test.go
+++ b/internal/front/balance/restart_test.go
@@ -29,7 +29,7 @@
 // TestNothingIsCarriedOverToTheNextStart: neither what a server holds of prompts, nor its speed, failures and load, nor what
 // others say of it.
 func TestNothingIsCarriedOverToTheNextStart(t *testing.T) {
-	b := balance.New("here")
+	b := balance.New("front", "here")
 	old, new := startsOf("a", 1), startsOf("a", 2)
 	b.Learn(turn.Place{Server: old[0].ID, Part: "own", Held: 900})
 	for range 3 {
@@ -50,7 +50,7 @@
 
 // TestCallsAtEarlierStartsEnd: as soon as the later start is known, those that begin too late as well.
 func TestCallsAtEarlierStartsEnd(t *testing.T) {
-	b := balance.New("here")
+	b := balance.New("front", "here")
 	causes := map[string]context.Context{}
 	bind := func(name string, server []*catalog.Server) *balance.Choice {
 		choice := pick(t, b, balance.Ask{Servers: server})
--- a/internal/front/balance/width_test.go
+++ b/internal/front/balance/width_test.go
@@ -64,7 +64,7 @@
 	}
 	for i := range daemons {
 		at := i % thinDataCentres
-		f.daemons = append(f.daemons, &thinDaemon{balancer: balance.New(fmt.Sprint("dc", at)), servers: orders[at]})
+		f.daemons = append(f.daemons, &thinDaemon{balancer: balance.New(fmt.Sprint("front-", i), fmt.Sprint("dc", at)), servers: orders[at]})
 	}
 	return f
 }
--- a/internal/front/catalog/catalog.go
+++ b/internal/front/catalog/catalog.go
@@ -68,6 +68,8 @@
 	PreferCached bool
 	// Public routes take requests without a key.
 	Public bool
+	// Homes are the regions to which requests may go.
+	Homes Homes
 }
 
 // Service is a set of like backend servers.
@@ -77,6 +79,9 @@
 	MaxConns int
 	// TokensPerEvent is how many tokens one event of a model stream stands for; 0 for plain services.
 	TokensPerEvent int
+	// ColdPerSecond is how many requests a second, of all daemons together, one of its servers bears while it is cold; 0
+	// where it bears as many as ever.
+	ColdPerSecond float64
 }
 
 // Limits bound what callers may send.
@@ -109,6 +114,8 @@
 	DataCentre string
 	Slots      int
 	Draining   bool
+	// ColdLeft is how long the server stays cold, as its entry says. Views have the time in its place.
+	ColdLeft time.Duration `json:"-"`
 }
 
 // Repeatable tells whether a request of the route may run more than once.
--- a/internal/front/catalog/entry.go
+++ b/internal/front/catalog/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"github.com/rookpass/rookpass/internal/base/incarnation"
 	"github.com/rookpass/rookpass/internal/objects/objectapi"
@@ -65,6 +66,8 @@
 	server   Server
 	refused  Refusal
 	revision uint64
+	// coldUntil is when the server is no longer cold; zero where it is not.
+	coldUntil time.Time
 }
 
 // start names the start of the server described; the zero value where there is none.
--- a/internal/front/catalog/fleet.go
+++ b/internal/front/catalog/fleet.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -18,6 +19,11 @@
 	// byName has the newest start of each server, in order of their names.
 	byName   []*Server
 	services map[string]Fleet
+	// evacuated are the data centres that are to get nothing further, regions those of all data centres.
+	evacuated map[string]bool
+	regions   map[string]string
+	// coldUntil has the servers that are cold, and until when.
+	coldUntil map[incarnation.ID]time.Time
 }
 
 // Fleet are the servers of one service.
@@ -25,10 +31,19 @@
 	// Servers are all of them, draining ones too: those of this daemon's data centre first, and within and behind it in an
 	// order that is the same at every daemon.
 	Servers []*Server
-	// Slots are those of all that are not draining.
-	Slots int
-	// DataCentres is in how many the servers stand.
-	DataCentres int
+	// slots are those of all that are not draining, by data centre.
+	slots map[string]int
+}
+
+// Slots returns how many requests the servers take at once that may be used, and in how many data centres they stand.
+func (f Fleet) Slots(terms *Terms) (slots, dataCentres int) {
+	for dataCentre, n := range f.slots {
+		if terms.Bars(dataCentre) == Free {
+			slots += n
+			dataCentres++
+		}
+	}
+	return slots, dataCentres
 }
 
 // Of returns the servers of a service.
@@ -80,7 +95,8 @@
 			services[server.Service] = true
 		}
 	}
-	next := &Servers{Revision: revision, byName: replace(s.byName, before, after, byName), services: maps.Clone(s.services)}
+	next := &Servers{Revision: revision, byName: replace(s.byName, before, after, byName), services: maps.Clone(s.services),
+		evacuated: s.evacuated, regions: s.regions, coldUntil: s.coldUntil}
 	if next.services == nil {
 		next.services = map[string]Fleet{}
 	}
@@ -148,14 +164,11 @@
 
 // fleetOf sums up servers.
 func fleetOf(servers []*Server) Fleet {
-	fleet := Fleet{Servers: servers}
-	places := map[string]bool{}
+	fleet := Fleet{Servers: servers, slots: map[string]int{}}
 	for _, server := range servers {
-		places[server.DataCentre] = true
 		if !server.Draining {
-			fleet.Slots += server.Slots
+			fleet.slots[server.DataCentre] += server.Slots
 		}
 	}
-	fleet.DataCentres = len(places)
 	return fleet
 }
--- a/internal/front/catalog/fleet_test.go
+++ b/internal/front/catalog/fleet_test.go
@@ -39,7 +39,7 @@
 		}
 		late.Reset(slices.Collect(maps.Values(there)), 60)
 		for _, service := range []string{"service-0", "service-1"} {
-			assert.DeepEqual(t, c.Servers().Of(service), other.Servers().Of(service))
+			assert.DeepEqual(t, c.Servers().Of(service).Servers, other.Servers().Of(service).Servers)
 		}
 	}
 }
@@ -66,7 +66,8 @@
 	for _, service := range []string{"service-0", "service-1"} {
 		fleet := view.Of(service)
 		assert.Equal(t, len(fleet.Servers), names[service])
-		assert.Equal(t, fleet.Slots, slots[service])
+		total, _ := fleet.Slots(&catalog.Terms{})
+		assert.Equal(t, total, slots[service])
 		local := true
 		for _, server := range fleet.Servers {
 			assert.Assert(t, local || server.DataCentre != "hall-0", "a server of this data centre behind one of another")
--- a/internal/front/catalog/servers.go
+++ b/internal/front/catalog/servers.go
@@ -1,6 +1,8 @@
 package catalog
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 	"unique"
@@ -22,6 +24,8 @@
 	Decode DecodeServer
 	Lapse  policy.Lapse
 	Log    logrus.FieldLogger
+	// Regions has the region of each data centre.
+	Regions map[string]string
 	// Refused is told of each entry that names no server to use, Started of each start of a server that is new here.
 	// Both are called with the handler locked; nil where nobody asks.
 	Refused func(Refusal)
@@ -45,6 +49,9 @@
 	// lost tells that the store does not answer; missing are entries of which nobody can say before it has.
 	lost    bool
 	missing map[string]*Server
+	// cold has the names of servers whose entries say that they are cold; evacuated are data centres that are to get nothing.
+	cold      map[string]bool
+	evacuated map[string]bool
 	// confirmed is when the store said last that the entries were whole; missing ones are held until holding.
 	confirmed, holding time.Time
 }
@@ -52,7 +59,7 @@
 // NewServersHandler returns a handler that knows no server yet.
 func NewServersHandler(o ServersOptions) *ServersHandler {
 	return &ServersHandler{ServersOptions: o, entries: map[string]*entry{}, held: map[string]*Server{}, changed: map[string]bool{},
-		missing: map[string]*Server{}}
+		missing: map[string]*Server{}, cold: map[string]bool{}, evacuated: map[string]bool{}}
 }
 
 // Prefix implements watch.Handler.
@@ -175,12 +182,14 @@
 	delete(h.missing, name)
 	h.changed[name] = true
 	server, err := h.Decode(object)
+	coldUntil := h.noteCold(name, server.ColdLeft)
+	server.ColdLeft = 0
 	if err == nil && known && before.refused == "" && before.server == server {
-		before.revision = object.Version
+		before.revision, before.coldUntil = object.Version, coldUntil
 		h.entries[name] = before
 		return
 	}
-	now := &entry{revision: object.Version}
+	now := &entry{revision: object.Version, coldUntil: coldUntil}
 	h.entries[name] = now
 	if err != nil {
 		now.refused = refusalOf(err)
@@ -191,6 +200,53 @@
 	h.enter(before, now)
 }
 
+// noteCold returns until when a server is cold whose entry says for how long, and remembers that it is.
+func (h *ServersHandler) noteCold(name string, left time.Duration) time.Time {
+	if left <= 0 {
+		delete(h.cold, name)
+		return time.Time{}
+	}
+	h.cold[name] = true
+	return time.Now().Add(left) // the entry is older than its coming here: this errs towards the server
+}
+
+// coldUntil returns the servers that are cold, and until when.
+func (h *ServersHandler) coldUntil(now time.Time) map[incarnation.ID]time.Time {
+	cold := map[incarnation.ID]time.Time{}
+	for name := range h.cold {
+		if e := h.entries[name]; e != nil && now.Before(e.coldUntil) {
+			cold[e.start()] = e.coldUntil
+		} else {
+			delete(h.cold, name)
+		}
+	}
+	return cold
+}
+
+// SetEvacuated tells whether a data centre is to get nothing further.
+func (h *ServersHandler) SetEvacuated(dataCentre string, evacuated bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.evacuated[dataCentre] == evacuated {
+		return
+	}
+	h.evacuated = maps.Clone(h.evacuated) // views hold the one before
+	if evacuated {
+		h.evacuated[dataCentre] = true
+	} else {
+		delete(h.evacuated, dataCentre)
+	}
+	h.Log.WithFields(logrus.Fields{"event": "evacuation", "data_centre": dataCentre, "evacuated": evacuated}).Info("evacuation in force")
+	h.publish()
+}
+
+// Evacuated returns the data centres that are to get nothing further.
+func (h *ServersHandler) Evacuated() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Sorted(maps.Keys(h.evacuated))
+}
+
 // shared returns a server whose words that many servers have in common are held once.
 func shared(s Server) Server {
 	s.Service = unique.Make(s.Service).Value()
@@ -243,7 +299,9 @@
 
 // publish makes the servers known to requests. It is called with the lock held.
 func (h *ServersHandler) publish() {
-	h.Catalog.servers.Store(h.Catalog.Servers().with(h.revision, h.DataCentre, h.changed, h.inUse))
+	view := h.Catalog.Servers().with(h.revision, h.DataCentre, h.changed, h.inUse)
+	view.evacuated, view.regions, view.coldUntil = h.evacuated, h.Regions, h.coldUntil(time.Now())
+	h.Catalog.servers.Store(view)
 	h.changed = map[string]bool{} // not cleared: it would keep the room of the largest batch
 }
 
--- /dev/null
+++ b/internal/front/catalog/terms.go
@@ -0,0 +1,103 @@
+package catalog
+
+import (
+	"time"
+
+	"github.com/rookpass/rookpass/internal/base/incarnation"
+)
+
+// Bar is why a server may get no request for now. Bars are words for logs and pages.
+type Bar string
+
+// The bars.
+const (
+	// Free servers may get requests.
+	Free Bar = ""
+	// BarDraining servers have said that they leave.
+	BarDraining Bar = "draining"
+	// BarEvacuated servers stand in a data centre that is to get nothing further.
+	BarEvacuated Bar = "evacuated"
+	// BarForbidden servers stand in a region to which the request must not go.
+	BarForbidden Bar = "forbidden"
+	// BarCold servers have just started, and bear few requests.
+	BarCold Bar = "cold"
+)
+
+// Terms are what servers may be used under for one request at one time. The zero value bars those alone that drain.
+type Terms struct {
+	// Evacuated are the data centres that are to get nothing further.
+	Evacuated map[string]bool
+	// Homes are the regions to which the request may go, nil for all; Regions has those of data centres.
+	Homes   Homes
+	Regions map[string]string
+	// ColdUntil is when servers will no longer be cold; nil where their service bears as much as ever.
+	ColdUntil map[incarnation.ID]time.Time
+	Now       time.Time
+}
+
+// Bar returns why a server may get no request.
+func (t *Terms) Bar(server *Server) Bar {
+	switch {
+	case server.Draining:
+		return BarDraining
+	case t.Bars(server.DataCentre) != Free:
+		return t.Bars(server.DataCentre)
+	case len(t.ColdUntil) > 0 && t.Now.Before(t.ColdUntil[server.ID]):
+		return BarCold
+	default:
+		return Free
+	}
+}
+
+// Bars returns why no server of a data centre may get a request.
+func (t *Terms) Bars(dataCentre string) Bar {
+	switch {
+	case t.Evacuated[dataCentre]:
+		return BarEvacuated
+	case !t.Homes.Allow(t.Regions[dataCentre]):
+		return BarForbidden
+	default:
+		return Free
+	}
+}
+
+// Homes are regions to which requests are bound; nil for none.
+type Homes map[string]bool
+
+// NewHomes returns the homes named, nil where there are none.
+func NewHomes(regions []string) Homes {
+	if len(regions) == 0 {
+		return nil
+	}
+	h := Homes{}
+	for _, region := range regions {
+		h[region] = true
+	}
+	return h
+}
+
+// Allow tells whether requests may go to a region.
+func (h Homes) Allow(region string) bool { return h == nil || h[region] }
+
+// And returns the regions that both allow.
+func (h Homes) And(other Homes) Homes {
+	if h == nil {
+		return other
+	}
+	both := Homes{}
+	for region := range h {
+		if other.Allow(region) {
+			both[region] = true
+		}
+	}
+	return both
+}
+
+// Terms returns the terms of a request that may go to some homes.
+func (s *Servers) Terms(now time.Time, homes Homes, coldBounded bool) Terms {
+	t := Terms{Evacuated: s.evacuated, Homes: homes, Regions: s.regions, Now: now}
+	if coldBounded {
+		t.ColdUntil = s.coldUntil
+	}
+	return t
+}
--- /dev/null
+++ b/internal/front/catalog/terms_test.go
@@ -0,0 +1,96 @@
+package catalog_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/front/catalog"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
+)
+
+func TestBars(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	regions := map[string]string{"a1": "a", "b1": "b", "b2": "b"}
+	at := func(dataCentre string) catalog.Server { return catalog.Server{ID: id("s"), DataCentre: dataCentre} }
+	draining := at("a1")
+	draining.Draining = true
+	cold := map[incarnation.ID]time.Time{id("s"): now.Add(time.Second)}
+	for name, row := range map[string]struct {
+		server catalog.Server
+		terms  catalog.Terms
+		want   catalog.Bar
+	}{
+		"nothing bars":               {at("a1"), catalog.Terms{Regions: regions}, catalog.Free},
+		"draining":                   {draining, catalog.Terms{}, catalog.BarDraining},
+		"evacuated":                  {at("b1"), catalog.Terms{Evacuated: map[string]bool{"b1": true}}, catalog.BarEvacuated},
+		"another one is evacuated":   {at("b2"), catalog.Terms{Evacuated: map[string]bool{"b1": true}}, catalog.Free},
+		"at home":                    {at("b2"), catalog.Terms{Regions: regions, Homes: catalog.NewHomes([]string{"b"})}, catalog.Free},
+		"away from home":             {at("a1"), catalog.Terms{Regions: regions, Homes: catalog.NewHomes([]string{"b"})}, catalog.BarForbidden},
+		"no region known":            {at("c1"), catalog.Terms{Regions: regions, Homes: catalog.NewHomes([]string{"b"})}, catalog.BarForbidden},
+		"homes that never meet":      {at("a1"), catalog.Terms{Regions: regions, Homes: catalog.NewHomes([]string{"a"}).And(catalog.NewHomes([]string{"b"}))}, catalog.BarForbidden},
+		"one of two homes binds":     {at("a1"), catalog.Terms{Regions: regions, Homes: catalog.NewHomes(nil).And(catalog.NewHomes([]string{"b"}))}, catalog.BarForbidden},
+		"no homes":                   {at("a1"), catalog.Terms{Regions: regions, Homes: catalog.NewHomes(nil).And(nil)}, catalog.Free},
+		"cold":                       {at("a1"), catalog.Terms{ColdUntil: cold, Now: now}, catalog.BarCold},
+		"no longer cold":             {at("a1"), catalog.Terms{ColdUntil: cold, Now: now.Add(time.Second)}, catalog.Free},
+		"evacuated goes before cold": {at("a1"), catalog.Terms{Evacuated: map[string]bool{"a1": true}, ColdUntil: cold, Now: now}, catalog.BarEvacuated},
+	} {
+		assert.Equal(t, row.terms.Bar(&row.server), row.want, name)
+	}
+}
+
+// TestColdServersWarm: by the word of their entries, each of which tells how long is left.
+func TestColdServersWarm(t *testing.T) {
+	c := catalog.New()
+	o := options(c)
+	o.Decode = func(object objectapi.Object) (catalog.Server, error) {
+		server := catalog.Server{ID: id(object.Key[2:]), Service: "svc", DataCentre: "a"}
+		if string(object.Value) == "cold" {
+			server.ColdLeft = 3 * time.Second
+		}
+		return server, nil
+	}
+	h := catalog.NewServersHandler(o)
+	bar := func(after time.Duration) catalog.Bar {
+		terms := c.Servers().Terms(time.Now().Add(after), nil, true)
+		return terms.Bar(c.Servers().Server(id("s")))
+	}
+	h.Reset([]objectapi.Object{{Key: "s/s", Version: 1, Value: []byte("cold")}}, 1)
+	assert.Equal(t, bar(0), catalog.BarCold)
+	assert.Equal(t, bar(3*time.Second), catalog.Free)
+	unbounded := c.Servers().Terms(time.Now(), nil, false)
+	assert.Equal(t, unbounded.Bar(c.Servers().Server(id("s"))), catalog.Free, "where its service says no bound")
+	h.Change(objectapi.Event{Object: objectapi.Object{Key: "s/s", Version: 2, Value: []byte("warm")}})
+	h.Confirm(2, time.Now())
+	assert.Equal(t, bar(0), catalog.Free)
+	h.Change(objectapi.Event{Object: objectapi.Object{Key: "s/s", Version: 3, Value: []byte("cold")}})
+	h.Confirm(3, time.Now())
+	assert.Equal(t, bar(0), catalog.BarCold, "a server may turn cold again")
+}
+
+// TestEvacuatedDataCentreHasNoSlots, and is in use again once the evacuation is taken back.
+func TestEvacuatedDataCentreHasNoSlots(t *testing.T) {
+	c := catalog.New()
+	h := catalog.NewServersHandler(placed(c, "hall-0"))
+	var objects []objectapi.Object
+	for i := range 20 {
+		objects = append(objects, writtenEntry(i, 1))
+	}
+	h.Reset(objects, 1)
+	slots := func() int {
+		terms := c.Servers().Terms(time.Now(), nil, true)
+		n, _ := c.Servers().Of("service-0").Slots(&terms)
+		return n
+	}
+	all := slots()
+	h.SetEvacuated("hall-2", true)
+	assert.Equal(t, slots(), all-12)
+	assert.DeepEqual(t, h.Evacuated(), []string{"hall-2"})
+	h.Change(objectapi.Event{Object: writtenEntry(21, 2)}) // an entry that comes meanwhile takes nothing back
+	h.Confirm(2, time.Now())
+	assert.Equal(t, slots(), all-12)
+	h.SetEvacuated("hall-2", false)
+	assert.Equal(t, slots(), all)
+}
--- a/internal/front/gateway/attempt.go
+++ b/internal/front/gateway/attempt.go
@@ -136,15 +136,24 @@
 
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
 
-// servers returns the servers of the request's service as they are known now: one that has begun to leave
-// since the last try must get nothing more.
-func (x *exchange) servers() catalog.Fleet { return x.g.catalog.Servers().Of(x.service) }
-
 // known returns a start of a server that is in use now, or nil.
 func (x *exchange) known(id incarnation.ID) *catalog.Server { return x.g.catalog.Servers().Server(id) }
 
-// look tells the choice of a server which there are now.
+// look tells the choice of a server which there are now: one that has begun to leave since the last try must get nothing more.
 func (x *exchange) look(ask *balance.Ask) {
-	fleet := x.servers()
-	ask.Servers, ask.DataCentres = fleet.Servers, fleet.DataCentres
+	servers := x.g.catalog.Servers()
+	fleet := servers.Of(x.service)
+	if service := x.table.Service(x.service); service != nil {
+		ask.ColdPerSecond = service.ColdPerSecond
+	}
+	ask.Servers, ask.Terms = fleet.Servers, servers.Terms(time.Now(), x.homes(), ask.ColdPerSecond > 0)
+	ask.Slots, ask.DataCentres = fleet.Slots(&ask.Terms)
+}
+
+// homes returns the regions to which the request may go: both its route and its organisation bind it.
+func (x *exchange) homes() catalog.Homes {
+	if x.organisation == nil {
+		return x.route.Homes
+	}
+	return x.route.Homes.And(x.organisation.Homes)
 }
--- a/internal/front/gateway/enter.go
+++ b/internal/front/gateway/enter.go
@@ -25,9 +25,10 @@
 // call returns what the dispatcher goes by.
 func (s *stream) call(p prepared) *dispatch.Call {
 	x := s.x
-	c := &dispatch.Call{Service: x.service, Route: x.route.Name, Begun: p.begun, Aim: p.aim, Slots: x.servers().Slots,
+	c := &dispatch.Call{Service: x.service, Route: x.route.Name, Begun: p.begun, Aim: p.aim,
 		Priority: int32(max(0, lowestPriority-x.priority()))}
 	x.look(&s.ask)
+	c.Slots = s.ask.Slots
 	c.Alone = x.g.balancer.Alone(&s.ask, x.info.LikelyOutputTokens)
 	if x.info.FinishIn > 0 {
 		c.Finish = x.arrived.Add(x.info.FinishIn)
--- a/internal/front/gateway/rig_test.go
+++ b/internal/front/gateway/rig_test.go
@@ -178,7 +178,7 @@
 		t.Cleanup(s.Close)
 		r.objects = append(r.objects, objectapi.Object{Key: fmt.Sprintf("s/%d", i), Value: []byte(s.Listener.Addr().String())})
 	}
-	balancer := balance.New("here")
+	balancer := balance.New("front", "here")
 	r.entries = catalog.NewServersHandler(catalog.ServersOptions{Catalog: r.catalog, Prefix: "s/", Decode: decodeServer,
 		Lapse: policy.NewLapse(time.Second), Log: log, Started: func(id incarnation.ID) { balancer.Started(id) }})
 	r.entries.Reset(r.objects, 1)
--- /dev/null
+++ b/internal/node/evacuations.go
@@ -0,0 +1,43 @@
+package node
+
+import (
+	"time"
+
+	"github.com/rookpass/rookpass/internal/front/catalog"
+	"github.com/rookpass/rookpass/internal/objects/objectapi"
+	"github.com/rookpass/rookpass/platform"
+)
+
+// evacuations implements watch.Handler: it keeps servers of evacuated data centres from requests.
+type evacuations struct{ servers *catalog.ServersHandler }
+
+func newEvacuations(servers *catalog.ServersHandler) *evacuations { return &evacuations{servers} }
+
+// Prefix implements watch.Handler.
+func (e *evacuations) Prefix() string { return platform.EvacuationsPrefix }
+
+// Reset implements watch.Handler.
+func (e *evacuations) Reset(objects []objectapi.Object, _ uint64) {
+	listed := map[string]bool{}
+	for _, object := range objects {
+		dataCentre := platform.EvacuatedDataCentre(object.Key)
+		listed[dataCentre] = true
+		e.servers.SetEvacuated(dataCentre, true)
+	}
+	for _, dataCentre := range e.servers.Evacuated() {
+		if !listed[dataCentre] {
+			e.servers.SetEvacuated(dataCentre, false)
+		}
+	}
+}
+
+// Change implements watch.Handler.
+func (e *evacuations) Change(event objectapi.Event) {
+	e.servers.SetEvacuated(platform.EvacuatedDataCentre(event.Key), !event.Deleted)
+}
+
+// Confirm implements watch.Handler.
+func (e *evacuations) Confirm(uint64, time.Time) {}
+
+// Lost implements watch.Handler. What is known stays in force.
+func (e *evacuations) Lost() {}
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -98,7 +98,7 @@
 }
 
 func newFront(b *base) *front {
-	f := &front{base: b, catalog: catalog.New(), balancer: balance.New(b.settings.DataCentre), gate: dispatch.New()}
+	f := &front{base: b, catalog: catalog.New(), balancer: balance.New(b.settings.Node, b.settings.DataCentre), gate: dispatch.New()}
 	f.pool = upstream.NewPool(b.host.dial, platform.Headers{}, int(serverShare*float64(b.settings.MaxDescriptors)))
 	f.detour = tunnel.NewDialer(b.host.dial, b.settings.PeerAddress())
 	b.links.WithDetour(f.detour.Dial, diskPatience)
@@ -185,14 +185,19 @@
 		}
 		return run(&handler{prefix: layoutPrefix, apply: f.applyLayout}, frontWait)
 	})
-	for h, limit := range map[watch.Handler]time.Duration{
+	servers := catalog.NewServersHandler(catalog.ServersOptions{
+		Catalog: f.catalog, DataCentre: f.settings.DataCentre, Regions: f.settings.Regions, Prefix: platform.ServersPrefix,
+		Decode: platform.DecodeServer, Lapse: policy.NewLapse(f.settings.Heartbeat), Log: f.log, Started: f.serverStarted,
+		Refused: func(reason catalog.Refusal) { f.metrics.Count("rookpass_entries_refused_total", string(reason)) },
+	})
+	handlers := map[watch.Handler]time.Duration{
 		catalog.NewConfigHandler(f.catalog, platform.ConfigPrefix, platform.DecodeConfig, f.log): f.configWait(frontWait, hopShare),
-		catalog.NewServersHandler(catalog.ServersOptions{
-			Catalog: f.catalog, DataCentre: f.settings.DataCentre, Prefix: platform.ServersPrefix, Decode: platform.DecodeServer, Lapse: policy.NewLapse(f.settings.Heartbeat),
-			Log: f.log, Started: f.serverStarted,
-			Refused: func(reason catalog.Refusal) { f.metrics.Count("rookpass_entries_refused_total", string(reason)) },
-		}): frontWait,
-	} {
+		servers: frontWait,
+	}
+	if f.settings.Evacuation > 0 {
+		handlers[newEvacuations(servers)] = frontWait
+	}
+	for h, limit := range handlers {
 		group.Go(func() error {
 			f.awaitLayout(ctx)
 			return run(h, limit)
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -35,6 +35,10 @@
 // leave several seconds.
 const rareWait = 5 * time.Second
 
+// evacuationShare of the time within which nothing more may go to an evacuated data centre is how long a watch of the
+// evacuations waits, so that a silent cut from the platform's store is noticed well before.
+const evacuationShare = 0.3
+
 // answerSlack is how much older than a watch's wait a mirror's copy may be: the pause between two watches, an answer of the
 // platform's store when it is slow, some 0.3 s, and where the daemon reads through a reader followWait.
 const answerSlack = 800*time.Millisecond + followWait
@@ -80,6 +84,11 @@
 		mirror.New(layoutPrefix, rareWait+answerSlack),
 		mirror.New(platform.RetirementsPrefix, rareWait+answerSlack),
 	}
+	var evacuations []*mirror.Mirror // none where data centres are never evacuated: each watch has a price
+	evacuationWait := time.Duration(evacuationShare * float64(s.Evacuation))
+	if s.Evacuation > 0 {
+		evacuations = append(evacuations, mirror.New(platform.EvacuationsPrefix, evacuationWait+answerSlack))
+	}
 	layouts := &handler{prefix: layoutPrefix, apply: controller.Observe}
 	source := feed.New(b.readers(store), feed.Named{Name: "platform", Source: single{b.store}}, b.log).WithMirrorWait(followWait)
 	link := watch.NewLink(source)
@@ -89,13 +98,16 @@
 		b.watcher(link, storeWait, mirrors[1]),
 		b.watcher(link, rareWait, both{mirrors[3], retiring.handler()}),
 	}
+	for _, m := range evacuations {
+		watchers = append(watchers, b.watcher(link, evacuationWait, m))
+	}
 	group, ctx := errgroup.WithContext(ctx)
 	quotas := quota.NewService(s.Quota)
 	group.Go(func() error { return b.servePages(ctx, storeStatus(s.Node, store, quotas)) })
 	b.metrics.Gauge("rookpass_quota_organisations", func() float64 { return float64(quotas.Len()) })
 	services := map[string]any{
 		replica.ServiceName:  replica.NewService(store),
-		mirror.ServiceName:   mirror.NewService(mirrors...),
+		mirror.ServiceName:   mirror.NewService(append(evacuations, mirrors...)...),
 		exchange.ServiceName: exchange.NewService(),
 		quota.ServiceName:    quotas,
 	}
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -59,6 +59,8 @@
 
 	// withdrawal is within which a withdrawn key must be refused everywhere; 0 where that is not asked.
 	withdrawal time.Duration
+	// evacuation is within which nothing more may go to an evacuated data centre; 0 where none ever is.
+	evacuation time.Duration
 	// output takes the daemons' log lines; nil for nobody.
 	output io.Writer
 
@@ -160,7 +162,7 @@
 		Node: m.name, IP: m.ip, DataCentre: m.dataCentre, FirstStart: first, Seeds: w.seeds[:3],
 		FirstPort: 7380, MemoryBytes: 16 << 30, MaxDescriptors: 4096, DisksLostAtOnce: 1,
 		StoreAddress: storeAddress, StopGrace: 8 * time.Second, Heartbeat: 1200 * time.Millisecond,
-		Withdrawal: w.withdrawal, Change: inForce, Quota: quota.Tolerance{Window: 5 * time.Second, Excess: 0.1, Slack: 20},
+		Withdrawal: w.withdrawal, Change: inForce, Evacuation: w.evacuation, Quota: quota.Tolerance{Window: 5 * time.Second, Excess: 0.1, Slack: 20},
 	}
 	if m.role == "front" {
 		settings.CallerAddress, settings.ReadyAddress = m.callers(), m.ip+":8141"
