Many fronts meet in their data centre, and the hubs tell one another

Cause: all fronts swapped at one store daemon. To keep its calls bounded the pause grew with the fleet (0.3 s for each 150 fronts), so word of a server that looks dead took up to two pauses: 0.6 s before 57 fronts, 1.2 s before 259, 3.6 s before 865, 7.2 s before 1,730, and most faults are over by then. Four fifths of the answers crossed data centres.

Ruled out: a larger bound on calls (grows with the fleet as well, in processor time); pushes to all fronts (865 connections at one daemon).

Change: up to 150 daemons meet at one place as before; more meet at the first store daemon of their data centre that answers, and each hub tells the others its sums every 0.3 s. Where a hub does not answer, its fronts and the other hubs move to the next one together. Daemons tell how many they believe there are, so that hubs that have all started again know at once that they must relay. The largest number of late holds for 10 s (policy.Most; cold servers use it too). A server that was silent is left alone for 15 s where there are more servers than the work needs.

Conclusion: what a hub does follows its data centre's fronts.

--- a/internal/front/balance/balance.go
+++ b/internal/front/balance/balance.go
@@ -19,6 +19,9 @@
 	ejectAfter = 2
 	ejectTime  = 500 * time.Millisecond
 	maxEject   = 4 * time.Second
+	// spareEject is how long a server that was silent is passed over where the work does not need it. One that starts
+	// again meanwhile is another start, of which nothing is known.
+	spareEject = 15 * time.Second
 	// busyTime is how long a server that shed a request is passed over: about one short request.
 	busyTime = 60 * time.Millisecond
 	// remotePenalty is how many requests in flight a server in another data centre counts more: a trip there
@@ -105,9 +108,8 @@
 	// calls are this daemon's under way at servers, by service; demand is the most of late that all daemons had.
 	calls  map[string]int
 	demand map[string]*policy.Peak
-	// daemons is the most of late that there were, this one among them, and daemonsAt when there were so many.
-	daemons   int
-	daemonsAt time.Time
+	// daemons is the most of late that there were, this one among them.
+	daemons policy.Most
 	// demandKnown tells that other daemons have told of theirs.
 	demandKnown bool
 	// othersMean is the mean of the others' calls on a server; reportedAt is when this daemon last told of its own.
@@ -169,6 +171,8 @@
 	observed  policy.Observation
 	responded bool
 	settled   bool
+	// spare tells that there were more servers than were weighed.
+	spare bool
 }
 
 // Pick chooses a server, or returns false when none may take the request.
@@ -191,7 +195,8 @@
 		return nil, false
 	}
 	s := b.state(best.ID)
-	c := &Choice{Server: *best, InFlight: s.inFlight, Candidates: candidates, balancer: b, state: s, route: ask.Route, began: now}
+	c := &Choice{Server: *best, InFlight: s.inFlight, Candidates: candidates, balancer: b, state: s, route: ask.Route, began: now,
+		spare: len(ask.Servers) > ask.width}
 	if ask.PromptTokens > 0 {
 		c.observed = policy.Observation{Uncached: max(0, ask.PromptTokens-s.parts.cached(ask.Parts)),
 			InFlight: float64(s.inFlight), MeanInFlight: ask.mean}
@@ -317,10 +322,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.peers = n
-	// Not each new number is taken: daemons that have just started know few others, and turns at cold servers go by it.
-	if now := time.Now(); n+1 >= b.daemons || now.Sub(b.daemonsAt) > daemonsMemory {
-		b.daemons, b.daemonsAt = n+1, now
-	}
+	b.daemons.Observe(time.Now(), n+1)
 }
 
 // shunned tells whether a server is to be left alone for now.
--- a/internal/front/balance/cold.go
+++ b/internal/front/balance/cold.go
@@ -7,15 +7,12 @@
 	"github.com/rookpass/rookpass/internal/front/catalog"
 )
 
-// daemonsMemory is how long a larger number of daemons holds: some are away for a while and back.
-const daemonsMemory = 10 * time.Second
-
 // coldTurn tells whether it is this daemon's turn to send a request to a cold server. It never is before the daemon knows how
 // many there are.
 func (b *Balancer) coldTurn(ask *Ask, server *catalog.Server, now time.Time) bool {
 	if !b.demandKnown {
 		return false
 	}
-	turn := policy.ColdTurn{Daemon: b.name, Server: server.ID.String(), Daemons: float64(b.daemons), PerSecond: ask.ColdPerSecond}
+	turn := policy.ColdTurn{Daemon: b.name, Server: server.ID.String(), Daemons: float64(b.daemons.Read()), PerSecond: ask.ColdPerSecond}
 	return turn.Open(now, b.seen(server.ID).coldSent)
 }
--- a/internal/front/balance/outcome.go
+++ b/internal/front/balance/outcome.go
@@ -73,7 +73,7 @@
 	case Failed:
 		s.failures++
 		s.failedAt = now
-		if until := now.Add(ejectionFor(s.failures, silent)); until.After(s.ejectedUntil) {
+		if until := now.Add(ejectionFor(s.failures, silent, c.spare)); until.After(s.ejectedUntil) {
 			s.ejectedUntil = until
 		}
 	case Overtaken:
@@ -82,9 +82,12 @@
 	}
 }
 
-// ejectionFor returns how long a server is passed over after so many failures in a row, the last of them in silence or not.
-func ejectionFor(failures int, silent bool) time.Duration {
+// ejectionFor returns how long a server is passed over after so many failures in a row, the last of them in silence or not;
+// spare tells that there are more servers than the work needs.
+func ejectionFor(failures int, silent, spare bool) time.Duration {
 	switch {
+	case silent && spare: // to try it again costs a request, and to leave it alone nothing
+		return spareEject
 	case silent: // it is more likely dead than unlucky, and the other daemons should hear of it for a while
 		return maxEject
 	case failures >= ejectAfter:
--- a/internal/front/balance/width_test.go
+++ b/internal/front/balance/width_test.go
@@ -19,7 +19,7 @@
 // thinFleet is many daemons that have little to do before many servers, both spread over five data centres.
 type thinFleet struct {
 	random  *rand.Rand
-	hub     *exchange.Service
+	hubs    []*exchange.Service
 	daemons []*thinDaemon
 	// tells lets daemons tell one another what they have under way.
 	tells bool
@@ -46,8 +46,11 @@
 
 // newThinFleet has 5.4 servers and half a turn a second for each daemon.
 func newThinFleet(daemons int, tells bool) *thinFleet {
-	f := &thinFleet{random: rand.New(rand.NewPCG(3, 4)), hub: exchange.NewService(), tells: tells, dark: map[incarnation.ID]bool{},
+	f := &thinFleet{random: rand.New(rand.NewPCG(3, 4)), tells: tells, dark: map[incarnation.ID]bool{},
 		reads: map[incarnation.ID]bool{}}
+	for range thinDataCentres {
+		f.hubs = append(f.hubs, exchange.NewService())
+	}
 	var all [thinDataCentres][]*catalog.Server
 	for i := range daemons * 54 / 10 {
 		at := i % thinDataCentres
@@ -71,13 +74,20 @@
 
 // play lets the fleet work. Daemons swap as they do on a fleet of their number.
 func (f *thinFleet) play(t *testing.T, length time.Duration) {
-	pause := int(exchange.PauseFor(len(f.daemons)) / thinStep)
+	perHub := len(f.daemons)
+	if perHub > 150 {
+		perHub /= len(f.hubs)
+	}
+	pause := int(exchange.PauseFor(perHub) / thinStep)
 	perStep := 0.52 * float64(len(f.daemons)) * thinStep.Seconds()
 	due := 0.0
 	for tick := range int(length / thinStep) {
 		for place := tick % pause; place < len(f.daemons); place += pause {
 			f.swap(t, place)
 		}
+		if tick%int(exchange.Pause/thinStep) == 0 {
+			f.relay(t)
+		}
 		for due += perStep; due >= 1; due-- {
 			go f.turn(t, f.daemons[f.random.IntN(len(f.daemons))])
 			synctest.Wait()
@@ -92,7 +102,7 @@
 	args := &exchange.Args{From: fmt.Sprint(place), Suspects: d.balancer.Suspects(), Failing: d.balancer.Failing(), Loads: d.balancer.Loads(),
 		Demand: d.balancer.Calls()}
 	var reply exchange.Reply
-	assert.NilError(t, f.hub.Swap(args, &reply))
+	assert.NilError(t, f.hubOf(place).Swap(args, &reply))
 	d.balancer.SetReported(reply.Suspects, reply.Failing)
 	d.balancer.SetPeers(reply.Daemons)
 	d.balancer.SetOthers(reply.Loads)
@@ -101,6 +111,26 @@
 	}
 }
 
+// hubOf returns where a daemon meets others: few all meet at one.
+func (f *thinFleet) hubOf(place int) *exchange.Service {
+	if len(f.daemons) <= 150 {
+		return f.hubs[0]
+	}
+	return f.hubs[place%len(f.hubs)]
+}
+
+// relay lets the hubs tell one another their sums.
+func (f *thinFleet) relay(t *testing.T) {
+	for i, from := range f.hubs {
+		sums := from.Sums(fmt.Sprint("hub-", i))
+		for j, to := range f.hubs {
+			if i != j && sums != nil {
+				assert.NilError(t, to.Relay(sums, nil))
+			}
+		}
+	}
+}
+
 // turn is a program's first turn.
 func (f *thinFleet) turn(t *testing.T, d *thinDaemon) {
 	ask := balance.Ask{Route: "r", Servers: d.servers, DataCentres: thinDataCentres, PromptTokens: 3590,
--- a/internal/front/exchange/exchange.go
+++ b/internal/front/exchange/exchange.go
@@ -1,5 +1,6 @@
-// Package exchange lets front daemons learn of one another, and share which backend servers look dead, through
-// a store daemon.
+// Package exchange lets front daemons learn of one another, and share which backend servers look dead, through a store
+// daemon, their hub. Few daemons all meet at one; many meet in each data centre at one of its own, and the hubs tell one
+// another their sums. So what a hub has to do, and the time until word is round, follow the daemons of a data centre.
 package exchange
 
 import (
@@ -36,6 +37,8 @@
 type Args struct {
 	// From is the address at which the daemon helps others.
 	From string
+	// Daemons is how many there are, as far as it knows.
+	Daemons int
 	// Suspects are servers that look dead to it, Failing those that failed it last, just now.
 	Suspects, Failing []incarnation.ID
 	// Demand are the turns that it has under way or waiting, by service, Loads those that were at each model server
@@ -46,9 +49,9 @@
 
 // Reply is what the others have seen.
 type Reply struct {
-	// Peers are some other daemons' addresses, Daemons how many there are.
-	Peers   []string
-	Daemons int
+	// Peers are some other daemons' addresses, Daemons how many there are, Here how many of them meet at this hub.
+	Peers         []string
+	Daemons, Here int
 	// Suspects and Failing tell how many of them named a server.
 	Suspects, Failing map[incarnation.ID]int
 	// Demand and Loads are the sums over the others.
@@ -60,10 +63,12 @@
 type Service struct {
 	mu  sync.Mutex
 	all sums
+	// relayed are the sums of other hubs, by their addresses.
+	relayed map[string]relayed
 }
 
 // NewService returns a service that knows nobody.
-func NewService() *Service { return &Service{all: newSums()} }
+func NewService() *Service { return &Service{all: newSums(), relayed: map[string]relayed{}} }
 
 // Swap takes a daemon's report and answers with the others'.
 func (s *Service) Swap(args *Args, reply *Reply) error {
@@ -73,10 +78,11 @@
 	s.all.forget(now)
 	s.all.take(now, args)
 	s.all.others(args, reply)
+	s.addRelayed(now, reply)
 	return nil
 }
 
-// PauseFor returns the time until the next call of one of so many daemons.
+// PauseFor returns the time until the next call of one of so many daemons at a hub.
 func PauseFor(daemons int) time.Duration {
 	return Pause * time.Duration(max(1, (daemons+crowd-1)/crowd))
 }
--- a/internal/front/exchange/sums.go
+++ b/internal/front/exchange/sums.go
@@ -99,6 +99,7 @@
 	s.count(own, 1)
 	s.countFresh(own, 1)
 	reply.Daemons = len(s.reports) - 1
+	reply.Here = reply.Daemons
 	for from := range s.reports { // the order of a map's keys differs each time
 		if len(reply.Peers) == maxPeers {
 			break
--- a/internal/front/exchange/sums_test.go
+++ b/internal/front/exchange/sums_test.go
@@ -39,6 +39,7 @@
 				continue
 			}
 			want.Daemons++
+			want.Here++
 			addTo(want.Suspects, said.Suspects)
 			if age > 3*exchange.Pause {
 				continue
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -289,10 +289,11 @@
 	return addresses
 }
 
-// exchange swaps what this daemon has seen for what the others have, at the first store daemon that answers.
+// exchange swaps what this daemon has seen for what the others have, at the first hub that answers.
 func (f *front) exchange(ctx context.Context) error {
-	place, moved, daemons := 0, time.Now(), 0
-	for wait.For(ctx, exchange.PauseFor(daemons)) == nil {
+	place, moved, here := 0, time.Now(), 0
+	var daemons policy.Most
+	for wait.For(ctx, exchange.PauseFor(here)) == nil {
 		l := f.ledger.Layout()
 		if l == nil {
 			continue
@@ -300,10 +301,10 @@
 		if time.Since(moved) > exchangeReturn {
 			place = 0
 		}
-		args := &exchange.Args{From: f.settings.PeerAddress(), Suspects: f.balancer.Suspects(), Failing: f.balancer.Failing(),
+		args := &exchange.Args{From: f.settings.PeerAddress(), Daemons: daemons.Read(), Suspects: f.balancer.Suspects(), Failing: f.balancer.Failing(),
 			Demand: f.demand(), Loads: f.balancer.Loads()}
-		disks := l.Disks()
-		reply, err := exchange.Swap(ctx, f.links.To(disks[place%len(disks)].Address), args)
+		places := exchange.Places(l.Disks(), f.settings.DataCentre, daemons.Read())
+		reply, err := exchange.Swap(ctx, f.links.To(places[place%len(places)]), args)
 		if err != nil {
 			place++
 			moved = time.Now()
@@ -312,9 +313,10 @@
 			f.log.WithFields(logrus.Fields{"event": "exchange-failed", "place": place, "error": err}).Info("asking another daemon")
 			continue
 		}
-		daemons = reply.Daemons
+		daemons.Observe(time.Now(), reply.Daemons)
+		here = reply.Here
 		f.balancer.SetReported(reply.Suspects, reply.Failing)
-		f.balancer.SetPeers(daemons)
+		f.balancer.SetPeers(reply.Daemons)
 		f.balancer.SetOthers(reply.Loads)
 		f.balancer.SetDemand(reply.Demand)
 		f.gate.SetOthers(reply.Demand)
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -102,13 +102,13 @@
 		watchers = append(watchers, b.watcher(link, evacuationWait, m))
 	}
 	group, ctx := errgroup.WithContext(ctx)
-	quotas := quota.NewService(s.Quota)
+	quotas, hub := quota.NewService(s.Quota), exchange.NewService()
 	group.Go(func() error { return b.servePages(ctx, storeStatus(s.Node, store, quotas)) })
 	b.metrics.Gauge("rookpass_quota_organisations", func() float64 { return float64(quotas.Len()) })
 	services := map[string]any{
 		replica.ServiceName:  replica.NewService(store),
 		mirror.ServiceName:   mirror.NewService(append(evacuations, mirrors...)...),
-		exchange.ServiceName: exchange.NewService(),
+		exchange.ServiceName: hub,
 		quota.ServiceName:    quotas,
 	}
 	for _, address := range []string{s.PeerAddress(), s.ControlAddress} {
@@ -135,6 +135,10 @@
 		group.Go(func() error { return mirrors[i].Save(ctx, path, b.log) })
 	}
 	group.Go(func() error { return controller.Run(ctx) })
+	group.Go(func() error {
+		relayer := &exchange.Relayer{Service: hub, Links: b.links, Self: s.PeerAddress(), Places: hubPlaces(store), Log: b.log}
+		return relayer.Run(ctx)
+	})
 	group.Go(func() error { return b.followSettings(ctx) })
 	group.Go(func() error { return layoutWatcher.Run(ctx) })
 	for _, w := range watchers {
@@ -148,6 +152,17 @@
 	return errors.Join(group.Wait(), store.Close())
 }
 
+// hubPlaces returns a function that lists where the hubs of all data centres may be.
+func hubPlaces(store *replica.Store) func() map[string][]string {
+	return func() map[string][]string {
+		l := store.Layout()
+		if l == nil {
+			return nil
+		}
+		return exchange.Neighbours(l.Disks())
+	}
+}
+
 // both passes a prefix's changes to two handlers.
 type both struct{ first, second watch.Handler }
 
