Regions: whole turns, swaps, lists and calls stay near

Cause: on two regions 12 ms apart, with 60 Mbit/s between them for all traffic, nothing knew a region. Each whole turn (17 KB and its answer) was sent to all five disks of its group, 2 to 3 of them in the other region: by arithmetic some 300 turns a second are 12 MB a second of a link's 7.5. All fronts swapped at one store daemon, fronts read lists through any, and a server that held a shared part was worth the way.

Ruled out: a program's group within its region (its turns may come in anywhere, and a front that looks in the wrong group says 404 wrongly); compressing records (not tried: bodies may not compress).

Change: base/place tells how far data centres are from one another, by the settings' own table. A whole turn's record goes to the nearest quorum of its group, and to the rest only when one of those fails or has not answered for 100 ms; disks that were silent come last for 3 s. A quorum was all that was ever promised, and all that reading and copying go by. Few fronts meet at one hub in each region; servers, disks, readers and mirrors are taken nearest first; the way to another region is learnt from connections made there and weighed against what a server holds.

--- /dev/null
+++ b/internal/base/place/place.go
@@ -0,0 +1,34 @@
+// Package place tells how far data centres are from one another, as far as the settings say.
+package place
+
+// Distance is how far away a data centre is.
+type Distance int
+
+// The distances, the nearest first.
+const (
+	// Here is the same data centre.
+	Here Distance = iota
+	// Region is another data centre of the same region, a few milliseconds away.
+	Region
+	// Away is another region: the way is long, and its links are shared by all traffic between the two.
+	Away
+)
+
+// Map is what a daemon knows of places. The zero value knows of one region alone.
+type Map struct {
+	// DataCentre is the daemon's own, Regions the region of each data centre.
+	DataCentre string
+	Regions    map[string]string
+}
+
+// To returns how far a data centre is. One whose region is not known counts as one of this region.
+func (m Map) To(dataCentre string) Distance {
+	if dataCentre == m.DataCentre {
+		return Here
+	}
+	region, known := m.Regions[dataCentre]
+	if own, ownKnown := m.Regions[m.DataCentre]; known && ownKnown && region != own {
+		return Away
+	}
+	return Region
+}
--- /dev/null
+++ b/internal/base/place/place_test.go
@@ -0,0 +1,18 @@
+package place_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/rookpass/rookpass/internal/base/place"
+)
+
+func TestDistances(t *testing.T) {
+	m := place.Map{DataCentre: "a1", Regions: map[string]string{"a1": "a", "a2": "a", "b1": "b"}}
+	for dataCentre, want := range map[string]place.Distance{"a1": place.Here, "a2": place.Region, "b1": place.Away, "unknown": place.Region} {
+		assert.Equal(t, m.To(dataCentre), want, dataCentre)
+	}
+	assert.Equal(t, place.Map{DataCentre: "a1"}.To("b1"), place.Region, "where no regions are known there is one")
+	assert.Equal(t, place.Map{DataCentre: "x", Regions: m.Regions}.To("b1"), place.Region, "where the own region is not known too")
+}
--- a/internal/front/balance/balance.go
+++ b/internal/front/balance/balance.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/base/place"
 	"github.com/rookpass/rookpass/internal/decide/policy"
 	"github.com/rookpass/rookpass/internal/front/catalog"
 	"github.com/rookpass/rookpass/internal/transport/call"
@@ -88,10 +89,10 @@
 // Balancer keeps what was seen of servers. Use New.
 type Balancer struct {
 	// name is this daemon's, which differs from all others'.
-	name       string
-	dataCentre string
-	mu         sync.Mutex
-	states     map[incarnation.ID]*state
+	name   string
+	place  place.Map
+	mu     sync.Mutex
+	states map[incarnation.ID]*state
 	// means are the moving means of whole answers' times, by route, in seconds.
 	means map[string]float64
 	// reported tells how many other daemons suspect a server.
@@ -100,6 +101,8 @@
 	failing map[incarnation.ID]int
 	// heads are the moving means of the time to the head of an answer, by route, in seconds.
 	heads map[string]float64
+	// ways are the moving means of how long a connection to a data centre takes, in seconds.
+	ways map[string]float64
 	// models learn what turns take, by service.
 	models map[string]*policy.CostModel
 	// peers are the other daemons that send to the same servers. Each is taken to have as many calls there as this
@@ -117,10 +120,10 @@
 	reportedAt time.Time
 }
 
-// New returns a balancer of a daemon in a data centre.
-func New(name, dataCentre string) *Balancer {
-	return &Balancer{name: name, dataCentre: dataCentre, states: map[incarnation.ID]*state{}, means: map[string]float64{}, heads: map[string]float64{},
-		models: map[string]*policy.CostModel{}, calls: map[string]int{}, demand: map[string]*policy.Peak{}}
+// New returns a balancer of a daemon at a place.
+func New(name string, at place.Map) *Balancer {
+	return &Balancer{name: name, place: at, states: map[incarnation.ID]*state{}, means: map[string]float64{}, heads: map[string]float64{},
+		ways: map[string]float64{}, models: map[string]*policy.CostModel{}, calls: map[string]int{}, demand: map[string]*policy.Peak{}}
 }
 
 // Ask is what a choice depends on.
@@ -274,13 +277,13 @@
 
 // cost is what a request is expected to take: seconds at a model server, a count of requests elsewhere.
 func (b *Balancer) cost(ask *Ask, server *catalog.Server, s *state) float64 {
-	remote := server.DataCentre != b.dataCentre
+	remote, away := b.place.To(server.DataCentre) != place.Here, b.away(server.DataCentre)
 	connect := ask.Connected != nil && !ask.Connected(server)
 	slowness := s.pace.Slowness()
 	if ask.PromptTokens == 0 {
 		requests := float64(s.inFlight + 1)
 		if remote {
-			requests += remotePenalty
+			requests += remotePenalty + away/b.usual(ask.Route)
 		}
 		if connect {
 			requests += connectPenalty
@@ -290,7 +293,7 @@
 	cached := s.parts.cached(ask.Parts)
 	engine := policy.Engine{InFlight: s.inFlight, Capacity: 1 << 30, CachedTokens: cached, Remote: remote, Others: ask.mean * float64(b.peers),
 		Surplus: s.others - b.othersMean}
-	cost := policy.Expected(engine, ask.PromptTokens, b.model(server.Service).Costs())*slowness + 0.05*(slowness-1)
+	cost := policy.Expected(engine, ask.PromptTokens, b.model(server.Service).Costs())*slowness + 0.05*(slowness-1) + away
 	if connect {
 		cost += connectSeconds
 	}
--- a/internal/front/balance/balance_test.go
+++ b/internal/front/balance/balance_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/base/place"
 	"github.com/rookpass/rookpass/internal/front/balance"
 	"github.com/rookpass/rookpass/internal/front/catalog"
 	"github.com/rookpass/rookpass/internal/transport/call"
@@ -34,7 +35,7 @@
 }
 
 func TestLoadIsSpread(t *testing.T) {
-	b := balance.New("front", "here")
+	b := balance.New("front", place.Map{DataCentre: "here"})
 	counts := map[incarnation.ID]int{}
 	for range 40 {
 		counts[pick(t, b, balance.Ask{Servers: servers(4)}).Server.ID]++
@@ -45,7 +46,7 @@
 }
 
 func TestNeverADrainingOrTriedServer(t *testing.T) {
-	b := balance.New("front", "here")
+	b := balance.New("front", place.Map{DataCentre: "here"})
 	list := servers(3)
 	list[0].Draining = true
 	for range 20 {
@@ -58,7 +59,7 @@
 
 func TestFailingServerIsPassedOverForAWhile(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := balance.New("front", "here")
+		b := balance.New("front", place.Map{DataCentre: "here"})
 		fail := func() {
 			choice := pick(t, b, balance.Ask{Servers: servers(1)})
 			choice.Done(balance.Failed)
@@ -84,7 +85,7 @@
 }
 
 func TestCallersThatLeaveTellNothing(t *testing.T) {
-	b := balance.New("front", "here")
+	b := balance.New("front", place.Map{DataCentre: "here"})
 	for range 10 {
 		pick(t, b, balance.Ask{Servers: servers(1)}).Done(balance.Abandoned)
 	}
@@ -97,7 +98,7 @@
 
 // TestTurnsGoWhereTheirPromptIs: unless that server is far busier.
 func TestTurnsGoWhereTheirPromptIs(t *testing.T) {
-	b := balance.New("front", "here")
+	b := balance.New("front", place.Map{DataCentre: "here"})
 	b.Learn(turn.Place{Server: id("2"), Part: "own", Held: 3800})
 	ask := balance.Ask{Servers: servers(4), PromptTokens: 4000, Parts: []call.Part{{ID: "own", Tokens: 4000}}}
 	for range 4 {
@@ -114,7 +115,7 @@
 }
 
 func TestSharedPartsAreRemembered(t *testing.T) {
-	b := balance.New("front", "here")
+	b := balance.New("front", place.Map{DataCentre: "here"})
 	ask := balance.Ask{Servers: servers(6), PromptTokens: 3000, Parts: []call.Part{{ID: "shared", Tokens: 2500}, {ID: "own", Tokens: 500}}}
 	first := pick(t, b, ask)
 	first.Done(balance.Answered)
@@ -123,7 +124,7 @@
 }
 
 func TestForgetsServersThatAreGone(t *testing.T) {
-	b := balance.New("front", "here")
+	b := balance.New("front", place.Map{DataCentre: "here"})
 	choice := pick(t, b, balance.Ask{Servers: servers(1)})
 	b.Forget(func(incarnation.ID) bool { return false })
 	choice.Done(balance.Failed)
@@ -135,7 +136,7 @@
 // over until it answers.
 func TestSilentServerGetsNoMore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := balance.New("front", "here")
+		b := balance.New("front", place.Map{DataCentre: "here"})
 		ask := balance.Ask{Route: "r", Servers: servers(2)}
 		for range 20 {
 			choice := pick(t, b, ask)
@@ -155,7 +156,7 @@
 
 func TestHedgeFollowsTheRoutesTimes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := balance.New("front", "here")
+		b := balance.New("front", place.Map{DataCentre: "here"})
 		unknown := b.HedgeAfter("r")
 		for range 200 {
 			choice := pick(t, b, balance.Ask{Route: "r", Servers: servers(2)})
@@ -172,7 +173,7 @@
 // TestOthersWordCounts: a server that others suspect gets nothing, unless too many are suspected or no other
 // is left.
 func TestOthersWordCounts(t *testing.T) {
-	b := balance.New("front", "here")
+	b := balance.New("front", place.Map{DataCentre: "here"})
 	b.SetReported(map[incarnation.ID]int{id("0"): 1}, nil)
 	for range 20 {
 		assert.Assert(t, pick(t, b, balance.Ask{Servers: servers(4)}).Server.ID != id("0"))
@@ -188,7 +189,7 @@
 
 // TestCutOffDaemonSuspectsNobody: where most servers seem dead, the daemon's own network is the likelier cause.
 func TestCutOffDaemonSuspectsNobody(t *testing.T) {
-	b := balance.New("front", "here")
+	b := balance.New("front", place.Map{DataCentre: "here"})
 	fail := func(place int) {
 		for range 2 {
 			pick(t, b, balance.Ask{Servers: servers(5)[place : place+1]}).Done(balance.Failed)
@@ -208,7 +209,7 @@
 // servers, and holds others up on busy ones.
 func TestPromptsAreReadAnewWhereNobodyWaits(t *testing.T) {
 	for peers, stays := range map[int]bool{0: false, 50: true} {
-		b := balance.New("front", "here")
+		b := balance.New("front", place.Map{DataCentre: "here"})
 		b.SetPeers(peers)
 		list := servers(4)
 		for range 12 { // three calls of this daemon on each server, with other prompts
@@ -227,7 +228,7 @@
 // TestConnectedServersComeFirstAmongEquals: a new connection costs a trip, so it is opened where the connected servers are busier.
 func TestConnectedServersComeFirstAmongEquals(t *testing.T) {
 	for _, tokens := range []int64{0, 100} {
-		b := balance.New("front", "here")
+		b := balance.New("front", place.Map{DataCentre: "here"})
 		connected := func(s *catalog.Server) bool { return s.ID == id("3") }
 		ask := balance.Ask{Servers: servers(20), PromptTokens: tokens, Connected: connected}
 		first := pick(t, b, ask)
--- a/internal/front/balance/memory_test.go
+++ b/internal/front/balance/memory_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/rookpass/rookpass/internal/base/place"
 	"github.com/rookpass/rookpass/internal/front/balance"
 	"github.com/rookpass/rookpass/internal/transport/call"
 )
@@ -23,7 +24,7 @@
 // TestMemoryFollowsTheServersMet, and not those that there are.
 func TestMemoryFollowsTheServersMet(t *testing.T) {
 	list := servers(10_000)
-	b := balance.New("front", "here")
+	b := balance.New("front", place.Map{DataCentre: "here"})
 	before := liveBytes()
 	for range 10 {
 		ask := balance.Ask{Route: "r", Servers: list, PromptTokens: 3000, Parts: []call.Part{{ID: "shared", Tokens: 2560}}}
@@ -42,7 +43,7 @@
 // BenchmarkTurn is the choice of a server for a turn among 5,000, of which a daemon has met few.
 func BenchmarkTurn(b *testing.B) {
 	list := servers(5000)
-	balancer := balance.New("front", "here")
+	balancer := balance.New("front", place.Map{DataCentre: "here"})
 	balancer.SetDemand(map[string]int{"svc": 60})
 	for b.Loop() {
 		ask := balance.Ask{Route: "r", Servers: list, PromptTokens: 3000, Parts: []call.Part{{ID: "shared", Tokens: 2560}}}
--- a/internal/front/balance/parts_test.go
+++ b/internal/front/balance/parts_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/base/place"
 	"github.com/rookpass/rookpass/internal/front/catalog"
 	"github.com/rookpass/rookpass/internal/transport/call"
 	"github.com/rookpass/rookpass/internal/turns/turn"
@@ -49,7 +50,7 @@
 	list := []*catalog.Server{{ID: a, Slots: 8}, {ID: b, Slots: 8}, {ID: c, Slots: 8}}
 	prompt := []call.Part{{ID: "shared", Tokens: 500}, {ID: "parent", Tokens: 2000}, {ID: "session", Tokens: 700}}
 	for range 20 {
-		balancer := New("front", "")
+		balancer := New("front", place.Map{})
 		balancer.Learn(turn.Place{Server: b, Part: "parent", Held: 2000})
 		balancer.Learn(turn.Place{Server: c, Part: "session", Held: 400})
 		choice, found := balancer.Pick(&Ask{Servers: list, PromptTokens: 3200, Parts: prompt})
--- /dev/null
+++ b/internal/front/balance/way_test.go
@@ -0,0 +1,51 @@
+package balance_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/rookpass/rookpass/internal/base/place"
+	"github.com/rookpass/rookpass/internal/front/balance"
+	"github.com/rookpass/rookpass/internal/front/catalog"
+	"github.com/rookpass/rookpass/internal/transport/call"
+	"github.com/rookpass/rookpass/internal/turns/turn"
+)
+
+// TestTurnsStayInTheirRegion while it has places, also where another region's server holds a part of the prompt; and go away
+// where every place at home is taken.
+func TestTurnsStayInTheirRegion(t *testing.T) {
+	regions := map[string]string{"a1": "a", "a2": "a", "b1": "b"}
+	list := []*catalog.Server{{ID: id("home"), Service: "svc", DataCentre: "a2", Slots: 8}, {ID: id("away"), Service: "svc", DataCentre: "b1", Slots: 8}}
+	ask := func() balance.Ask {
+		return balance.Ask{Route: "r", Servers: list, PromptTokens: 900, Parts: []call.Part{{ID: "shared", Tokens: 800}}}
+	}
+	b := balance.New("front", place.Map{DataCentre: "a1", Regions: regions})
+	for range 50 {
+		b.LearnWay("b1", 30*time.Millisecond)
+	}
+	b.Learn(turn.Place{Server: id("away"), Part: "shared", Held: 800})
+	assert.Equal(t, pick(t, b, ask()).Server.ID, id("home"), "800 tokens are read in 16 ms")
+	went := 0
+	for range 20 {
+		if pick(t, b, ask()).Server.ID == id("away") {
+			went++
+		}
+	}
+	assert.Assert(t, went > 0, "the servers at home have 20 calls")
+}
+
+// TestPlainCallsStayInTheirRegion too.
+func TestPlainCallsStayInTheirRegion(t *testing.T) {
+	regions := map[string]string{"a1": "a", "b1": "b"}
+	var list []*catalog.Server
+	for i := range 8 {
+		list = append(list, &catalog.Server{ID: id(fmt.Sprint(i)), Service: "svc", DataCentre: []string{"a1", "b1"}[i/4], Slots: 6})
+	}
+	b := balance.New("front", place.Map{DataCentre: "a1", Regions: regions})
+	for range 4 {
+		assert.Equal(t, pick(t, b, balance.Ask{Route: "r", Servers: list}).Server.DataCentre, "a1")
+	}
+}
--- a/internal/front/balance/width_test.go
+++ b/internal/front/balance/width_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/base/place"
 	"github.com/rookpass/rookpass/internal/front/balance"
 	"github.com/rookpass/rookpass/internal/front/catalog"
 	"github.com/rookpass/rookpass/internal/front/exchange"
@@ -67,7 +68,7 @@
 	}
 	for i := range daemons {
 		at := i % thinDataCentres
-		f.daemons = append(f.daemons, &thinDaemon{balancer: balance.New(fmt.Sprint("front-", i), fmt.Sprint("dc", at)), servers: orders[at]})
+		f.daemons = append(f.daemons, &thinDaemon{balancer: balance.New(fmt.Sprint("front-", i), place.Map{DataCentre: fmt.Sprint("dc", at)}), servers: orders[at]})
 	}
 	return f
 }
--- a/internal/front/catalog/fleet.go
+++ b/internal/front/catalog/fleet.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/base/place"
 )
 
 // Servers are the backend servers known at one time. They are immutable, and share what did not change with those before.
@@ -28,8 +29,8 @@
 
 // Fleet are the servers of one service.
 type Fleet struct {
-	// Servers are all of them, draining ones too: those of this daemon's data centre first, and within and behind it in an
-	// order that is the same at every daemon.
+	// Servers are all of them, draining ones too: the nearest first, and at each distance in an order that is the same at
+	// every daemon.
 	Servers []*Server
 	// slots are those of all that are not draining, by data centre.
 	slots map[string]int
@@ -82,7 +83,7 @@
 func (s *Servers) All() []*Server { return s.byName }
 
 // with returns the servers after a change of those named, as now tells. What did not change is copied, not looked at.
-func (s *Servers) with(revision uint64, dataCentre string, changed map[string]bool, now func(name string) *Server) *Servers {
+func (s *Servers) with(revision uint64, at place.Map, changed map[string]bool, now func(name string) *Server) *Servers {
 	var before, after []*Server
 	services := map[string]bool{}
 	for name := range changed {
@@ -100,7 +101,7 @@
 	if next.services == nil {
 		next.services = map[string]Fleet{}
 	}
-	order := byPreference(dataCentre)
+	order := byPreference(at)
 	for service := range services {
 		others := func(server *Server) bool { return server.Service != service }
 		servers := replace(s.services[service].Servers, slices.DeleteFunc(slices.Clone(before), others),
@@ -149,16 +150,10 @@
 
 func byName(a, b *Server) int { return strings.Compare(a.ID.Server, b.ID.Server) }
 
-// byPreference returns the order of a service's servers for a daemon in a data centre.
-func byPreference(dataCentre string) func(a, b *Server) int {
-	remote := func(s *Server) int {
-		if s.DataCentre == dataCentre {
-			return 0
-		}
-		return 1
-	}
+// byPreference returns the order of a service's servers for a daemon at a place.
+func byPreference(at place.Map) func(a, b *Server) int {
 	return func(a, b *Server) int {
-		return cmp.Or(remote(a)-remote(b), cmp.Compare(xxhash.Sum64String(a.ID.Server), xxhash.Sum64String(b.ID.Server)), byName(a, b))
+		return cmp.Or(cmp.Compare(at.To(a.DataCentre), at.To(b.DataCentre)), cmp.Compare(xxhash.Sum64String(a.ID.Server), xxhash.Sum64String(b.ID.Server)), byName(a, b))
 	}
 }
 
--- a/internal/front/catalog/fleet_test.go
+++ b/internal/front/catalog/fleet_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/rookpass/rookpass/internal/base/place"
 	"github.com/rookpass/rookpass/internal/front/catalog"
 	"github.com/rookpass/rookpass/internal/objects/objectapi"
 )
@@ -46,7 +47,7 @@
 
 func placed(c *catalog.Catalog, dataCentre string) catalog.ServersOptions {
 	o := options(c)
-	o.Decode, o.DataCentre = decodeWritten, dataCentre
+	o.Decode, o.Place = decodeWritten, place.Map{DataCentre: dataCentre}
 	return o
 }
 
--- a/internal/front/catalog/servers.go
+++ b/internal/front/catalog/servers.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/base/place"
 	"github.com/rookpass/rookpass/internal/decide/policy"
 	"github.com/rookpass/rookpass/internal/objects/objectapi"
 )
@@ -17,15 +18,13 @@
 // ServersOptions are what a ServersHandler works with.
 type ServersOptions struct {
 	Catalog *Catalog
-	// DataCentre is this daemon's.
-	DataCentre string
+	// Place is where this daemon stands.
+	Place place.Map
 	// Prefix is the part of a key before a server's name.
 	Prefix string
 	Decode DecodeServer
 	Lapse  policy.Lapse
 	Log    logrus.FieldLogger
-	// Regions has the region of each data centre.
-	Regions map[string]string
 	// Refused is told of each entry that names no server to use, Started of each start of a server that is new here.
 	// Both are called with the handler locked; nil where nobody asks.
 	Refused func(Refusal)
@@ -303,8 +302,8 @@
 
 // publish makes the servers known to requests. It is called with the lock held.
 func (h *ServersHandler) publish() {
-	view := h.Catalog.Servers().with(h.revision, h.DataCentre, h.changed, h.inUse)
-	view.evacuated, view.regions, view.coldUntil = h.evacuated, h.Regions, h.coldUntil(time.Now())
+	view := h.Catalog.Servers().with(h.revision, h.Place, h.changed, h.inUse)
+	view.evacuated, view.regions, view.coldUntil = h.evacuated, h.Place.Regions, h.coldUntil(time.Now())
 	h.Catalog.servers.Store(view)
 	h.changed = map[string]bool{} // not cleared: it would keep the room of the largest batch
 }
--- a/internal/front/exchange/exchange.go
+++ b/internal/front/exchange/exchange.go
@@ -1,6 +1,6 @@
 // Package exchange lets front daemons learn of one another, and share which backend servers look dead, through a store
-// daemon, their hub. Few daemons all meet at one; many meet in each data centre at one of its own, and the hubs tell one
-// another their sums. So what a hub has to do, and the time until word is round, follow the daemons of a data centre.
+// daemon, their hub. Few daemons meet at one in each region, many at one in each data centre, and the hubs tell one another
+// their sums. So what a hub has to do, and the time until word is round, follow the daemons of a data centre.
 package exchange
 
 import (
--- a/internal/front/exchange/places.go
+++ b/internal/front/exchange/places.go
@@ -1,26 +1,37 @@
 package exchange
 
-import "github.com/rookpass/rookpass/internal/turns/layout"
+import (
+	"github.com/rookpass/rookpass/internal/base/place"
+	"github.com/rookpass/rookpass/internal/turns/layout"
+)
 
-// Places returns where a daemon's hub may be, the likeliest first: few daemons all meet at the first disk's daemon, more
-// than crowd at the first of their data centre.
-func Places(disks []layout.Disk, dataCentre string, daemons int) []string {
-	var here, others []string
+// Places returns where the hub of a daemon at a place may be, the likeliest first: few daemons all meet at the first disk's
+// daemon in their region, more than crowd at the first of their data centre.
+func Places(disks []layout.Disk, at place.Map, daemons int) []string {
+	farthest := place.Region
+	if daemons > crowd {
+		farthest = place.Here
+	}
+	var near, others []string
 	for _, disk := range disks {
-		if daemons > crowd && disk.DataCentre == dataCentre {
-			here = append(here, disk.Address)
+		if at.To(disk.DataCentre) <= farthest {
+			near = append(near, disk.Address)
 		} else {
 			others = append(others, disk.Address)
 		}
 	}
-	return append(here, others...)
+	return append(near, others...)
 }
 
-// Neighbours returns where the hubs of all data centres may be, by data centre.
-func Neighbours(disks []layout.Disk) map[string][]string {
+// Neighbours returns where all hubs may be, by data centre where daemons are many and by region where they are few.
+func Neighbours(disks []layout.Disk, regions map[string]string, crowded bool) map[string][]string {
 	places := map[string][]string{}
 	for _, disk := range disks {
-		places[disk.DataCentre] = append(places[disk.DataCentre], disk.Address)
+		name := disk.DataCentre
+		if !crowded {
+			name = regions[disk.DataCentre]
+		}
+		places[name] = append(places[name], disk.Address)
 	}
 	return places
 }
--- a/internal/front/exchange/relay.go
+++ b/internal/front/exchange/relay.go
@@ -93,22 +93,23 @@
 	}
 }
 
-// Relayer tells the hubs of other data centres what this one's daemons have said.
+// Relayer tells the other hubs what this one's daemons have said.
 type Relayer struct {
 	Service *Service
 	Links   *peerlink.Set
 	// Self is this daemon's address.
 	Self string
-	// Places returns where the hub of each data centre may be, the likeliest first.
-	Places func() map[string][]string
+	// Places returns where each hub may be, the likeliest first: one in each data centre where daemons are many, else one in
+	// each region.
+	Places func(crowded bool) map[string][]string
 	Log    logrus.FieldLogger
 
 	mu sync.Mutex
-	// moves has the data centres whose likeliest place has not answered.
+	// moves has the hubs whose likeliest place has not answered.
 	moves map[string]move
 }
 
-// move is how many places of a data centre are passed over, and since when.
+// move is how many places of a hub are passed over, and since when.
 type move struct {
 	places int
 	at     time.Time
@@ -122,21 +123,25 @@
 	r.moves = map[string]move{}
 	for wait.For(ctx, relayPause) == nil {
 		sums := r.Service.Sums(r.Self)
-		if sums == nil || !r.Service.crowded() {
-			continue // all daemons meet at one hub
+		if sums == nil {
+			continue
+		}
+		hubs := r.Places(r.Service.crowded())
+		if len(hubs) <= 1 {
+			continue // all daemons meet here
 		}
 		var calls sync.WaitGroup
-		for dataCentre, places := range r.Places() {
-			calls.Go(func() { r.tell(ctx, dataCentre, places, sums) })
+		for name, places := range hubs {
+			calls.Go(func() { r.tell(ctx, name, places, sums) })
 		}
 		calls.Wait()
 	}
 	return ctx.Err()
 }
 
-// tell calls one data centre's hub. Where that has not answered, the next place is told: its daemons have moved there too.
-func (r *Relayer) tell(ctx context.Context, dataCentre string, places []string, sums *Sums) {
-	moved := r.moved(dataCentre)
+// tell calls one hub. Where that has not answered, the next place is told: its daemons have moved there too.
+func (r *Relayer) tell(ctx context.Context, name string, places []string, sums *Sums) {
+	moved := r.moved(name)
 	place := places[moved%len(places)]
 	if place == r.Self {
 		return // its daemons have moved here
@@ -147,18 +152,18 @@
 	if err == nil {
 		return
 	}
-	r.Log.WithFields(logrus.Fields{"event": "relay-failed", "data_centre": dataCentre, "place": place, "daemons": sums.Daemons,
+	r.Log.WithFields(logrus.Fields{"event": "relay-failed", "hub": name, "place": place, "daemons": sums.Daemons,
 		"error": err}).Info("another hub has not answered; telling the next")
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.moves[dataCentre] = move{moved + 1, time.Now()}
+	r.moves[name] = move{moved + 1, time.Now()}
 }
 
-// moved returns how many places of a data centre are passed over now.
-func (r *Relayer) moved(dataCentre string) int {
+// moved returns how many places of a hub are passed over now.
+func (r *Relayer) moved(name string) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	m := r.moves[dataCentre]
+	m := r.moves[name]
 	if time.Since(m.at) > returnTime {
 		return 0
 	}
--- a/internal/front/exchange/relay_test.go
+++ b/internal/front/exchange/relay_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/base/place"
 	"github.com/rookpass/rookpass/internal/front/exchange"
 	"github.com/rookpass/rookpass/internal/transport/network/memnet"
 	"github.com/rookpass/rookpass/internal/transport/peerlink"
@@ -37,11 +38,25 @@
 // TestFewDaemonsMeetAtOnePlaceAndManyInTheirDataCentre, and where no hub of it answers, at another's.
 func TestFewDaemonsMeetAtOnePlaceAndManyInTheirDataCentre(t *testing.T) {
 	disks := disksOf(3, 2)
+	at := place.Map{DataCentre: "dc1"}
 	for _, daemons := range []int{0, 8, 150} {
-		assert.DeepEqual(t, exchange.Places(disks, "dc1", daemons)[0], "hub-0:1")
+		assert.DeepEqual(t, exchange.Places(disks, at, daemons)[0], "hub-0:1")
 	}
-	assert.DeepEqual(t, exchange.Places(disks, "dc1", 151), []string{"hub-1:1", "hub-4:1", "hub-0:1", "hub-2:1", "hub-3:1", "hub-5:1"})
-	assert.DeepEqual(t, exchange.Places(disks, "elsewhere", 865)[0], "hub-0:1")
+	assert.DeepEqual(t, exchange.Places(disks, at, 151), []string{"hub-1:1", "hub-4:1", "hub-0:1", "hub-2:1", "hub-3:1", "hub-5:1"})
+	assert.DeepEqual(t, exchange.Places(disks, place.Map{DataCentre: "elsewhere"}, 865)[0], "hub-0:1")
+}
+
+// TestRegionsHaveHubsOfTheirOwn, however few daemons there are.
+func TestRegionsHaveHubsOfTheirOwn(t *testing.T) {
+	disks := disksOf(3, 2)
+	regions := map[string]string{"dc0": "a", "dc1": "b", "dc2": "b"}
+	for dataCentre, want := range map[string]string{"dc0": "hub-0:1", "dc1": "hub-1:1", "dc2": "hub-1:1"} {
+		assert.Equal(t, exchange.Places(disks, place.Map{DataCentre: dataCentre, Regions: regions}, 8)[0], want)
+	}
+	assert.DeepEqual(t, exchange.Neighbours(disks, regions, false), map[string][]string{
+		"a": {"hub-0:1", "hub-3:1"}, "b": {"hub-1:1", "hub-2:1", "hub-4:1", "hub-5:1"}})
+	assert.Equal(t, len(exchange.Neighbours(disks, regions, true)), 3)
+	assert.Equal(t, len(exchange.Neighbours(disks, map[string]string{"dc0": "a", "dc1": "a", "dc2": "a"}, false)), 1)
 }
 
 // hubs are store daemons on a network in memory, each with the service and a relayer.
@@ -68,7 +83,7 @@
 		assert.NilError(t, err)
 		go func() { _ = peerlink.Serve(listener, map[string]any{exchange.ServiceName: service}) }()
 		relayer := &exchange.Relayer{Service: service, Links: peerlink.NewSet(dialer(host)), Self: disk.Address, Log: quiet(),
-			Places: func() map[string][]string { return exchange.Neighbours(h.disks) }}
+			Places: func(crowded bool) map[string][]string { return exchange.Neighbours(h.disks, nil, crowded) }}
 		work.Go(func() { _ = relayer.Run(ctx) })
 	}
 	return h
@@ -102,7 +117,7 @@
 
 // ask swaps at the first hub that answers.
 func (h *hubs) ask(ctx context.Context, dataCentre string, daemons int, args *exchange.Args) *exchange.Reply {
-	for _, place := range exchange.Places(h.disks, dataCentre, daemons) {
+	for _, place := range exchange.Places(h.disks, place.Map{DataCentre: dataCentre}, daemons) {
 		if reply, err := exchange.Swap(ctx, h.links.To(place), args); err == nil {
 			return reply
 		}
--- a/internal/front/gateway/rig_test.go
+++ b/internal/front/gateway/rig_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/rookpass/rookpass/internal/base/incarnation"
 	"github.com/rookpass/rookpass/internal/base/metrics"
+	"github.com/rookpass/rookpass/internal/base/place"
 	"github.com/rookpass/rookpass/internal/base/secret"
 	"github.com/rookpass/rookpass/internal/decide/dispatch"
 	"github.com/rookpass/rookpass/internal/decide/policy"
@@ -178,7 +179,7 @@
 		t.Cleanup(s.Close)
 		r.objects = append(r.objects, objectapi.Object{Key: fmt.Sprintf("s/%d", i), Value: []byte(s.Listener.Addr().String())})
 	}
-	balancer := balance.New("front", "here")
+	balancer := balance.New("front", place.Map{DataCentre: "here"})
 	r.entries = catalog.NewServersHandler(catalog.ServersOptions{Catalog: r.catalog, Prefix: "s/", Decode: decodeServer,
 		Lapse: policy.NewLapse(time.Second), Log: log, Started: func(id incarnation.ID) { balancer.Started(id) }})
 	r.entries.Reset(r.objects, 1)
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -98,11 +98,12 @@
 }
 
 func newFront(b *base) *front {
-	f := &front{base: b, catalog: catalog.New(), balancer: balance.New(b.settings.Node, b.settings.DataCentre), gate: dispatch.New()}
+	f := &front{base: b, catalog: catalog.New(), balancer: balance.New(b.settings.Node, b.settings.Place()), gate: dispatch.New()}
 	f.pool = upstream.NewPool(b.host.dial, platform.Headers{}, int(serverShare*float64(b.settings.MaxDescriptors)))
+	f.pool.OnDial(f.learnWay)
 	f.detour = tunnel.NewDialer(b.host.dial, b.settings.PeerAddress())
 	b.links.WithDetour(f.detour.Dial, diskPatience)
-	f.ledger = ledger.New(b.links, b.settings.DataCentre, int(cacheShare*float64(b.settings.MemoryBytes)), b.log)
+	f.ledger = ledger.New(b.links, b.settings.Place(), int(cacheShare*float64(b.settings.MemoryBytes)), b.log)
 	f.gateway = gateway.New(gateway.Options{
 		Catalog: f.catalog, Balancer: f.balancer, Sender: f.pool, Ledger: f.ledger, Dialect: platform.Headers{},
 		Log: b.log, Stats: gateway.NewStats(b.metrics), Gate: f.gate, BodyBytes: int64(bodyShare * float64(b.settings.MemoryBytes)),
@@ -186,7 +187,7 @@
 		return run(&handler{prefix: layoutPrefix, apply: f.applyLayout}, frontWait)
 	})
 	servers := catalog.NewServersHandler(catalog.ServersOptions{
-		Catalog: f.catalog, DataCentre: f.settings.DataCentre, Regions: f.settings.Regions, Prefix: platform.ServersPrefix,
+		Catalog: f.catalog, Place: f.settings.Place(), Prefix: platform.ServersPrefix,
 		Decode: platform.DecodeServer, Lapse: policy.NewLapse(f.settings.Heartbeat), Log: f.log, Started: f.serverStarted,
 		Refused: func(reason catalog.Refusal) { f.metrics.Count("rookpass_entries_refused_total", string(reason)) },
 	})
@@ -303,7 +304,7 @@
 		}
 		args := &exchange.Args{From: f.settings.PeerAddress(), Daemons: daemons.Read(), Suspects: f.balancer.Suspects(), Failing: f.balancer.Failing(),
 			Demand: f.demand(), Loads: f.balancer.Loads()}
-		places := exchange.Places(l.Disks(), f.settings.DataCentre, daemons.Read())
+		places := exchange.Places(l.Disks(), f.settings.Place(), daemons.Read())
 		reply, err := exchange.Swap(ctx, f.links.To(places[place%len(places)]), args)
 		if err != nil {
 			place++
@@ -325,6 +326,13 @@
 	return ctx.Err()
 }
 
+// learnWay notes how long a connection to a server took.
+func (f *front) learnWay(to upstream.Endpoint, took time.Duration) {
+	if server := f.catalog.Servers().Server(to.Server); server != nil {
+		f.balancer.LearnWay(server.DataCentre, took)
+	}
+}
+
 // demand returns this daemon's calls under way and waiting, by service.
 func (f *front) demand() map[string]int {
 	demand := f.balancer.Calls()
--- a/internal/node/sources.go
+++ b/internal/node/sources.go
@@ -47,17 +47,12 @@
 	}
 }
 
-// preferred sorts disks: those of this data centre first, else by a hash of this VM's and theirs.
+// preferred sorts disks: the nearest first, else by a hash of this VM's and theirs.
 func (b *base) preferred(disks []layout.Disk) []layout.Disk {
 	rank := func(d layout.Disk) uint64 { return xxhash.Sum64String(b.settings.Node + " " + d.Node) }
-	remote := func(d layout.Disk) int {
-		if d.DataCentre == b.settings.DataCentre {
-			return 0
-		}
-		return 1
-	}
+	at := b.settings.Place()
 	slices.SortFunc(disks, func(a, b layout.Disk) int {
-		return cmp.Or(remote(a)-remote(b), cmp.Compare(rank(a), rank(b)))
+		return cmp.Or(cmp.Compare(at.To(a.DataCentre), at.To(b.DataCentre)), cmp.Compare(rank(a), rank(b)))
 	})
 	return disks
 }
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -136,7 +136,7 @@
 	}
 	group.Go(func() error { return controller.Run(ctx) })
 	group.Go(func() error {
-		relayer := &exchange.Relayer{Service: hub, Links: b.links, Self: s.PeerAddress(), Places: hubPlaces(store), Log: b.log}
+		relayer := &exchange.Relayer{Service: hub, Links: b.links, Self: s.PeerAddress(), Places: hubPlaces(store, s.Regions), Log: b.log}
 		return relayer.Run(ctx)
 	})
 	group.Go(func() error { return b.followSettings(ctx) })
@@ -152,14 +152,14 @@
 	return errors.Join(group.Wait(), store.Close())
 }
 
-// hubPlaces returns a function that lists where the hubs of all data centres may be.
-func hubPlaces(store *replica.Store) func() map[string][]string {
-	return func() map[string][]string {
+// hubPlaces returns a function that lists where all hubs may be.
+func hubPlaces(store *replica.Store, regions map[string]string) func(crowded bool) map[string][]string {
+	return func(crowded bool) map[string][]string {
 		l := store.Layout()
 		if l == nil {
 			return nil
 		}
-		return exchange.Neighbours(l.Disks())
+		return exchange.Neighbours(l.Disks(), regions, crowded)
 	}
 }
 
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -45,6 +45,9 @@
 	// open counts the connections to all servers.
 	open int
 
+	// dialled is told of each connection made; nil where nobody asks.
+	dialled func(to Endpoint, took time.Duration)
+
 	opened atomic.Int64
 	reused atomic.Int64
 }
@@ -60,6 +63,9 @@
 	return &Pool{dial: dial, dialect: dialect, most: most, hosts: map[Endpoint]*host{}}
 }
 
+// OnDial makes the pool tell of each connection that it makes, and how long that took. It is called before the first request.
+func (p *Pool) OnDial(dialled func(to Endpoint, took time.Duration)) { p.dialled = dialled }
+
 // Opened returns how many connections were opened, Reused how many requests went over kept ones.
 func (p *Pool) Opened() int64 { return p.opened.Load() }
 
@@ -107,11 +113,15 @@
 		return nil, &Failure{Verdict: verdict.NotRun, Reason: ReasonNoConns, err: err}
 	}
 	p.opened.Add(1)
+	began := time.Now()
 	c, err := p.dial(ctx, "tcp", to.Address)
 	if err != nil {
 		p.drop(to)
 		return nil, &Failure{Verdict: verdict.NotRun, Reason: ReasonDial, err: err}
 	}
+	if p.dialled != nil {
+		p.dialled(to, time.Since(began))
+	}
 	return newConn(c), nil
 }
 
--- a/internal/turns/ledger/chain.go
+++ b/internal/turns/ledger/chain.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/rookpass/rookpass/internal/base/place"
 	"github.com/rookpass/rookpass/internal/base/wait"
 	"github.com/rookpass/rookpass/internal/transport/peerlink"
 	"github.com/rookpass/rookpass/internal/turns/layout"
@@ -137,18 +138,17 @@
 	return order
 }
 
-// nearestFirst sorts slots: those in this data centre first, those that are being given up last.
+// beingGivenUp is farther away than any data centre.
+const beingGivenUp = int(place.Away) + 1
+
+// nearestFirst sorts slots: the nearest first, those that are being given up last.
 func (l *Ledger) nearestFirst(current *layout.Layout, slots []int) []int {
 	distance := func(i int) int {
 		slot := current.Slots[i]
-		switch {
-		case slot.Joining != nil || slot.Leaving:
-			return 2
-		case slot.Disk.DataCentre == l.dataCentre:
-			return 0
-		default:
-			return 1
+		if slot.Joining != nil || slot.Leaving {
+			return beingGivenUp
 		}
+		return int(l.place.To(slot.Disk.DataCentre))
 	}
 	slices.SortStableFunc(slots, func(a, b int) int { return distance(a) - distance(b) })
 	return slots
--- a/internal/turns/ledger/cluster_test.go
+++ b/internal/turns/ledger/cluster_test.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
+	"github.com/rookpass/rookpass/internal/base/place"
 	"github.com/rookpass/rookpass/internal/objects/objectapi"
 	"github.com/rookpass/rookpass/internal/objects/objectapi/apitest"
 	"github.com/rookpass/rookpass/internal/objects/objectapi/memapi"
@@ -177,7 +178,7 @@
 
 // ledger returns a ledger on a host of its own that knows the layout in force.
 func (c *cluster) ledger(host string) *ledger.Ledger {
-	l := ledger.New(peerlink.NewSet(dialFrom(c.fabric, host)), host, 1, c.log)
+	l := ledger.New(peerlink.NewSet(dialFrom(c.fabric, host)), place.Map{DataCentre: host}, 1, c.log)
 	l.Learn(c.current())
 	c.t.Cleanup(func() { assert.NilError(c.t, l.Flush(context.Background())) })
 	return l
--- a/internal/turns/ledger/ledger.go
+++ b/internal/turns/ledger/ledger.go
@@ -5,12 +5,14 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/rookpass/rookpass/internal/base/place"
 	"github.com/rookpass/rookpass/internal/base/wait"
 	"github.com/rookpass/rookpass/internal/transport/peerlink"
 	"github.com/rookpass/rookpass/internal/turns/layout"
@@ -36,24 +38,31 @@
 	// allGrace is how much longer than for a quorum a reservation waits for the other disks: asking again
 	// takes a trip to another data centre and back, 3 ms.
 	allGrace = 5 * time.Millisecond
+	// spareDelay is when a whole turn's record goes to the disks that were spared: many times a usual answer, also of another
+	// region's disk. Sooner, disks that are busy would get more to do for it.
+	spareDelay = 100 * time.Millisecond
+	// spareMemory is for how long a disk that has not answered is asked after all others.
+	spareMemory = 3 * time.Second
 	// hedgeDelay is when a fetch asks the other disks too: ten times a usual answer of the nearest.
 	hedgeDelay = 20 * time.Millisecond
 )
 
 // Ledger talks to the disks. Use New.
 type Ledger struct {
-	links      *peerlink.Set
-	log        logrus.FieldLogger
-	dataCentre string
-	layout     atomic.Pointer[layout.Layout]
-	cache      *cache
+	links  *peerlink.Set
+	log    logrus.FieldLogger
+	place  place.Map
+	layout atomic.Pointer[layout.Layout]
+	cache  *cache
+	// failed has when a disk, by its ID, last did not answer.
+	failed sync.Map
 	// background are the writes that go on after their quorum.
 	background sync.WaitGroup
 }
 
-// New returns a ledger of a daemon in a data centre. cacheBytes bounds the turns kept in memory.
-func New(links *peerlink.Set, dataCentre string, cacheBytes int, log logrus.FieldLogger) *Ledger {
-	return &Ledger{links: links, dataCentre: dataCentre, cache: newCache(cacheBytes), log: log}
+// New returns a ledger of a daemon at a place. cacheBytes bounds the turns kept in memory.
+func New(links *peerlink.Set, at place.Map, cacheBytes int, log logrus.FieldLogger) *Ledger {
+	return &Ledger{links: links, place: at, cache: newCache(cacheBytes), log: log}
 }
 
 // Learn takes a layout over if it is newer than the one in use.
@@ -181,10 +190,12 @@
 	err   error
 }
 
-// round is one asking of all disks of a group.
+// round is one asking of the disks of a group.
 type round struct {
 	answers chan ack
 	sent    int
+	// spared asks the disks that were left out at first; nil where there are none.
+	spared func()
 	// open counts, for each slot, the disks that have not yet said that they hold the record: two while
 	// another disk takes the slot over.
 	open   map[int]int
@@ -197,7 +208,9 @@
 
 func (r *round) all() bool { return r.held == len(r.open) }
 
-// send asks each disk of the record's group. The calls go on after the round has been left.
+// send asks the disks of the record's group. A whole turn's record goes to the nearest quorum of them alone, and to the rest
+// only where those do not all answer soon: it holds all that was said, and its way may be long. All else goes to each. The
+// calls go on after the round has been left.
 func (l *Ledger) send(ctx context.Context, current *layout.Layout, record *turn.Record, account bool) *round {
 	group := l.nearestFirst(current, current.Group(record.Program))
 	r := &round{answers: make(chan ack, 2*len(group)), open: map[int]int{}, quorum: current.Quorum(), known: map[string]replica.Entry{}}
@@ -211,32 +224,71 @@
 			defer cancel()
 			a := ack{slot: slot}
 			a.reply, a.err = peerlink.Call[replica.WriteReply](callCtx, l.links.To(disk.Address), replica.ServiceName+".Write", args)
+			l.noteAnswer(disk.ID, a.err)
 			r.answers <- a
 		})
 	}
-	for _, slot := range group {
-		place := current.Slots[slot]
-		if place.Leaving {
-			continue // it counts for nothing, so it is asked for nothing
-		}
-		ask(slot, place.Disk)
-		if place.Joining != nil {
-			ask(slot, *place.Joining)
+	askAll := func(slots []int) {
+		for _, slot := range slots {
+			place := current.Slots[slot]
+			ask(slot, place.Disk)
+			if place.Joining != nil {
+				ask(slot, *place.Joining)
+			}
 		}
 	}
+	// A slot that is leaving counts for nothing, so it is asked for nothing.
+	group = slices.DeleteFunc(group, func(slot int) bool { return current.Slots[slot].Leaving })
+	first := len(group)
+	if record.State == turn.Finished {
+		first = min(first, current.Quorum())
+		l.silentLast(current, group)
+	}
+	askAll(group[:first])
+	if rest := group[first:]; len(rest) > 0 {
+		r.spared = func() { askAll(rest) }
+	}
 	return r
 }
 
+// noteAnswer remembers whether a disk has answered.
+func (l *Ledger) noteAnswer(disk string, err error) {
+	if err != nil {
+		l.failed.Store(disk, time.Now())
+	} else {
+		l.failed.Delete(disk)
+	}
+}
+
+// silentLast puts the slots last whose disks have not answered of late.
+func (l *Ledger) silentLast(current *layout.Layout, group []int) {
+	silent := func(slot int) int {
+		at, failed := l.failed.Load(current.Slots[slot].Disk.ID)
+		if failed && time.Since(at.(time.Time)) < spareMemory {
+			return 1
+		}
+		return 0
+	}
+	slices.SortStableFunc(group, func(a, b int) int { return silent(a) - silent(b) })
+}
+
 // gather takes answers until a quorum holds the record; with patience, also for allGrace longer until all do.
 func (r *round) gather(ctx context.Context, l *Ledger, patience bool) error {
 	var grace <-chan time.Time
 	var problem error
-	for range r.sent {
+	spare := time.NewTimer(spareDelay)
+	defer spare.Stop()
+	for answered := 0; answered < r.sent; {
 		select {
 		case a := <-r.answers:
+			answered++
 			if err := r.take(l, a); err != nil {
 				problem = err
+				r.askSpared()
 			}
+		case <-spare.C:
+			r.askSpared()
+			continue
 		case <-grace:
 			return nil
 		case <-ctx.Done():
@@ -260,6 +312,14 @@
 	return errors.Join(ErrUnsure, problem)
 }
 
+// askSpared asks the disks that were left out at first.
+func (r *round) askSpared() {
+	if r.spared != nil {
+		r.spared()
+		r.spared = nil
+	}
+}
+
 // take counts one answer.
 func (r *round) take(l *Ledger, a ack) error {
 	if a.err != nil {
