A tenth of the calls between daemons may be sent a second time

Cause: a call to a disk without an answer for 120 ms was sent over another front as well. Where a shared link is full every call is late, so every one went twice, and the second way crossed the same link.

Ruled out: a longer patience (a constant; holds until the link is slower).

Measured: peerlink.TestSecondCallsAreFew (2,000 calls that are all late: 260 at most sent twice).

Conclusion: a retry budget, as published for any second try.

--- /dev/null
+++ b/internal/transport/peerlink/budget_test.go
@@ -0,0 +1,56 @@
+package peerlink_test
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/rookpass/rookpass/internal/transport/network/memnet"
+	"github.com/rookpass/rookpass/internal/transport/peerlink"
+)
+
+// Slow is an RPC service whose answers take their time.
+type Slow struct{ takes time.Duration }
+
+// Say answers late.
+func (s *Slow) Say(text *string, reply *string) error {
+	time.Sleep(s.takes)
+	*reply = *text
+	return nil
+}
+
+// TestSecondCallsAreFew: where all answers are late, as over a link that is full, calls are not all sent twice.
+func TestSecondCallsAreFew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fabric := memnet.New()
+		listener, err := fabric.Listen("server", "server:1")
+		assert.NilError(t, err)
+		go func() { _ = peerlink.Serve(listener, map[string]any{"Echo": &Slow{takes: 300 * time.Millisecond}}) }()
+		t.Cleanup(func() {
+			fabric.Kill("server")
+			time.Sleep(time.Minute) // timers of closed connections run out
+		})
+		var direct, detour atomic.Int64
+		second := dialer(fabric, "helper", &detour)
+		set := peerlink.NewSet(dialer(fabric, "client", &direct)).WithDetour(second, 100*time.Millisecond)
+		const calls = 2000
+		var work sync.WaitGroup
+		over := atomic.Int64{}
+		for range calls {
+			work.Go(func() {
+				if say(t, set.To("server:1"), time.Second) == nil {
+					over.Add(1)
+				}
+			})
+			time.Sleep(2 * time.Millisecond)
+		}
+		work.Wait()
+		assert.Equal(t, over.Load(), int64(calls))
+		sent := set.Seconds()
+		assert.Assert(t, sent > 0 && sent <= 60+calls/10, "%d of %d calls were sent twice", sent, calls)
+	})
+}
--- a/internal/transport/peerlink/peerlink.go
+++ b/internal/transport/peerlink/peerlink.go
@@ -36,12 +36,16 @@
 	detour   network.DialContext
 	patience time.Duration
 
+	budget *budget
+
 	mu    sync.Mutex
 	links map[string]*Link
 }
 
 // NewSet returns an empty set.
-func NewSet(dial network.DialContext) *Set { return &Set{dial: dial, links: map[string]*Link{}} }
+func NewSet(dial network.DialContext) *Set {
+	return &Set{dial: dial, budget: newBudget(), links: map[string]*Link{}}
+}
 
 // WithDetour makes calls that have no answer after patience be sent over a detour as well, and returns the
 // set. Every call must be idempotent.
@@ -50,13 +54,20 @@
 	return s
 }
 
+// Seconds returns how many calls were sent over a second path.
+func (s *Set) Seconds() int {
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
+	return s.budget.sent
+}
+
 // To returns the link to an address.
 func (s *Set) To(address string) *Link {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	link := s.links[address]
 	if link == nil {
-		link = &Link{direct: newPath(address, s.dial), patience: s.patience}
+		link = &Link{direct: newPath(address, s.dial), patience: s.patience, budget: s.budget}
 		if s.detour != nil {
 			link.detour = newPath(address, s.detour)
 		}
@@ -69,6 +80,7 @@
 type Link struct {
 	direct, detour *path
 	patience       time.Duration
+	budget         *budget
 
 	mu         sync.Mutex
 	detourTill time.Time
@@ -96,6 +108,7 @@
 		o := <-ended
 		return o.reply, o.err
 	}
+	l.budget.earn()
 	go ask(first)
 	timer := time.NewTimer(l.patience)
 	defer timer.Stop()
@@ -112,7 +125,7 @@
 			l.failed(o.path)
 		case <-timer.C:
 		}
-		if second != nil && ctx.Err() == nil {
+		if second != nil && ctx.Err() == nil && l.budget.spend() {
 			go ask(second)
 			second = nil
 			running++
