--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -25,7 +25,7 @@
 	// calmTime is how long nothing must have waited before programs tell what they need.
 	calmTime = 2 * time.Second
 	// longestReturn bounds how long a refused caller is told to stay away: programs of a second or two can still end
-	// in time then. With a second worth is 0.02 less under three to six times the usual load (eight paired runs).
+	// in time then.
 	longestReturn = 400 * time.Millisecond
 )
 
--- a/internal/decide/policy/lapse.go
+++ b/internal/decide/policy/lapse.go
@@ -25,8 +25,7 @@
 
 // HeldUntil returns until when missing entries count as those of live owners, where the store's word of last is
 // followed by that of again; the zero time where too little time has passed for entries to lapse. It goes by the age
-// of what is known, not by the time for which the store was noticed to be away: one that is silent is noticed up to
-// 2.4 s late, and then the entries of all servers lapsed in an outage of 2.9 s that counted as one of 0.5 s.
+// of what is known, not by the time for which the store was noticed to be away: one that is silent is noticed late.
 func (l Lapse) HeldUntil(last, again time.Time) time.Time {
 	if again.Sub(last) < l.After {
 		return time.Time{}
--- a/internal/decide/policy/model.go
+++ b/internal/decide/policy/model.go
@@ -36,10 +36,9 @@
 const (
 	// modelMemory is the weight that what was learnt keeps at each observation: some 500 calls count.
 	modelMemory = 0.998
-	// modelPull is how many observations of size one the defaults count for. On the engines seen so far the learnt
-	// cost of a prompt token is within a tenth of the real one after 150 calls.
+	// modelPull is how many observations of size one the defaults count for.
 	modelPull = 20
-	// solveEvery observations the weights are worked out anew; an observation costs 65 ns in the mean (BenchmarkObserve).
+	// solveEvery observations the weights are worked out anew.
 	solveEvery = 10
 	// defaultGeneratedPer100 are the seconds for a hundred tokens before any were seen: 4 ms a token.
 	defaultGeneratedPer100 = 0.4
--- a/internal/decide/policy/pace.go
+++ b/internal/decide/policy/pace.go
@@ -13,8 +13,6 @@
 	paceWeight = 0.15
 	// usualSpread is up to which mean ratio a server counts as one like the others. Where calls vary by as much as their mean,
 	// the mean of a server that is no slower lies above it after some 5 in 100 answers (TestEqualServersSeldomCountAsSlow).
-	// Without it daemons turned from servers to which they had connections to new ones, because of a few long calls there: 259
-	// fronts opened 5,143 connections in twelve seconds, and open 3,722 so.
 	usualSpread = 1.5
 	// maxSlowness bounds how much worse a server counts for having been slow.
 	maxSlowness = 6.0
--- a/internal/decide/policy/place.go
+++ b/internal/decide/policy/place.go
@@ -51,15 +51,12 @@
 }
 
 // surplusWeight is what a call of another daemon counts against one of this daemon's own. Reports are as old as a
-// call takes, so daemons that trust them whole turn to one engine and leave it together: with 1.0 worth falls by
-// 0.03 under three to six times the usual load, with 0.3 it rises by 0.012, as it does under a burst (eight paired
-// runs each).
+// call takes, so daemons that trust them whole turn to one engine and leave it together.
 const surplusWeight = 0.3
 
 // Expected returns what a call of promptTokens is expected to cost on an engine: the seconds that reading its
 // prompt takes, once for the call itself and once for each that is held up beside it, and those that the calls
-// already there add to its own time. Leaving the calls beside it out loses worth where engines are busy: under a
-// burst of four times the usual load 0.016, and engines read a sixth more (mean of eight paired seeds).
+// already there add to its own time.
 func Expected(engine Engine, promptTokens int64, costs Costs) float64 {
 	uncached := max(0, promptTokens-engine.CachedTokens)
 	cost := float64(uncached+1) * costs.PrefillPerToken * (1 + float64(engine.InFlight) + engine.Others)
--- a/internal/decide/policy/queue.go
+++ b/internal/decide/policy/queue.go
@@ -8,8 +8,7 @@
 // Standing is how a call's program stands. Calls of a lower one go first.
 type Standing int32
 
-// The standings. To let new programs begin before those under way are served makes all of them late: under six
-// times the usual load worth is 0.51 where calls go in the order in which they come, and 0.65 with these.
+// The standings. To let new programs begin before those under way are served makes all of them late.
 const (
 	// OnTime programs have begun and can still end in time. The zero value.
 	OnTime Standing = iota
--- a/internal/decide/policy/share.go
+++ b/internal/decide/policy/share.go
@@ -3,9 +3,7 @@
 import "time"
 
 // overcommit is how many more calls than slots all daemons together may have under way at a service's engines.
-// Daemons know of one another late, and calls fall unevenly on the engines, so without it slots stay empty. On days
-// that ask for three to six times the usual, 1.15 to 1.35 differ by less than 0.02 of worth, 1.5 loses 0.04 and 2.0
-// loses 0.08 against 1.15; under a shorter burst the larger ones are better by 0.01 (eight paired runs each).
+// Daemons know of one another late, and calls fall unevenly on the engines, so slots would stay empty.
 const overcommit = 1.25
 
 // Share returns how many calls a daemon may have under way at engines with so many slots in all, where it wants to
--- a/internal/front/balance/balance.go
+++ b/internal/front/balance/balance.go
@@ -46,10 +46,8 @@
 	// maxReportedShare of the servers may be shunned on other daemons' word.
 	maxReportedShare = 0.4
 	// failTogether daemons that a server has failed last, within failingTime, count as one that suspects it: where there are
-	// many daemons, none of them meets a server twice soon. Of 259 daemons' tries at 11 of 145 servers that flap for 7 s
-	// some 320 failed where each daemon learnt alone, and some 130 fail so (crowd_test.go); with 2 s 160, with 6 s 65, but
-	// then servers stay out of use for as long after they are well. Two daemons instead of three are met by chance more often
-	// where servers lose three answers in a hundred.
+	// many daemons, none of them meets a server twice soon. Fewer would be met by chance where servers lose a few answers in a
+	// hundred, and for longer a server would stay out of use after it is well.
 	failTogether = 3
 	failingTime  = 3 * time.Second
 )
--- a/internal/front/balance/parts.go
+++ b/internal/front/balance/parts.go
@@ -13,8 +13,7 @@
 const partLimit = 1024
 
 // partSet remembers what a server has of prompts, forgetting those parts first that were used longest ago, as
-// engines do. Forgetting those first that were read first loses the shared parts, and turns leave the servers that
-// hold them: under a burst of four times the usual load worth falls by 0.018 (mean of eight paired seeds).
+// engines do. Forgetting those first that were read first would lose the shared parts.
 type partSet struct {
 	byID  map[string]*list.Element
 	order *list.List // of *heldPart, the one used last in front
--- a/internal/front/exchange/exchange.go
+++ b/internal/front/exchange/exchange.go
@@ -21,13 +21,12 @@
 	// memory is how long a daemon is remembered that no longer calls: several pauses of 400 daemons.
 	memory = 6 * time.Second
 	// staleAfter is how many pauses a daemon's demand and what fails it count after its report. What a dead daemon had comes to the
-	// others; counted for the whole memory it takes their share of the slots, which costs 0.007 of worth under a
-	// burst in which one daemon dies (mean of eight paired seeds).
+	// others, and would take their share of the slots for as long as it counts.
 	staleAfter = 3
 	// maxPeers is how many other daemons an answer names: enough helpers for a detour.
 	maxPeers = 16
-	// crowd is how many daemons may call every Pause; more of them call less often, so that the calls that come
-	// together stay bounded: some 500 a second, of 16 µs each (BenchmarkSwap) and their encoding.
+	// crowd is how many daemons may call a hub every Pause; more of them call less often, so that the calls that come
+	// together stay bounded.
 	crowd = 150
 	// callTimeout bounds one call.
 	callTimeout = 600 * time.Millisecond
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,10 +48,8 @@
 )
 
 // Shares of the time within which a withdrawn key must be refused everywhere, for which watches of the configuration wait:
-// readerShare at the platform's store, hopShare at another daemon. With 1.5 s and 1 s a front's configuration was up to
-// 2.4 s old when the store went dark, and keys were believed for as much less. An outage of 4.7 s on a day of 3,800 programs
-// then brought 1,105 answers of 503, with a fifth and a twentieth of 5 s 1,692, with a tenth and a twentieth 762 and 746,
-// one play each. Calls to the store have a price: 532 on a calm day with 1.5 s, 616 with a fifth, 866 with a tenth.
+// readerShare at the platform's store, hopShare at another daemon. As old as the configuration is when the store goes dark, as
+// much sooner keys are no longer believed; but each call to the store has a price.
 const (
 	readerShare = 0.1
 	hopShare    = 0.05
--- a/internal/node/sources.go
+++ b/internal/node/sources.go
@@ -21,8 +21,8 @@
 const readersKey = "readers of the platform's objects"
 
 // readers returns a function that lists the daemons through which this one reads the platform's objects, or none where it
-// reads the store itself. There are 2 x tolerance + 1 readers, however many store daemons there are: each watch costs some
-// 110 priced calls a minute, 3,300 with 36 store daemons, 0.034 of a calm day's worth. As many as may be lost at once, and
+// reads the store itself. There are 2 x tolerance + 1 readers, however many store daemons there are: the calls of
+// a watch have a price. As many as may be lost at once, and
 // as many again, still leave one; where no reader can say, a daemon asks the store.
 func (b *base) readers(store *replica.Store) func() []feed.NamedMirror {
 	links := peerlink.NewSet(b.host.dial) // apart from those of turns: a watch that hangs must not break their calls
--- a/internal/objects/feed/feed.go
+++ b/internal/objects/feed/feed.go
@@ -48,8 +48,7 @@
 const stagger = 30 * time.Millisecond
 
 // oldCopyPatience is how long a daemon that knows nothing waits for the store where mirrors have lost it: above the 0.4 s
-// of a slow store. A front that starts while the store is silent serves after 0.5 s; it took 3 s, a time-out for the
-// layout and one for the rest.
+// of a slow store.
 const oldCopyPatience = 500 * time.Millisecond
 
 // Feed implements watch.Source. It stays with a source as long as that one answers.
--- a/internal/objects/feed/sources.go
+++ b/internal/objects/feed/sources.go
@@ -18,19 +18,17 @@
 	directPause      = 3 * time.Second
 	directAlonePause = 500 * time.Millisecond
 	// firstListPause is the first pause before a daemon that knows nothing, and has no mirror in reach, asks for its first list
-	// again, doubled with each failure up to directAlonePause. Where power returns just as an outage ends, fronts had no
-	// configuration for 0.5 s, since they waited for store daemons without power though the store was back after 0.1 s.
+	// again, doubled with each failure up to directAlonePause: power may return just as an outage ends.
 	firstListPause = 50 * time.Millisecond
 )
 
 // manyMirrors is from how many mirrors on their word that they have lost the store is all but certain: where the store turns
 // away a third of the VMs, all of so many are among them once in some thousand times. Readers then ask the store itself
-// the less often the more mirrors there are, and not at once: each call has a price, and an outage of 8 s cost 259 readers
-// before 36 mirrors 777 calls (TestCrowdLeavesAStoreThatItsMirrorsHaveLostAlone; at most 163 so, in thirty outages).
+// the less often the more mirrors there are, and not at once: each call has a price.
 const manyMirrors = 8
 
-// lostSample is how many mirrors are asked at a time while nobody can say, others each time: with 30 of them before 200
-// readers that ask 5 times a second, each mirror gets 100 questions a second and not 1,000.
+// lostSample is how many mirrors are asked at a time while nobody can say, others each time: readers ask
+// several times a second.
 const lostSample = 3
 
 // source is a mirror or the store itself.
--- a/internal/objects/watch/link.go
+++ b/internal/objects/watch/link.go
@@ -13,9 +13,7 @@
 )
 
 // Pauses between attempts while the source does not answer. They stay short however long an outage lasts: what is
-// changed at its end must be in force soon, and pauses of daemons that read through one another add up. With pauses of up
-// to 3 s a front learnt of a change 3.4 s after the end of an outage; it must be in force after 2 s. A store daemon makes
-// some 5 calls a second while its source is away.
+// changed at its end must be in force soon, and pauses of daemons that read through one another add up.
 const (
 	firstPause = 50 * time.Millisecond
 	maxPause   = 200 * time.Millisecond
@@ -26,7 +24,7 @@
 const probeTimeout = time.Second
 
 // endPause is the least time between two returns that end the calls of watchers that had lost nothing: a prefix whose lists
-// fail again and again must not cost each of the others more than two calls a second (206 in 20 s without it).
+// fail again and again must not cost each of the others more than two calls a second.
 const endPause = time.Second
 
 // errReturned ends calls that were sent before their source was back.
--- a/internal/turns/ledger/chain.go
+++ b/internal/turns/ledger/chain.go
@@ -65,8 +65,7 @@
 // fetch returns a turn and some of those before it, the newest first. It asks one disk after the other, the
 // nearest of the program's group first: the next one when a disk does not answer soon or does not hold the turn. Once as
 // many as a group has do not hold it, it is most likely nowhere, and the rest are asked beside one another; as soon as
-// enough have said so, it is told. With 36 disks, one of them dark, a caller waited for up to 1.1 s for such an answer and
-// got none that was sure; a turn that is nowhere took 65 ms in the middle, up to 0.7 s.
+// enough have said so, it is told.
 func (l *Ledger) fetch(ctx context.Context, program, id string) ([]turn.Record, error) {
 	current := l.layout.Load()
 	if current == nil {
--- a/internal/turns/turnlog/pacer.go
+++ b/internal/turns/turnlog/pacer.go
@@ -9,10 +9,8 @@
 const maxPause = 10 * time.Millisecond
 
 // pacer gives a disk half of the time at most: after a sync, the next one waits for as long as that one took. Appends gather
-// meanwhile, and the daemon's network is served: with one processor, a thread that waits for the disk holds up all others. At
-// some 400 syncs of 2 ms a second store daemons answered calls 0.3 to 0.8 s late, for seconds on end, and 421 turns of 19,836
-// were refused for want of answers; six plays of that day ended with a worth of 0.65 to 0.92 and end with 0.94 so. An append to a
-// disk that rests waits for nobody. The zero value is ready for use.
+// meanwhile, and the daemon's network is served: with one processor, a thread that waits for the disk holds up all others.
+// An append to a disk that rests waits for nobody. The zero value is ready for use.
 type pacer struct {
 	ended time.Time
 	took  time.Duration
