Turns at cold servers go by the steady clock

Cause: they went by the time of day, which may jump (clock_step), and a step back could open a turn twice.

Change: policy.ColdTurn takes the time since the daemon began and the time since its last request there; it reads no clock.

--- a/internal/decide/policy/cold.go
+++ b/internal/decide/policy/cold.go
@@ -30,13 +30,13 @@
 	return max(2*coldWindow, time.Duration(math.Ceil(seconds*float64(time.Second))))
 }
 
-// Open tells whether a turn is open at a time, and has not been used by the request sent last.
-func (c ColdTurn) Open(now, sent time.Time) bool {
+// Open tells whether a turn is open at a time, by a steady clock of the daemon's, and has not been used by the request that
+// went last so long ago.
+func (c ColdTurn) Open(at, sinceLast time.Duration) bool {
 	if c.PerSecond <= 0 {
 		return false
 	}
 	period := c.period()
 	phase := time.Duration(xxhash.Sum64String(c.Daemon+" "+c.Server) % uint64(period))
-	into := time.Duration((now.UnixNano() + int64(phase)) % int64(period))
-	return into < coldWindow && (sent.IsZero() || now.Sub(sent) >= period-coldWindow)
+	return (at+phase)%period < coldWindow && sinceLast >= period-coldWindow
 }
--- a/internal/front/balance/balance.go
+++ b/internal/front/balance/balance.go
@@ -87,8 +87,10 @@
 // Balancer keeps what was seen of servers. Use New.
 type Balancer struct {
 	// name is this daemon's, which differs from all others'.
-	name   string
-	place  place.Map
+	name  string
+	place place.Map
+	// began is when the balancer was made: turns at cold servers go by the time since.
+	began  time.Time
 	mu     sync.Mutex
 	states map[incarnation.ID]*state
 	// means are the moving means of whole answers' times, by route, in seconds.
@@ -120,7 +122,7 @@
 
 // New returns a balancer of a daemon at a place.
 func New(name string, at place.Map) *Balancer {
-	return &Balancer{name: name, place: at, states: map[incarnation.ID]*state{}, means: map[string]float64{}, heads: map[string]float64{},
+	return &Balancer{name: name, place: at, began: time.Now(), states: map[incarnation.ID]*state{}, means: map[string]float64{}, heads: map[string]float64{},
 		ways: map[string]float64{}, models: map[string]*policy.CostModel{}, calls: map[string]int{}, demand: map[string]*policy.Peak{}}
 }
 
