Servers of a data centre that is taken back count as cold for a while

Cause: they may have gone cold before the evacuation ended, and their entries tell of it only with their next heartbeat; idle as they are, all fronts would turn to them at once.

Measured: catalog.TestServersReturnAsCold.

--- a/internal/front/catalog/servers.go
+++ b/internal/front/catalog/servers.go
@@ -53,6 +53,9 @@
 	refused   map[string]Refusal
 	cold      map[string]time.Time
 	evacuated map[string]bool
+	// returning has until when servers of a data centre count as cold whose evacuation was taken back: they may have gone cold
+	// before, and their entries tell of it only with their next heartbeat.
+	returning map[string]time.Time
 	// confirmed is when the store said last that the entries were whole; missing ones are held until holding.
 	confirmed, holding time.Time
 }
@@ -60,7 +63,8 @@
 // NewServersHandler returns a handler that knows no server yet.
 func NewServersHandler(o ServersOptions) *ServersHandler {
 	return &ServersHandler{ServersOptions: o, entries: map[string]*entry{}, held: map[string]*Server{}, changed: map[string]bool{},
-		missing: map[string]*Server{}, refused: map[string]Refusal{}, cold: map[string]time.Time{}, evacuated: map[string]bool{}}
+		missing: map[string]*Server{}, refused: map[string]Refusal{}, cold: map[string]time.Time{}, evacuated: map[string]bool{},
+		returning: map[string]time.Time{}}
 }
 
 // Prefix implements watch.Handler.
@@ -220,6 +224,17 @@
 			delete(h.cold, name)
 		}
 	}
+	for dataCentre, until := range h.returning {
+		if !now.Before(until) {
+			delete(h.returning, dataCentre)
+			continue
+		}
+		for _, e := range h.entries {
+			if e.server.DataCentre == dataCentre && until.After(cold[e.start()]) {
+				cold[e.start()] = until
+			}
+		}
+	}
 	return cold
 }
 
@@ -235,6 +250,7 @@
 		h.evacuated[dataCentre] = true
 	} else {
 		delete(h.evacuated, dataCentre)
+		h.returning[dataCentre] = time.Now().Add(h.Lapse.Renewal)
 	}
 	h.Log.WithFields(logrus.Fields{"event": "evacuation", "data_centre": dataCentre, "evacuated": evacuated}).Info("evacuation in force")
 	h.publish()
--- a/internal/front/catalog/terms_test.go
+++ b/internal/front/catalog/terms_test.go
@@ -70,6 +70,24 @@
 	assert.Equal(t, bar(0), catalog.BarCold, "a server may turn cold again")
 }
 
+// TestServersReturnAsCold: until their entries had the time to tell whether they are.
+func TestServersReturnAsCold(t *testing.T) {
+	c := catalog.New()
+	h := catalog.NewServersHandler(placed(c, "hall-0"))
+	h.Reset([]objectapi.Object{writtenEntry(2, 1), writtenEntry(3, 1)}, 1)
+	h.SetEvacuated("hall-2", true)
+	h.SetEvacuated("hall-2", false)
+	bars := func(after time.Duration) (returned, other catalog.Bar) {
+		terms := c.Servers().Terms(time.Now().Add(after), nil, true)
+		return terms.Bar(c.Servers().Server(id("i-00000002"))), terms.Bar(c.Servers().Server(id("i-00000003")))
+	}
+	returned, other := bars(0)
+	assert.Equal(t, returned, catalog.BarCold)
+	assert.Equal(t, other, catalog.Free)
+	returned, _ = bars(3 * time.Second)
+	assert.Equal(t, returned, catalog.Free)
+}
+
 // TestEvacuatedDataCentreHasNoSlots, and is in use again once the evacuation is taken back.
 func TestEvacuatedDataCentreHasNoSlots(t *testing.T) {
 	c := catalog.New()
