--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,6 +45,9 @@
 	formingTime = 3300 * time.Millisecond
 	// heapShare of a VM's memory is where the collector begins to work hard.
 	heapShare = 0.6
+	// gcPercent is by how much the heap may grow over what is live before it is collected. What is live is mostly the list of
+	// servers, and daemons make little garbage.
+	gcPercent = 40
 )
 
 // Shares of the time within which a withdrawn key must be refused everywhere, for which watches of the configuration wait:
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -53,5 +53,6 @@
 // apply puts in force what may change during a process's life.
 func (b *base) apply(s platform.Settings) {
 	b.seeds.Store(&s.Seeds)
+	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(heapShare * float64(s.MemoryBytes)))
 }
--- a/internal/transport/peerlink/peerlink.go
+++ b/internal/transport/peerlink/peerlink.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"net/rpc"
 	"sync"
@@ -22,9 +21,6 @@
 	dialTimeout = 500 * time.Millisecond
 	// redialPause bounds how often a dead daemon is dialled.
 	redialPause = 100 * time.Millisecond
-	// restTime is how long a connection is kept without a call: a program's next turn mostly comes sooner. Kept for good, they
-	// would be as many as callers times daemons called.
-	restTime = 4 * time.Second
 	// detourTime is how long calls take the detour before the direct way is tried again.
 	detourTime = 2 * time.Second
 )
@@ -167,132 +163,6 @@
 	}
 }
 
-// path is a connection that is made when it is first needed and again after it broke.
-type path struct {
-	address string
-	dial    network.DialContext
-
-	mu      sync.Mutex
-	client  *rpc.Client
-	dialing chan struct{}
-	failed  time.Time
-	lastErr error
-	// calls are under way on the connection, or about to be; rest ends it when there have been none for restTime.
-	calls int
-	rest  *time.Timer
-}
-
-func newPath(address string, dial network.DialContext) *path {
-	return &path{address: address, dial: dial}
-}
-
-// call waits for the answer until ctx ends. The connection is given up when a call times out, since an answer
-// may never come on it.
-func (p *path) call(ctx context.Context, method string, args, reply any) error {
-	client, err := p.connect(ctx)
-	if err != nil {
-		return fmt.Errorf("%w: %s: %w", ErrUnreachable, p.address, err)
-	}
-	defer p.leave()
-	pending := client.Go(method, args, reply, make(chan *rpc.Call, 1))
-	select {
-	case <-pending.Done:
-		var answered rpc.ServerError
-		if pending.Error != nil && !errors.As(pending.Error, &answered) {
-			p.drop(client)
-			return fmt.Errorf("%w: %s: %w", ErrUnreachable, p.address, pending.Error)
-		}
-		return pending.Error
-	case <-ctx.Done():
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			p.drop(client)
-		}
-		return fmt.Errorf("%w: %s: %w", ErrUnreachable, p.address, ctx.Err())
-	}
-}
-
-// connect returns the connection, for a call that leave must end. One caller dials; the others wait for it.
-func (p *path) connect(ctx context.Context) (*rpc.Client, error) {
-	p.mu.Lock()
-	for p.client == nil && p.dialing != nil {
-		dialing := p.dialing
-		p.mu.Unlock()
-		select {
-		case <-dialing:
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		}
-		p.mu.Lock()
-	}
-	defer p.mu.Unlock()
-	if p.client == nil {
-		if p.lastErr != nil && time.Since(p.failed) < redialPause {
-			return nil, p.lastErr
-		}
-		if err := p.connectOnce(ctx); err != nil {
-			return nil, err
-		}
-	}
-	p.calls++
-	return p.client, nil
-}
-
-// leave ends a call on the connection.
-func (p *path) leave() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.calls--; p.calls > 0 || p.client == nil {
-		return
-	}
-	if p.rest == nil {
-		p.rest = time.AfterFunc(restTime, p.closeAtRest)
-	} else {
-		p.rest.Reset(restTime)
-	}
-}
-
-// closeAtRest closes the connection unless a call is under way.
-func (p *path) closeAtRest() {
-	p.mu.Lock()
-	client := p.client
-	if p.calls > 0 || client == nil {
-		p.mu.Unlock()
-		return
-	}
-	p.client = nil
-	p.mu.Unlock()
-	_ = client.Close()
-}
-
-// connectOnce dials. It is called with the lock held, and gives it up meanwhile.
-func (p *path) connectOnce(ctx context.Context) error {
-	dialing := make(chan struct{})
-	p.dialing = dialing
-	p.mu.Unlock()
-	dialCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), dialTimeout)
-	conn, err := p.dial(dialCtx, "tcp", p.address)
-	cancel()
-	p.mu.Lock()
-	p.dialing = nil
-	close(dialing)
-	p.lastErr = err
-	if err != nil {
-		p.failed = time.Now()
-		return err
-	}
-	p.client = rpc.NewClient(conn)
-	return nil
-}
-
-func (p *path) drop(client *rpc.Client) {
-	p.mu.Lock()
-	if p.client == client {
-		p.client = nil
-	}
-	p.mu.Unlock()
-	_ = client.Close()
-}
-
 // Serve answers calls on a listener until it is closed.
 func Serve(listener net.Listener, services map[string]any) error {
 	server := rpc.NewServer()
--- a/internal/transport/peerlink/rest_test.go
+++ b/internal/transport/peerlink/rest_test.go
@@ -104,3 +104,51 @@
 	}
 	b.ReportMetric(float64(held()-before)/float64(len(links)), "held-B/op")
 }
+
+// Bulk is an RPC service whose answers are as large as asked for.
+type Bulk struct{}
+
+// Say answers with so many bytes.
+func (Bulk) Say(size *int, reply *[]byte) error {
+	*reply = make([]byte, *size)
+	return nil
+}
+
+// TestConnectionThatCarriedALargeAnswerGivesWay: both ends would keep buffers of that size for as long as it is used. Calls that
+// are under way on it end there.
+func TestConnectionThatCarriedALargeAnswerGivesWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fabric := memnet.New()
+		slow := &Slow{takes: time.Second}
+		listener, err := fabric.Listen("server", "server:1")
+		assert.NilError(t, err)
+		go func() { _ = peerlink.Serve(listener, map[string]any{"Bulk": Bulk{}, "Echo": slow}) }()
+		t.Cleanup(func() {
+			fabric.Kill("server")
+			time.Sleep(time.Minute) // timers of closed connections run out
+		})
+		var dials, open atomic.Int64
+		counted := countOpen(fabric, "client", &open)
+		link := peerlink.NewSet(func(ctx context.Context, network, address string) (net.Conn, error) {
+			dials.Add(1)
+			return counted(ctx, network, address)
+		}).To("server:1")
+		bulk := func(size int) {
+			_, err := peerlink.Call[[]byte](t.Context(), link, "Bulk.Say", &size)
+			assert.NilError(t, err)
+		}
+		bulk(1 << 10)
+		bulk(1 << 10)
+		assert.Equal(t, dials.Load(), int64(1))
+		ended := make(chan error, 1)
+		go func() { ended <- say(t, link, 3*time.Second) }()
+		synctest.Wait()
+		bulk(1 << 20)
+		bulk(1 << 10)
+		assert.Equal(t, dials.Load(), int64(2))
+		assert.Equal(t, open.Load(), int64(2), "a call is under way on the first")
+		assert.NilError(t, <-ended)
+		synctest.Wait()
+		assert.Equal(t, open.Load(), int64(1))
+	})
+}
