Readers turn to six mirrors in a round, not to all

Cause: a reader asked one mirror after the other, each 30 ms, until one had answered. While a fleet starts all are slow, so every front asked every store daemon: 900 connections at each of 119 store daemons 6 s after the start and before any traffic (scratch log lines of a fleet's first seconds: 906 goroutines, 17 to 18 MB of heap and 8 MB of stacks at all of them; 2,638 goroutines, 52 and 26 MB at the one that seeds name first). Fronts times store daemons, as with links kept for good, and a start of one makes the start of all slower.

Ruled out: entries and mirrors' copies (1 MB of the heap before fronts came); a longer pause between questions (two tests hold the time for which dark mirrors hold a reader up).

Change: a round names the six best mirrors, the next one others, where none answered; an old copy is looked for until six have answered.

--- a/internal/objects/feed/feed.go
+++ b/internal/objects/feed/feed.go
@@ -202,12 +202,19 @@
 	return none, source{}, errors.Join(problems...)
 }
 
-// stale returns the newest old content of a prefix that a mirror has.
+// stale returns the newest old content of a prefix that any of mostMirrors mirrors has, of those that answer.
 func (f *Feed) stale(ctx context.Context, prefix string, problem error) (objectapi.Snapshot, error) {
 	var newest objectapi.Snapshot
 	var from string
+	answered := 0
 	for _, m := range f.mirrors() {
+		if answered == mostMirrors {
+			break
+		}
 		snapshot, err := m.Mirror.Stale(ctx, prefix)
+		if err == nil {
+			answered++
+		}
 		if err == nil && snapshot.Version > newest.Version {
 			newest, from = snapshot, m.Name
 		}
--- a/internal/objects/feed/sources.go
+++ b/internal/objects/feed/sources.go
@@ -27,6 +27,10 @@
 // the less often the more mirrors there are, and not at once: each call has a price.
 const manyMirrors = 8
 
+// mostMirrors is how many mirrors a reader turns to in one round, the best first and others in the next round where none of
+// them answers. Each that it asks costs both a connection, so readers that ask all make as many as readers times mirrors.
+const mostMirrors = 6
+
 // lostSample is how many mirrors are asked at a time while nobody can say, others each time: readers ask
 // several times a second.
 const lostSample = 3
@@ -44,9 +48,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.known = len(mirrors)
-	if f.unanswered > 0 && len(mirrors) > lostSample {
+	most := mostMirrors
+	if f.unanswered > 0 {
+		most = lostSample
+	}
+	if len(mirrors) > most {
 		from := f.unanswered * lostSample % len(mirrors)
-		mirrors = slices.Concat(mirrors[from:], mirrors[:from])[:lostSample]
+		mirrors = slices.Concat(mirrors[from:], mirrors[:from])[:most]
 	}
 	sources := make([]source, 0, len(mirrors)+1)
 	for _, m := range mirrors {
