--- a/internal/front/balance/width_test.go
+++ b/internal/front/balance/width_test.go
@@ -35,7 +35,6 @@
 type thinDaemon struct {
 	balancer *balance.Balancer
 	servers  []*catalog.Server
-	running  int
 }
 
 const (
