The platform's store is asked no sooner for a reader's fewer mirrors

Ruled out: the readers' own calls (they do not grow with the fleet).

Measured: feed.TestBusyMirrorsAreNotAllAsked (the store is not asked), TestDarkDataCentreHoldsNoListUp.

--- a/internal/objects/feed/feed.go
+++ b/internal/objects/feed/feed.go
@@ -166,9 +166,9 @@
 	asking, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan answer, len(sources))
-	asked := 0
-	askNext := func() {
-		if asked == len(sources) || !f.mayAsk(sources[asked]) {
+	asked, silent := 0, 0
+	askNext := func(allFailed bool) {
+		if asked == len(sources) || !f.mayAsk(sources[asked]) || !allFailed && f.tooSoon(sources[asked], asked, silent) {
 			return
 		}
 		s := sources[asked]
@@ -178,14 +178,15 @@
 			answers <- answer{s, value, err}
 		}()
 	}
-	askNext()
+	askNext(true)
 	ticks := time.NewTicker(stagger)
 	defer ticks.Stop()
 	problems := []error{objectapi.ErrUnavailable}
 	for answered := 0; answered < asked; {
 		select {
 		case <-ticks.C:
-			askNext()
+			silent++
+			askNext(false)
 		case a := <-answers:
 			answered++
 			if a.err == nil {
@@ -195,7 +196,7 @@
 			if ctx.Err() == nil { // a call that its caller gave up says nothing of its source
 				f.noteFailure(a.source, a.err)
 			}
-			askNext()
+			askNext(answered == asked)
 		}
 	}
 	var none T
--- a/internal/objects/feed/sources.go
+++ b/internal/objects/feed/sources.go
@@ -27,9 +27,14 @@
 // the less often the more mirrors there are, and not at once: each call has a price.
 const manyMirrors = 8
 
-// mostMirrors is how many mirrors a reader turns to in one round, the best first and others in the next round where none of
-// them answers. Each that it asks costs both a connection, so readers that ask all make as many as readers times mirrors.
-const mostMirrors = 6
+// mostMirrors is how many mirrors a reader turns to within ticks of one another in one round, the best first and others in the
+// next round where none of them answers. Each that it asks costs both a connection, so readers that ask all make as many as
+// readers times mirrors. As many more, from all over the list, are asked slowTicks apart: the best stand in one data centre,
+// which may be dark as a whole.
+const (
+	mostMirrors = 6
+	slowTicks   = 8
+)
 
 // lostSample is how many mirrors are asked at a time while nobody can say, others each time: readers ask
 // several times a second.
@@ -48,13 +53,16 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.known = len(mirrors)
-	most := mostMirrors
-	if f.unanswered > 0 {
-		most = lostSample
-	}
-	if len(mirrors) > most {
+	switch {
+	case f.unanswered > 0 && len(mirrors) > lostSample:
 		from := f.unanswered * lostSample % len(mirrors)
-		mirrors = slices.Concat(mirrors[from:], mirrors[:from])[:most]
+		mirrors = slices.Concat(mirrors[from:], mirrors[:from])[:lostSample]
+	case len(mirrors) > 2*mostMirrors:
+		best, rest := mirrors[:mostMirrors:mostMirrors], mirrors[mostMirrors:]
+		for i := range mostMirrors {
+			best = append(best, rest[i*len(rest)/mostMirrors])
+		}
+		mirrors = best
 	}
 	sources := make([]source, 0, len(mirrors)+1)
 	for _, m := range mirrors {
@@ -88,6 +96,18 @@
 	return !s.direct || f.directIsDue()
 }
 
+// tooSoon tells whether the next source, before which so many were asked, is to be asked later than after so many ticks of
+// silence. The store itself is asked no sooner than if every mirror had had its tick: where a fleet starts all mirrors are slow,
+// and each reader's calls to the store have a price.
+func (f *Feed) tooSoon(s source, asked, ticks int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s.direct {
+		return ticks < f.known
+	}
+	return asked >= mostMirrors && ticks < mostMirrors+slowTicks*(asked-mostMirrors)
+}
+
 // mirrorsHaveLostIt tells whether a mirror has just said that it can't read the store either.
 func (f *Feed) mirrorsHaveLostIt() bool {
 	f.mu.Lock()
