Order, shares and admission by priority level, organisation and state of the program

Cause: under overload a turn of any started program went before all new ones, whatever the priority; a front's share of the engines counted calls of all kinds alike, so that urgent turns at one front waited for others at the next; and waiting turns were not ordered by organisation.

Change: dispatch orders by priority level, then fairly by organisation, then by program (fairqueue); shares are computed level by level over what all fronts report (share, exchange.Levels); new programs wait while turns of started ones fill the slots (admission, exchange.Started). A level is the rank of the organisation's priority, then the route's. policy.SlotShare goes; TestSlotShare and its property move to share and cover levels. In dispatch's tests the demand of others is that of new programs, since started ones now keep new programs waiting.

--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -7,21 +7,19 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 	"time"
 
 	"github.com/zeebo/errs"
 
 	"github.com/rookpass/rookpass/internal/decide/policy"
+	"github.com/rookpass/rookpass/internal/decide/share"
 )
 
 // ErrNoSlot means that no slot becomes free for a call in time.
 var ErrNoSlot = errs.New("no model server slot in time")
 
 const (
-	// rateWindow is the time constant over which rates of calls are averaged.
-	rateWindow = time.Second
 	// quietTime is how long no call must have waited before completed calls count for the time budget shares.
 	quietTime = 2 * time.Second
 	// maxRetryAfter bounds the retry delay of a refused caller: programs of a second or two can still meet their
@@ -36,8 +34,12 @@
 	Route string
 	// Slots is how many calls the service's servers process at once, in total.
 	Slots int
-	// Priority is 0 to 9; higher goes first.
-	Priority int32
+	// Level is the priority level; 0 goes first.
+	Level int
+	// Organisation shares the slots of a level equally with the others that wait; empty if callers have none.
+	Organisation string
+	// Tokens is the expected work: the tokens to read and to generate, the latter weighted by their cost.
+	Tokens int64
 	// ProgramStarted is set if turns of the same program were served before.
 	ProgramStarted bool
 	// TimeBudget is the time that the whole program was given; 0 if unspecified.
@@ -52,24 +54,11 @@
 
 // Scheduler decides when calls may be sent to servers. Use New.
 type Scheduler struct {
-	mu     sync.Mutex
-	queues map[string]*serviceQueue
-	// peerDemand is how many calls other daemons have under way or waiting, by service.
-	peerDemand   map[string]int
+	mu           sync.Mutex
+	queues       map[string]*serviceQueue
 	budgetShares map[string]*policy.TimeBudgetShare
 }
 
-// serviceQueue holds the calls of one service. It is guarded by Scheduler.mu.
-type serviceQueue struct {
-	queue   policy.Queue
-	running int
-	slots   int
-	// lastWait is when a call last had to wait.
-	lastWait time.Time
-	// admitted is the rate of admitted calls, admittedNew that of calls of new programs.
-	admitted, admittedNew rate
-}
-
 // waiter is a call in the queue.
 type waiter struct {
 	call    *Call
@@ -79,29 +68,38 @@
 
 // New returns a scheduler that knows of no other daemon.
 func New() *Scheduler {
-	return &Scheduler{queues: map[string]*serviceQueue{}, peerDemand: map[string]int{}, budgetShares: map[string]*policy.TimeBudgetShare{}}
+	return &Scheduler{queues: map[string]*serviceQueue{}, budgetShares: map[string]*policy.TimeBudgetShare{}}
+}
+
+// Demand is how many calls a daemon has, by priority level.
+type Demand struct {
+	// All are under way or waiting. Started are those of them that are under way or belong to a started program.
+	All, Started share.Demand
 }
 
 // Demand returns how many calls are under way or waiting, by service.
-func (s *Scheduler) Demand() map[string]int {
+func (s *Scheduler) Demand() map[string]Demand {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	demand := map[string]int{}
+	demand := map[string]Demand{}
 	for service, q := range s.queues {
-		if n := q.demand(); n > 0 {
-			demand[service] = n
+		if d := q.demand(); d.All.Total() > 0 {
+			demand[service] = d
 		}
 	}
 	return demand
 }
 
 // SetPeerDemand sets how many calls other daemons have under way or waiting, by service; nil if that is not known.
-func (s *Scheduler) SetPeerDemand(demand map[string]int) {
+func (s *Scheduler) SetPeerDemand(demand map[string]Demand) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.peerDemand = demand
+	for service := range demand {
+		s.queueOf(service)
+	}
 	for service, q := range s.queues {
-		s.grant(service, q)
+		q.peers = demand[service]
+		q.grant()
 	}
 }
 
@@ -109,7 +107,9 @@
 func (s *Scheduler) Waiting() int { return s.count(func(q *serviceQueue) int { return q.queue.Len() }) }
 
 // Running returns how many calls are under way.
-func (s *Scheduler) Running() int { return s.count(func(q *serviceQueue) int { return q.running }) }
+func (s *Scheduler) Running() int {
+	return s.count(func(q *serviceQueue) int { return q.running.Total() })
+}
 
 func (s *Scheduler) count(of func(*serviceQueue) int) int {
 	s.mu.Lock()
@@ -167,14 +167,17 @@
 	q := s.queueOf(c.Service)
 	q.slots = c.Slots
 	w := &waiter{call: c, granted: make(chan struct{})}
+	if c.ProgramStarted {
+		q.addStarted(c, 1)
+	}
 	s.push(q, w, now)
-	s.grant(c.Service, q)
+	q.grant()
 	if w.isGranted() {
 		return w, nil
 	}
 	q.lastWait = now
 	if !s.canStartInTime(q, w, now) {
-		q.queue.Remove(w.queued)
+		q.remove(w)
 		return nil, ErrNoSlot
 	}
 	return w, nil
@@ -182,14 +185,13 @@
 
 // canStartInTime reports whether a queued call can expect to start while it is of use to its caller.
 func (s *Scheduler) canStartInTime(q *serviceQueue, w *waiter, now time.Time) bool {
-	left, rate := w.call.FirstEventBy.Add(-w.call.UnloadedDuration).Sub(now), q.admitted.read(now)
+	left, rate := w.call.FirstEventBy.Add(-w.call.UnloadedDuration).Sub(now), q.rateFor(w.call, now)
 	if w.queued.Class == policy.NewOnTime {
-		rate = q.admittedNew.read(now)
 		if late := s.latestStartLocked(w.call); !late.IsZero() {
 			left = min(left, late.Sub(now))
 		}
 	}
-	return policy.InTime(q.queue.Ahead(w.queued), rate, left)
+	return policy.InTime(q.queue.Ahead(w.call.Level, w.queued), rate, left)
 }
 
 // latestStart returns the last time at which the call's program can still meet its deadline; zero if that is not
@@ -214,23 +216,9 @@
 // push queues a call in the class of its program.
 func (s *Scheduler) push(q *serviceQueue, w *waiter, now time.Time) {
 	late := s.latestStartLocked(w.call)
-	w.queued = &policy.QueuedCall{Cost: 1, Weight: 1, Priority: w.call.Priority, Value: w, LatestStart: late,
+	w.queued = &policy.QueuedCall{Organisation: w.call.Organisation, Cost: max(1, w.call.Tokens), Weight: 1, Value: w, LatestStart: late,
 		Class: policy.ClassOf(w.call.ProgramStarted, !late.IsZero() && !now.Before(late))}
-	q.queue.Push(w.queued)
-}
-
-// grant admits as many calls as this daemon's share of the slots allows.
-func (s *Scheduler) grant(service string, q *serviceQueue) {
-	for q.queue.Len() > 0 && q.running < policy.SlotShare(q.slots, q.demand(), s.peerDemand[service]) {
-		next := q.queue.Pop()
-		now := time.Now()
-		q.running++
-		q.admitted.add(now)
-		if next.Class == policy.NewOnTime {
-			q.admittedNew.add(now)
-		}
-		close(next.Value.(*waiter).granted)
-	}
+	q.queue.Push(w.call.Level, w.queued)
 }
 
 // downgrade queues a call again whose program can no longer meet its deadline, behind those that can. It returns
@@ -245,9 +233,9 @@
 		return false
 	}
 	q := s.queueOf(w.call.Service)
-	q.queue.Remove(w.queued)
+	q.queue.Remove(w.call.Level, w.queued)
 	s.push(q, w, time.Now())
-	s.grant(w.call.Service, q)
+	q.grant()
 	return true
 }
 
@@ -259,8 +247,8 @@
 		return false
 	}
 	q := s.queueOf(w.call.Service)
-	q.queue.Remove(w.queued)
-	s.grant(w.call.Service, q)
+	q.remove(w)
+	q.grant()
 	return true
 }
 
@@ -268,9 +256,7 @@
 func (s *Scheduler) Release(c *Call) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	q := s.queueOf(c.Service)
-	q.running--
-	s.grant(c.Service, q)
+	s.queueOf(c.Service).ended(c)
 }
 
 // ObserveCompletion records that a call was answered completely. Where no call had to wait recently, it tells what
@@ -290,18 +276,13 @@
 func (s *Scheduler) RetryAfter(c *Call) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	q := s.queueOf(c.Service)
-	r := &q.admitted
-	if !c.ProgramStarted {
-		r = &q.admittedNew
-	}
-	return policy.QueueDelay(1, r.read(time.Now()), maxRetryAfter)
+	return policy.QueueDelay(1, s.queueOf(c.Service).rateFor(c, time.Now()), maxRetryAfter)
 }
 
 func (s *Scheduler) queueOf(service string) *serviceQueue {
 	q := s.queues[service]
 	if q == nil {
-		q = &serviceQueue{}
+		q = newServiceQueue()
 		s.queues[service] = q
 	}
 	return q
@@ -316,8 +297,6 @@
 	return share
 }
 
-func (q *serviceQueue) demand() int { return q.running + q.queue.Len() }
-
 func (w *waiter) isGranted() bool {
 	select {
 	case <-w.granted:
@@ -326,21 +305,3 @@
 		return false
 	}
 }
-
-// rate is the exponentially weighted number of events per second, with the time constant rateWindow.
-type rate struct {
-	events float64
-	at     time.Time
-}
-
-func (r *rate) add(now time.Time) {
-	r.events = r.read(now)*rateWindow.Seconds() + 1
-	r.at = now
-}
-
-func (r *rate) read(now time.Time) float64 {
-	if r.at.IsZero() {
-		return 0
-	}
-	return r.events * math.Exp(-now.Sub(r.at).Seconds()/rateWindow.Seconds()) / rateWindow.Seconds()
-}
--- a/internal/decide/policy/queue.go
+++ b/internal/decide/policy/queue.go
@@ -1,7 +1,10 @@
 package policy
 
 import (
+	"cmp"
 	"container/heap"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -117,7 +120,11 @@
 	if len(q.ready) == 0 {
 		return nil
 	}
-	t := q.ready[0]
+	return q.popOf(q.ready[0])
+}
+
+// popOf removes and returns the next call of an organisation.
+func (q *Queue) popOf(t *tenant) *QueuedCall {
 	w := heap.Pop(&t.calls).(*QueuedCall)
 	q.length--
 	q.virtualNow = max(q.virtualNow, t.virtualTime)
@@ -126,6 +133,21 @@
 	return w
 }
 
+// PopIf is like Pop, but passes over organisations whose first call may not go.
+func (q *Queue) PopIf(mayGo func(*QueuedCall) bool) *QueuedCall {
+	if len(q.ready) == 0 || mayGo(q.ready[0].calls[0]) {
+		return q.Pop()
+	}
+	inOrder := slices.Clone(q.ready)
+	slices.SortFunc(inOrder, compareTenants)
+	for _, t := range inOrder[1:] {
+		if mayGo(t.calls[0]) {
+			return q.popOf(t)
+		}
+	}
+	return nil
+}
+
 // Remove removes a call that gave up waiting. It does nothing if the call is not in the queue.
 func (q *Queue) Remove(w *QueuedCall) {
 	t := q.organisations[w.Organisation]
@@ -225,13 +247,8 @@
 
 type tenantHeap []*tenant
 
-func (h tenantHeap) Len() int { return len(h) }
-func (h tenantHeap) Less(i, j int) bool {
-	if h[i].virtualTime != h[j].virtualTime {
-		return h[i].virtualTime < h[j].virtualTime
-	}
-	return h[i].name < h[j].name
-}
+func (h tenantHeap) Len() int           { return len(h) }
+func (h tenantHeap) Less(i, j int) bool { return compareTenants(h[i], h[j]) < 0 }
 func (h tenantHeap) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
 	h[i].index, h[j].index = i, j
@@ -248,3 +265,8 @@
 	*h = old[:len(old)-1]
 	return t
 }
+
+// compareTenants orders organisations by virtual time.
+func compareTenants(a, b *tenant) int {
+	return cmp.Or(cmp.Compare(a.virtualTime, b.virtualTime), strings.Compare(a.name, b.name))
+}
--- a/internal/decide/policy/share.go
+++ b/internal/decide/policy/share.go
@@ -2,21 +2,6 @@
 
 import "time"
 
-// overcommit is how many calls all daemons together may have under way for each slot of a service's engines. Daemons
-// learn of one another late, and calls spread unevenly, so that slots would otherwise stay empty.
-const overcommit = 1.25
-
-// SlotShare returns how many calls a daemon may have under way on engines with the given slots in total, where it
-// wants own calls and the other daemons want others: all of its own while the slots suffice, otherwise a proportional
-// part, at least 1.
-func SlotShare(slots, own, others int) int {
-	limit := overcommit * float64(slots)
-	if float64(own+others) <= limit {
-		return own
-	}
-	return max(1, int(limit*float64(own)/float64(own+others)+0.5))
-}
-
 // InTime reports whether a call with ahead calls before it can expect to start within the time left, where rate calls
 // start per second. The next call always can.
 func InTime(ahead int, rate float64, left time.Duration) bool {
--- a/internal/front/catalog/catalog.go
+++ b/internal/front/catalog/catalog.go
@@ -131,6 +131,7 @@
 	// organisationsByKey has the organisation of each key; nil for a key that two organisations claim.
 	organisationsByKey map[secret.Hash]*Organisation
 	metricLabels       map[string]string
+	levels             levels
 }
 
 // NewTable indexes a configuration.
@@ -141,6 +142,7 @@
 		services:           make(map[string]*Service, len(config.Services)),
 		organisationsByKey: indexKeys(config.Organisations),
 		metricLabels:       metricLabels(config.Organisations),
+		levels:             newLevels(&config),
 	}
 	for i := range config.Routes {
 		route := &config.Routes[i]
--- a/internal/front/exchange/exchange.go
+++ b/internal/front/exchange/exchange.go
@@ -42,10 +42,18 @@
 	// Suspects are servers that appear to be down to this daemon. Failing are servers whose last response to it was a
 	// recent failure.
 	Suspects, Failing []incarnation.ID
-	// Demand is the number of turns running or queued, by service. Loads is the mean number of turns at each model
-	// server since the last report, in tenths.
-	Demand map[string]int
-	Loads  map[incarnation.ID]int
+	// Levels is the number of turns running or queued, by service and priority level; Started is the number of those
+	// that run or belong to a started program. Demand is the sum over the levels, for daemons that do not know levels.
+	// Loads is the mean number of turns at each model server since the last report, in tenths.
+	Demand          map[string]int
+	Levels, Started map[ServiceLevel]int
+	Loads           map[incarnation.ID]int
+}
+
+// ServiceLevel is a priority level of the turns for a service; level 0 is the most urgent.
+type ServiceLevel struct {
+	Service string
+	Level   int
 }
 
 // Reply is the sum of the other daemons' reports.
@@ -56,9 +64,10 @@
 	Daemons, Here int
 	// Suspects and Failing give the number of daemons that named each server.
 	Suspects, Failing map[incarnation.ID]int
-	// Demand and Loads are sums over the other daemons.
-	Demand map[string]int
-	Loads  map[incarnation.ID]int
+	// Demand, Levels and Loads are sums over the other daemons.
+	Demand          map[string]int
+	Levels, Started map[ServiceLevel]int
+	Loads           map[incarnation.ID]int
 }
 
 // Service is the net/rpc service of a hub. Its exported methods with a matching signature are net/rpc methods.
--- a/internal/front/exchange/relay.go
+++ b/internal/front/exchange/relay.go
@@ -28,6 +28,7 @@
 	// The other fields are as in Reply.
 	Suspects, Failing map[incarnation.ID]int
 	Demand            map[string]int
+	Levels, Started   map[ServiceLevel]int
 	Loads             map[incarnation.ID]int
 }
 
@@ -54,7 +55,7 @@
 		return nil
 	}
 	return &Sums{Hub: hub, Daemons: len(s.local.reports), Suspects: maps.Clone(s.local.suspects), Failing: maps.Clone(s.local.failing),
-		Demand: maps.Clone(s.local.demand), Loads: maps.Clone(s.local.loads)}
+		Demand: maps.Clone(s.local.demand), Levels: maps.Clone(s.local.levels), Started: maps.Clone(s.local.started), Loads: maps.Clone(s.local.loads)}
 }
 
 // hubPerDataCentre reports whether there are more than maxDaemonsPerHub daemons, as far as this hub and the daemons
@@ -84,6 +85,8 @@
 		mergeCounts(reply.Suspects, r.sums.Suspects)
 		mergeCounts(reply.Failing, r.sums.Failing)
 		mergeCounts(reply.Demand, r.sums.Demand)
+		mergeCounts(reply.Levels, r.sums.Levels)
+		mergeCounts(reply.Started, r.sums.Started)
 		mergeCounts(reply.Loads, r.sums.Loads)
 	}
 }
--- a/internal/front/exchange/sums.go
+++ b/internal/front/exchange/sums.go
@@ -16,6 +16,7 @@
 	order             *list.List
 	suspects, failing map[incarnation.ID]int
 	demand            map[string]int
+	levels, started   map[ServiceLevel]int
 	loads             map[incarnation.ID]int
 }
 
@@ -28,7 +29,7 @@
 
 func newAggregate() aggregate {
 	return aggregate{reports: map[string]*list.Element{}, order: list.New(), suspects: map[incarnation.ID]int{},
-		failing: map[incarnation.ID]int{}, demand: map[string]int{}, loads: map[incarnation.ID]int{}}
+		failing: map[incarnation.ID]int{}, demand: map[string]int{}, levels: map[ServiceLevel]int{}, started: map[ServiceLevel]int{}, loads: map[incarnation.ID]int{}}
 }
 
 // record replaces a daemon's previous report.
@@ -86,6 +87,12 @@
 	for service, n := range said.Demand {
 		addCount(s.demand, service, by*n)
 	}
+	for key, n := range said.Levels {
+		addCount(s.levels, key, by*n)
+	}
+	for key, n := range said.Started {
+		addCount(s.started, key, by*n)
+	}
 	for id, n := range said.Loads {
 		addCount(s.loads, id, by*n)
 	}
@@ -97,6 +104,7 @@
 	s.addRecent(own, -1)
 	reply.Suspects, reply.Failing = maps.Clone(s.suspects), maps.Clone(s.failing)
 	reply.Demand, reply.Loads = maps.Clone(s.demand), maps.Clone(s.loads)
+	reply.Levels, reply.Started = maps.Clone(s.levels), maps.Clone(s.started)
 	s.addSuspects(own, 1)
 	s.addRecent(own, 1)
 	reply.Daemons = len(s.reports) - 1
--- a/internal/front/gateway/admission.go
+++ b/internal/front/gateway/admission.go
@@ -16,8 +16,8 @@
 	minFirstEventWait = 2 * time.Second
 	objectiveFactor   = 4
 	maxGapFactor      = 8
-	// lowestPriority is the priority of the least urgent routes.
-	lowestPriority = 9
+	// outputTokenCost is the work of generating a token relative to reading one.
+	outputTokenCost = 10
 	// minLoggedWait is the shortest wait that is logged, as most turns do not wait.
 	minLoggedWait = time.Millisecond
 )
@@ -26,7 +26,7 @@
 func (s *stream) schedulerCall(p turnContext) *dispatch.Call {
 	x := s.x
 	c := &dispatch.Call{Service: x.serviceName, Route: x.route.Name, ProgramStarted: p.programStarted, TimeBudget: p.timeBudget,
-		Priority: int32(max(0, lowestPriority-x.priority()))}
+		Level: x.level(), Organisation: x.organisationName(), Tokens: outputTokenCost * x.requestInfo.LikelyOutputTokens}
 	x.refreshServers(&s.balancerRequest)
 	c.Slots = s.balancerRequest.Slots
 	c.UnloadedDuration = x.g.balancer.UnloadedDuration(&s.balancerRequest, x.requestInfo.LikelyOutputTokens)
@@ -45,18 +45,21 @@
 	began := time.Now()
 	err := x.g.scheduler.Acquire(x.ctx, c)
 	waited := time.Since(began)
+	outcome := "let-go"
+	if err != nil {
+		outcome = "refused"
+	}
+	x.g.stats.admission(c.Level, outcome)
 	if waited < minLoggedWait && err == nil {
 		return nil
 	}
 	x.g.stats.wait(x.route.Name, waited)
 	fields := logrus.Fields{"event": "wait", "id": x.requestInfo.ID, "route": x.route.Name, "begun": c.ProgramStarted, "ms": waited.Milliseconds(),
-		"alone_ms": c.UnloadedDuration.Milliseconds(), "waiting": x.g.scheduler.Waiting(), "running": x.g.scheduler.Running(), "outcome": "let-go"}
+		"alone_ms": c.UnloadedDuration.Milliseconds(), "waiting": x.g.scheduler.Waiting(), "running": x.g.scheduler.Running(), "outcome": outcome,
+		"level": c.Level, "organisation": c.Organisation}
 	if !c.Deadline.IsZero() {
 		fields["slack_ms"] = time.Until(c.Deadline.Add(-c.UnloadedDuration)).Milliseconds()
 	}
-	if err != nil {
-		fields["outcome"] = "refused"
-	}
 	x.g.log.WithFields(fields).Info("turn waited for a slot")
 	if err != nil {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no-place-in-time", retryAfter: jitter(x.g.scheduler.RetryAfter(c)), err: err}
--- a/internal/front/gateway/organisation.go
+++ b/internal/front/gateway/organisation.go
@@ -116,10 +116,7 @@
 	return x.organisation.Name
 }
 
-// priority returns the request's priority, 0 first. That of its organisation overrides that of its route.
-func (x *exchange) priority() int {
-	if x.organisation != nil && x.organisation.HasPriority {
-		return x.organisation.Priority
-	}
-	return x.route.Priority
+// level returns the request's priority level, 0 first.
+func (x *exchange) level() int {
+	return x.table.Level(x.organisation, x.route)
 }
--- a/internal/front/gateway/stats.go
+++ b/internal/front/gateway/stats.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"strconv"
 	"time"
 )
 
@@ -26,6 +27,11 @@
 	s.observer.Observe("rookpass_wait_seconds", route, waited)
 }
 
+// admission counts a turn that was admitted to the engines at its priority level, or refused.
+func (s *Stats) admission(level int, outcome string) {
+	s.observer.Count("rookpass_turns_total", outcome+"-level-"+strconv.Itoa(level))
+}
+
 func (s *Stats) attempt(outcome string) { s.observer.Count("rookpass_attempts_total", outcome) }
 
 // organisation counts a request under its organisation's metrics label, and separately if it was over the rate limit.
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -306,7 +305,9 @@
 			hub = 0
 		}
 		args := &exchange.Args{From: f.settings.PeerAddress(), Daemons: daemons.Read(), Suspects: f.balancer.Suspects(), Failing: f.balancer.Failing(),
-			Demand: f.demand(), Loads: f.balancer.Loads()}
+			Loads: f.balancer.Loads()}
+		args.SetDemand(f.scheduler.Demand())
+		args.AddCalls(f.balancer.Calls())
 		hubs := exchange.HubCandidates(l.Disks(), f.settings.Topology(), daemons.Read())
 		reply, err := exchange.Swap(ctx, f.links.LinkTo(hubs[hub%len(hubs)]), args)
 		if err != nil {
@@ -323,7 +324,7 @@
 		f.balancer.SetPeerCount(reply.Daemons)
 		f.balancer.SetPeerLoads(reply.Loads)
 		f.balancer.SetPeerDemand(reply.Demand)
-		f.scheduler.SetPeerDemand(reply.Demand)
+		f.scheduler.SetPeerDemand(reply.PeerDemand())
 		f.relay.SetRelays(reply.Peers)
 	}
 	return ctx.Err()
@@ -336,13 +337,6 @@
 	}
 }
 
-// demand returns this daemon's running and waiting calls, by service.
-func (f *front) demand() map[string]int {
-	demand := f.balancer.Calls()
-	maps.Copy(demand, f.scheduler.Demand()) // includes running calls
-	return demand
-}
-
 // sweep closes idle connections to servers that are gone, and forgets those servers, until ctx ends.
 func (f *front) sweep(ctx context.Context) error {
 	logged := map[string]policy.Costs{}
