feed: slow mirrors alone cause no early requests to the store

Twelve silent mirrors have all timed out 1.88 s after the begin of a list, and race then asked the store at once, although tooSoon promises that the store waits for as many ticks as there are mirrors (3.57 s for the test's 119).

Change: if every failure of a round is a timeout, the store waits for its ticks. If a mirror failed in any other way, or the previous round failed, it is asked as soon as all have failed, as before. The wait is bounded by 120 ticks (3.6 s), since 259 mirrors would otherwise exceed the 5 s that a watch allows for its lists. The fake returns the errors of mirror.Client, so the random delay no longer takes part in the test; its checks are unchanged.

With more than 62 mirrors, all of them silent, a reader asks the store up to 1.7 s later than before.

--- a/internal/objects/feed/feed.go
+++ b/internal/objects/feed/feed.go
@@ -166,37 +166,51 @@
 	asking, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan answer, len(sources))
-	asked, silent := 0, 0
-	askNext := func(allFailed bool) {
-		if asked == len(sources) || !f.mayAsk(sources[asked]) || !allFailed && f.tooSoon(sources[asked], asked, silent) {
-			return
+	asked, answered, silent := 0, 0, 0
+	onlyTimeouts := true // no failure so far was anything but a timeout
+	// askNext asks the next source, and reports whether there is one that has to wait for further ticks instead.
+	askNext := func() (waiting bool) {
+		if asked == len(sources) || !f.mayAsk(sources[asked]) {
+			return false
 		}
 		s := sources[asked]
+		allFailed := answered == asked && !(s.isStore && onlyTimeouts && f.sparesStore())
+		if asked > 0 && !allFailed && f.tooSoon(s, asked, silent) {
+			return true
+		}
 		asked++
 		go func() {
 			value, err := ask(asking, s)
 			answers <- answer{s, value, err}
 		}()
+		return false
 	}
-	askNext(true)
 	ticks := time.NewTicker(hedgeDelay)
 	defer ticks.Stop()
 	problems := []error{objectapi.ErrUnavailable}
-	for answered := 0; answered < asked; {
+	waiting := askNext()
+	for answered < asked || waiting {
+		var ended <-chan struct{}
+		if answered == asked {
+			ended = ctx.Done() // otherwise the sources asked return when ctx ends
+		}
 		select {
+		case <-ended:
+			waiting = false
 		case <-ticks.C:
 			silent++
-			askNext(false)
+			waiting = askNext()
 		case a := <-answers:
 			answered++
 			if a.err == nil {
 				return a.value, a.source, errors.Join(problems...)
 			}
 			problems = append(problems, a.err)
+			onlyTimeouts = onlyTimeouts && errors.Is(a.err, context.DeadlineExceeded)
 			if ctx.Err() == nil { // cancellation is not a failure of the source
 				f.recordFailure(a.source, a.err)
 			}
-			askNext(answered == asked)
+			waiting = askNext()
 		}
 	}
 	var none T
--- a/internal/objects/feed/feed_test.go
+++ b/internal/objects/feed/feed_test.go
@@ -50,7 +50,7 @@
 		ctx, cancel := context.WithTimeout(ctx, wait+500*time.Millisecond) // as mirror.Client
 		defer cancel()
 		<-ctx.Done()
-		return objectapi.Batch{}, objectapi.ErrUnavailable
+		return objectapi.Batch{}, errors.Join(objectapi.ErrUnavailable, fmt.Errorf("%w: %w", peerlink.ErrUnreachable, ctx.Err()))
 	}
 	return objectapi.Batch{Version: s.version}, s.err
 }
@@ -440,6 +440,33 @@
 	})
 }
 
+// TestStoreIsAskedBesideManySilentMirrors guards against readers that can't start while all mirrors are silent: the
+// store must be asked within the 5 s that a watch allows for its lists. It must be asked as soon as all mirrors asked
+// have failed if one of them did so otherwise than by silence.
+func TestStoreIsAskedBesideManySilentMirrors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, c := range []struct {
+			mirrors int
+			refused bool
+			after   time.Duration
+		}{{36, false, 1400 * time.Millisecond}, {119, false, 3570 * time.Millisecond}, {259, false, 3600 * time.Millisecond},
+			{119, true, 1880 * time.Millisecond}} {
+			var mirrors []*fakeSource
+			for range c.mirrors {
+				mirrors = append(mirrors, &fakeSource{silent: true})
+			}
+			if c.refused {
+				mirrors[0] = &fakeSource{err: fmt.Errorf("%w: %w", objectapi.ErrUnavailable, peerlink.ErrUnreachable)}
+			}
+			began := time.Now()
+			snapshot, err := newFeed(&fakeSource{version: 9}, mirrors...).List(t.Context(), "k/")
+			assert.NilError(t, err)
+			assert.Equal(t, snapshot.Version, uint64(9))
+			assert.Equal(t, time.Since(began), c.after, "%d mirrors, refused: %v", c.mirrors, c.refused)
+		}
+	})
+}
+
 // TestFailedDataCentreDoesNotDelayLists checks that lists succeed soon if the preferred mirrors, all of one data
 // centre, are silent.
 func TestFailedDataCentreDoesNotDelayLists(t *testing.T) {
--- a/internal/objects/feed/sources.go
+++ b/internal/objects/feed/sources.go
@@ -34,6 +34,10 @@
 	extraMirrorTicks = 8
 )
 
+// maxStoreTicks bounds the ticks for which the store waits beside silent mirrors. It leaves 1.4 s of the 5 s within which
+// a watch must have its lists to the store, whose responses take up to 0.4 s.
+const maxStoreTicks = 120
+
 // outageSample is the number of mirrors asked in each round while none can answer; the rounds rotate through all
 // mirrors.
 const outageSample = 3
@@ -97,17 +101,25 @@
 }
 
 // tooSoon reports whether the next source has to wait for more ticks of silence, given the number of sources asked and
-// of ticks passed. The store waits for as many ticks as there are mirrors, so that slow mirrors alone don't cause
-// requests to it.
+// of ticks passed. The store waits for as many ticks as there are mirrors, up to maxStoreTicks, so that slow mirrors
+// alone don't cause requests to it.
 func (f *FailoverSource) tooSoon(s source, asked, ticks int) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s.isStore {
-		return ticks < f.mirrorCount
+		return ticks < min(f.mirrorCount, maxStoreTicks)
 	}
 	return asked >= mirrorsPerRound && ticks < mirrorsPerRound+extraMirrorTicks*(asked-mirrorsPerRound)
 }
 
+// sparesStore reports whether the store has to wait for its ticks even if all mirrors asked have timed out: a mirror
+// that times out may be slow. After a failed round the store is asked at once.
+func (f *FailoverSource) sparesStore() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.mirrorCount > 0 && f.failedRounds == 0
+}
+
 // mirrorsReportOutage reports whether a mirror recently answered that it can't read the store.
 func (f *FailoverSource) mirrorsReportOutage() bool {
 	f.mu.Lock()
