programreport: names in logs share memory; requests without an outcome are malformed

Requests without an outcome counted as failed.

Change: names are shared. A request without an outcome is reported as malformed and judged by the status of its last attempt. The command keeps 100,000 programs unless told otherwise.

--- a/cmd/rookpass-explain/main.go
+++ b/cmd/rookpass-explain/main.go
@@ -13,7 +13,7 @@
 
 type options struct {
 	Top      int `long:"top" default:"20" description:"largest number of programs, and of rows of each summary table, to print"`
-	Programs int `long:"programs" default:"200000" description:"largest number of programs to keep in memory"`
+	Programs int `long:"programs" default:"100000" description:"largest number of programs to keep in memory"`
 	Files    struct {
 		Logs []string `positional-arg-name:"LOG" description:"logs of front daemons; - or none is standard input"`
 	} `positional-args:"yes"`
--- a/internal/testing/programreport/analysis.go
+++ b/internal/testing/programreport/analysis.go
@@ -66,6 +66,7 @@
 	routes       map[string]*routeStats
 	levels       map[levelKey]string
 	seen         map[string]int // evicted programs by organisation
+	names        map[string]string
 	notes        counts
 	clock        clock
 }
@@ -143,7 +144,7 @@
 // New returns an analysis that keeps at most limit programs.
 func New(limit int) *Analysis {
 	return &Analysis{limit: max(1, limit), programs: map[string]*program{}, quiet: list.New(), pending: map[requestKey]*list.Element{},
-		pendingOrder: list.New(), vms: map[string]*vm{}, routes: map[string]*routeStats{}, levels: map[levelKey]string{}, seen: map[string]int{}}
+		pendingOrder: list.New(), vms: map[string]*vm{}, routes: map[string]*routeStats{}, levels: map[levelKey]string{}, seen: map[string]int{}, names: map[string]string{}}
 }
 
 // Read reads a log. name stands for the VM in lines without a VM name. Lines that can't be parsed are counted; a log
@@ -222,6 +223,7 @@
 	if l.vm == "" {
 		l.vm = name
 	}
+	l.vm = a.name(l.vm)
 	v := a.vm(l.vm)
 	a.setTime(v, l)
 	eventName := l.fields["event"]
@@ -285,13 +287,25 @@
 		}
 	}
 	v := &vm{}
-	a.vms[strings.Clone(name)] = v
+	a.vms[name] = v
 	return v
 }
 
+// name returns a name of a log fit for printing. Names occur in many requests, which share one copy.
+func (a *Analysis) name(text string) string {
+	if shared, known := a.names[text]; known {
+		return shared
+	}
+	shared := clean(text, 64)
+	if len(a.names) < maxNames && len(text) <= 64 {
+		a.names[strings.Clone(text)] = shared
+	}
+	return shared
+}
+
 // addRequestLine adds a line that concerns one request.
 func (a *Analysis) addRequestLine(eventName string, l *line) (problem string) {
-	key := requestKey{strings.Clone(l.vm), strings.Clone(l.fields["id"])} // so that the line is not kept in memory
+	key := requestKey{l.vm, strings.Clone(l.fields["id"])} // a copy, so that the line is not kept in memory
 	ms, hasMS := l.milliseconds("ms")
 	if eventName != "resume" && eventName != "limit" && (!hasMS || ms < 0) {
 		return "event=" + eventName + ": ms=" + clean(strconv.Quote(l.fields["ms"]), 40) + " is not a duration"
@@ -303,9 +317,12 @@
 	}
 	r := a.pendingRequest(key, l.at-ms, eventName != "request")
 	r.ended = max(r.ended, l.at)
-	for field, to := range map[string]*string{"program": &r.program, "organisation": &r.organisation, "route": &r.route, "level": &r.level} {
+	if id := l.fields["program"]; id != "" {
+		r.program = clean(id, 128)
+	}
+	for field, to := range map[string]*string{"organisation": &r.organisation, "route": &r.route, "level": &r.level} {
 		if value := l.fields[field]; value != "" {
-			*to = clean(value, 64)
+			*to = a.name(value)
 		}
 	}
 	switch eventName {
@@ -349,15 +366,22 @@
 // addEnd adds the end of a request.
 func (a *Analysis) addEnd(r *request, l *line, ms time.Duration) (problem string) {
 	r.finished, r.total, r.arrived, r.ended = true, ms, l.at-ms, l.at
-	r.outcome, r.status = clean(l.fields["outcome"], 40), l.integer("status")
+	r.outcome, r.status = a.name(l.fields["outcome"]), l.integer("status")
 	attempts, ok := parseAttempts(l.fields["attempts"])
 	if !ok {
 		problem = "attempts=" + clean(l.fields["attempts"], 80) + " is malformed"
 	}
 	for i := range attempts {
-		attempts[i].Server, attempts[i].Outcome = clean(attempts[i].Server, 64), clean(attempts[i].Outcome, 40)
+		attempts[i].Server, attempts[i].Outcome, attempts[i].Uncached = a.name(attempts[i].Server), a.name(attempts[i].Outcome), a.name(attempts[i].Uncached)
 	}
 	r.attempts = attempts
+	if r.outcome == "" {
+		r.outcome = "(no outcome)"
+		if status := r.serverStatus(); status > 0 && status < 500 {
+			r.outcome = "answered"
+		}
+		problem = "event=request without an outcome"
+	}
 	a.endRequest(r)
 	return problem
 }
--- a/internal/testing/programreport/programreport_test.go
+++ b/internal/testing/programreport/programreport_test.go
@@ -195,12 +195,13 @@
 		"10.5s [front-x-1] > level=info event=request id=g1 ms=soon outcome=timeout program=p9\n"+
 		"10.6 front-x-1 event=request ms=5 outcome=timeout program=p9\n"+
 		"10.7 front-x-1 event=request id=g2 ms=5 outcome=timeout program=p8 attempts=m1/timeout\n"+
+		"10.8 front-x-1 event=request id=g3 ms=5 program=p7 attempts=m1/200/4ms/0/1\n"+
 		"10.8 front-x-1 event=unheard-of key=1\n"+
 		"level=warning event=log-dropped lines=17\n"+
 		strings.Repeat("x", 2<<20)+"\n"+lateLog+"truncat")
 	assert.DeepEqual(t, summary(r), []string{"p8 failed refused: timeout 5ms", "p2 late queue 1.8s"})
 	notes := strings.Join(r.Notes, "\n")
-	for _, want := range []string{"17 lines read", "4 lines without an event", "3 lines of requests were malformed", `log-0:4: event=request: ms="soon"`,
+	for _, want := range []string{"18 lines read", "4 lines without an event", "4 lines of requests were malformed", `log-0:4: event=request: ms="soon"`,
 		"1 lines longer than", "17 lines were dropped by daemons", "1 lines without a time"} {
 		assert.Assert(t, strings.Contains(notes, want), "%q is missing in:\n%s", want, notes)
 	}
