--- a/internal/testing/programreport/analysis.go
+++ b/internal/testing/programreport/analysis.go
@@ -1,8 +1,8 @@
 // Package programreport explains from the logs of front daemons why programs failed or were late.
 //
 // It reads key=value lines as front daemons write them, of any number of daemons and in any order of daemons. The lines
-// may have a simulated time in seconds and a VM name in front; otherwise a line's time field and the name of its file
-// are used.
+// may have a simulated time in seconds and a VM name in front; otherwise a line's time and daemon fields are used, and for
+// lines without the latter the name of the log.
 //
 // What logs can't tell:
 //   - Whether a program met its time limit: only the caller knows when it began and when it had its last answer. A
@@ -147,8 +147,8 @@
 		pendingOrder: list.New(), vms: map[string]*vm{}, routes: map[string]*routeStats{}, levels: map[levelKey]string{}, seen: map[string]int{}, names: map[string]string{}}
 }
 
-// Read reads a log. name stands for the VM in lines without a VM name. Lines that can't be parsed are counted; a log
-// without any event is an error.
+// Read reads a log. name stands for the VM in lines that name neither VM nor daemon. Lines that can't be parsed are
+// counted; a log without any event is an error.
 func (a *Analysis) Read(name string, r io.Reader) error {
 	reader := bufio.NewReaderSize(r, 64<<10)
 	events, lines := 0, 0
--- a/internal/testing/programreport/line.go
+++ b/internal/testing/programreport/line.go
@@ -10,7 +10,7 @@
 
 // line is a parsed log line.
 type line struct {
-	// vm is the VM name in front of the fields; empty if there is none.
+	// vm is the VM name in front of the fields, or else the daemon field; empty if there is neither.
 	vm string
 	// at is the time of the line: simulated seconds in front of the fields, or the time field as Unix time.
 	at        time.Duration
@@ -46,6 +46,9 @@
 		}
 		l.add(key, value)
 	}
+	if l.vm == "" {
+		l.vm = l.fields["daemon"]
+	}
 	l.setTime()
 	return l, l.fields["event"] != ""
 }
--- a/internal/testing/programreport/programreport_test.go
+++ b/internal/testing/programreport/programreport_test.go
@@ -9,8 +9,10 @@
 	"testing/iotest"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
+	"github.com/rookpass/rookpass/internal/base/telemetry"
 	"github.com/rookpass/rookpass/internal/testing/programreport"
 )
 
@@ -207,7 +209,27 @@
 	}
 }
 
-// TestWallClockLogs checks logs as daemons write them, without a prefix: the VM is the name of the log.
+// TestDaemonLogFormat guards against a parser that differs from the format that daemons write: values that need quotes,
+// and a priority level beside the severity.
+func TestDaemonLogFormat(t *testing.T) {
+	var log strings.Builder
+	logger, err := telemetry.NewLog(&log, "info", "front-z-1")
+	assert.NilError(t, err)
+	logger.WithFields(logrus.Fields{"event": "turn", "id": "t1", "program": "p", "ms": 7, "previous": ""}).Info("turn prepared")
+	logger.WithFields(logrus.Fields{"event": "wait", "id": "t1", "route": "chat", "level": 3, "outcome": "let-go", "ms": 40, "slack_ms": -3, "begun": true}).Info("turn waited for a slot")
+	logger.WithFields(logrus.Fields{"event": "request", "id": "t1", "program": "p", "route": "chat", "outcome": "no-whole-answer", "status": 502, "ms": 90, "organisation": "a b",
+		"attempts": "m1@1/shed/1ms/2/3,m2@1/restarted/30ms/0/3/40t/kept", "error": errors.New(`restarted: "io" = closed`)}).Info("request ended")
+	p := onlyProgram(t, analyse(t, log.String()))
+	assert.Equal(t, p.State, programreport.Failed)
+	assert.Equal(t, p.Level, "3")
+	assert.Equal(t, p.Organisation, "a b")
+	assert.Equal(t, p.Requests[0].VM, "front-z-1")
+	assert.Equal(t, p.Requests[0].Slack, -3*ms)
+	assert.DeepEqual(t, p.Requests[0].Attempts, []programreport.Attempt{{Server: "m1@1", Outcome: "shed", Took: ms, InFlight: 2, Candidates: 3},
+		{Server: "m2@1", Outcome: "restarted", Took: 30 * ms, Candidates: 3, Uncached: "40"}})
+}
+
+// TestWallClockLogs checks logs without a prefix or a daemon: the VM is the name of the log.
 func TestWallClockLogs(t *testing.T) {
 	r := analyse(t, `time="2026-01-01T00:00:01.5Z" level=info msg="request ended" event=request id=w ms=500 outcome=timeout status=504 program=p attempts=m1/timeout/490ms/0/1`)
 	p := onlyProgram(t, r)
