programreport, feed: comments within 120 columns

Cause: five comment lines were longer.

Change: comments wrapped, no code.

Result: tests of both packages pass.

--- a/internal/objects/feed/sources.go
+++ b/internal/objects/feed/sources.go
@@ -34,8 +34,8 @@
 	extraMirrorTicks = 8
 )
 
-// maxStoreTicks bounds the ticks for which the store waits beside silent mirrors. It leaves 1.4 s of the 5 s within which
-// a watch must have its lists to the store, whose responses take up to 0.4 s.
+// maxStoreTicks bounds the ticks for which the store waits beside silent mirrors. It leaves 1.4 s of the 5 s within
+// which a watch must have its lists to the store, whose responses take up to 0.4 s.
 const maxStoreTicks = 120
 
 // outageSample is the number of mirrors asked in each round while none can answer; the rounds rotate through all
--- a/internal/testing/programreport/analysis.go
+++ b/internal/testing/programreport/analysis.go
@@ -1,8 +1,8 @@
 // Package programreport explains from the logs of front daemons why programs failed or were late.
 //
 // It reads key=value lines as front daemons write them, of any number of daemons and in any order of daemons. The lines
-// may have a simulated time in seconds and a VM name in front; otherwise a line's time and daemon fields are used, and for
-// lines without the latter the name of the log.
+// may have a simulated time in seconds and a VM name in front; otherwise a line's time and daemon fields are used, and
+// for lines without the latter the name of the log.
 //
 // What logs can't tell:
 //   - Whether a program met its time limit: only the caller knows when it began and when it had its last answer. A
--- a/internal/testing/programreport/programreport_test.go
+++ b/internal/testing/programreport/programreport_test.go
@@ -27,7 +27,8 @@
 11.41 front-b-1 level=info msg="request ended" attempts= event=request id=r1 ms=20 organisation=acme outcome=no-place-in-time program=p1 route=chat status=503
 `
 
-// lateLog has a program whose second turn waited so long that it could not end in time, and a program without a problem.
+// lateLog has a program whose second turn waited so long that it could not end in time, and a program without a
+// problem.
 const lateLog = `
 20.30 front-a-1 level=info event=turn id=s1 ms=5 previous= program=p2
 20.60 front-a-1 level=info attempts=m1@7/200/290ms/3/5 event=request id=s1 ms=300 organisation=acme outcome=answered program=p2 route=chat
@@ -239,8 +240,8 @@
 	assert.Assert(t, strings.Contains(out.String(), "first request at 2026-01-01T00:00:01.000Z"), out.String())
 }
 
-// TestMemoryIsBounded checks that at the limit, programs without a problem are forgotten first, and that the report says
-// so.
+// TestMemoryIsBounded checks that at the limit, programs without a problem are forgotten first, and that the report
+// says so.
 func TestMemoryIsBounded(t *testing.T) {
 	analysis := programreport.New(10)
 	var log strings.Builder
--- a/internal/testing/programreport/report.go
+++ b/internal/testing/programreport/report.go
@@ -103,8 +103,8 @@
 	wall  bool
 }
 
-// eventMargin is how long before a program's first request the reported daemon events begin, since it may have met their
-// consequences.
+// eventMargin is how long before a program's first request the reported daemon events begin, since it may have met
+// their consequences.
 const eventMargin = time.Second
 
 // Report returns the report on all logs read. The analysis must not be used afterwards.
