turnlog: continue in a new segment after a failed write

Cause: after one refused call to the disk every later append failed until the next start, and a write that did not return held up all appends without bound. A segment whose removal was refused was forgotten until the next start.

Change: the log refuses appends with ErrUnwritable while the disk takes no writes, probes it every 100 ms to 1 s, and continues in a new segment. The batch under way ends with ErrUnsure. A write that takes more than 500 ms counts as a failure for later appends.

Result: tests refuse each call, at start and in service, and lose power afterwards; every acknowledged record is found again.

--- a/internal/base/atomicfile/atomicfile.go
+++ b/internal/base/atomicfile/atomicfile.go
@@ -5,36 +5,46 @@
 	"errors"
 	"os"
 	"path/filepath"
+
+	"github.com/rookpass/rookpass/internal/base/filesystem"
 )
 
 // ownerOnly is the mode of the files: they hold callers' prompts and keys, so only their owner may read them.
 const ownerOnly = 0o600
 
+// TemporarySuffix is the suffix of the names of temporary files. One that an interrupted write left behind may be
+// removed while no write is under way.
+const TemporarySuffix = ".new"
+
 // Write replaces the file at path, readable by its owner only. When it returns nil, the new content is synced to disk.
-func Write(path string, data []byte) error {
+func Write(path string, data []byte) error { return WriteTo(filesystem.OS{}, path, data) }
+
+// WriteTo is Write on a given file system. After an error the file has its old or its new content, and no temporary
+// file takes up room unless its removal failed too.
+func WriteTo(files filesystem.FS, path string, data []byte) error {
+	temporary := path + TemporarySuffix
 	// A file left by an interrupted write may have wider permissions.
-	if err := os.Remove(path + ".new"); err != nil && !errors.Is(err, os.ErrNotExist) {
+	if err := files.Remove(temporary); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return err
 	}
-	file, err := os.OpenFile(path+".new", os.O_WRONLY|os.O_CREATE|os.O_EXCL, ownerOnly)
-	if err != nil {
-		return err
+	err := writeNew(files, temporary, data)
+	if err == nil {
+		err = files.Rename(temporary, path)
 	}
-	_, err = file.Write(data)
-	if err := errors.Join(err, file.Sync(), file.Close()); err != nil {
-		return err
-	}
-	if err := os.Rename(path+".new", path); err != nil {
+	if err != nil {
+		_ = files.Remove(temporary) // the next write or start tries again
 		return err
 	}
-	return SyncDir(filepath.Dir(path))
+	return filesystem.SyncDir(files, filepath.Dir(path))
 }
 
-// SyncDir syncs a directory, so that files created or renamed in it survive a power loss.
-func SyncDir(path string) error {
-	dir, err := os.Open(path)
+func writeNew(files filesystem.FS, path string, data []byte) error {
+	file, err := files.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, ownerOnly)
 	if err != nil {
 		return err
 	}
-	return errors.Join(dir.Sync(), dir.Close())
+	if _, err := file.WriteAt(data, 0); err != nil {
+		return errors.Join(err, file.Close())
+	}
+	return errors.Join(file.Sync(), file.Close())
 }
--- a/internal/turns/turnlog/turnlog.go
+++ b/internal/turns/turnlog/turnlog.go
@@ -1,7 +1,8 @@
 // Package turnlog stores turn records in segment files on a disk. Concurrent appends share one sync.
 //
 // A segment is a sequence of frames: length and CRC-32 of the record as little-endian 32-bit words, then the record.
-// Data behind the first invalid frame was never acknowledged and is ignored.
+// Data behind the first invalid frame was never acknowledged and is ignored. No segment is written to again after a
+// failed write or sync, so every acknowledged record precedes the first invalid frame of its segment.
 package turnlog
 
 import (
@@ -13,12 +14,14 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/zeebo/errs"
 
 	"github.com/rookpass/rookpass/internal/base/atomicfile"
+	"github.com/rookpass/rookpass/internal/base/filesystem"
 	"github.com/rookpass/rookpass/internal/turns/turn"
 )
 
@@ -30,6 +33,12 @@
 	ErrClosed = errors.New("turn log closed")
 	// ErrInUse means that a segment is the active one or holds appends that are not released.
 	ErrInUse = errors.New("turn segment in use")
+	// ErrUnwritable means that the disk takes no writes and that the record was not given to it.
+	ErrUnwritable = errors.New("disk takes no writes")
+	// ErrUnsure means that the record was given to the disk, and may or may not be on it after the next start.
+	ErrUnsure = errors.New("write has an unknown outcome")
+	// errStalled is the error of a write that has not returned within stallTimeout.
+	errStalled = errors.New("write does not return")
 )
 
 const (
@@ -39,8 +48,50 @@
 	// maxSegmentBytes is the size at which a new segment begins, so that old ones can be removed.
 	maxSegmentBytes = 8 << 20
 	segmentSuffix   = ".turns"
+	// probeFile is written to find out whether the disk takes writes again, and then removed.
+	probeFile = "probe.tmp"
+	// probeBytes is larger than most batches, so that a disk with a few free bytes does not return to service for one
+	// batch.
+	probeBytes = 64 << 10
+	// stallTimeout is how long a write may take before later appends are refused. It is longer than the stalls of a busy
+	// disk, and leaves a front daemon, which gives a disk 1 s, time to use another one.
+	stallTimeout = 500 * time.Millisecond
+	// minProbeDelay and maxProbeDelay bound the time between two probes: a disk that was freed is used within 1 s, and a
+	// disk that stays full is not kept busy.
+	minProbeDelay = 100 * time.Millisecond
+	maxProbeDelay = time.Second
+	// closeTimeout bounds the wait for a write that is under way when the log closes. It is shorter than the time that a
+	// stopping daemon has.
+	closeTimeout = 2 * time.Second
 )
 
+// Failure tells why the log takes no appends.
+type Failure struct {
+	Since time.Time
+	// Path is the file that was being written.
+	Path string
+	Err  error
+	// Bytes is the total size of the segments.
+	Bytes int64
+}
+
+// refusal returns the error of appends that are refused because of the failure; nil if there is none.
+func (f *Failure) refusal() error {
+	if f == nil {
+		return nil
+	}
+	return errors.Join(ErrUnwritable, f.Err)
+}
+
+// Options configures a log.
+type Options struct {
+	// Files is the file system; the operating system's if it is nil.
+	Files filesystem.FS
+	// OnChange is called when the disk stops taking writes, and with nil when it takes them again. It must not call the
+	// log. It may be nil.
+	OnChange func(*Failure)
+}
+
 // Position is the location of a record.
 type Position struct {
 	Segment uint32
@@ -50,21 +101,33 @@
 
 // Log is a set of segments in one directory. Use Open.
 type Log struct {
-	dir string
+	dir      string
+	disk     filesystem.FS
+	onChange func(*Failure)
+	closing  chan struct{}
 
 	mu    sync.Mutex
-	files map[uint32]*os.File
+	files map[uint32]filesystem.File
+	// sizes holds the size of each segment in files.
+	sizes map[uint32]int64
+	// abandoned are segments without a record whose files are to be removed.
+	abandoned []uint32
 	// pending collects appends while the disk is busy. Its segment is the active one; the file is created when the
 	// first batch is written to it.
 	pending *batch
 	// unreleased counts, by segment, the appends that have not been released.
 	unreleased map[uint32]int
 	wake       chan struct{}
-	failed     error
-	closed     bool
-	bytes      int64
-	done       chan struct{}
-	pacer      pacer // updated by commitLoop only
+	// writing is the batch that was last given to the disk; nil once it is written.
+	writing *batch
+	// failure is set while the disk takes no writes.
+	failure *Failure
+	closed  bool
+	bytes   int64
+	done    chan struct{}
+	pacer   pacer // updated by commitLoop only
+	// recoveredAt is when the disk last took writes again. It is used by commitLoop only.
+	recoveredAt time.Time
 }
 
 // batch is a group of appends that share one write and one sync, with the location that they are written to.
@@ -85,42 +148,73 @@
 	return n
 }
 
-// Open replays the records of a directory in the order in which they were written, and begins a new segment behind
-// them. Segments without a record are removed.
+// inNextSegment returns an empty batch at the start of the segment behind that of b.
+func (b *batch) inNextSegment() *batch {
+	return &batch{segment: b.segment + 1, synced: make(chan struct{})}
+}
+
+// end closes the batch with the outcome of its write.
+func (b *batch) end(err error) {
+	b.err = err
+	close(b.synced)
+}
+
+// Open opens a log with default options; see OpenWith.
 func Open(dir string, replay func(turn.Record, Position)) (*Log, error) {
-	if err := os.MkdirAll(dir, 0o755); err != nil {
+	return OpenWith(dir, Options{}, replay)
+}
+
+// OpenWith replays the records of a directory in the order in which they were written, and begins a new segment behind
+// them. Segments without a record and temporary files are removed. The directory need not be writable: a disk that
+// refuses writes is opened for reading, and found to be unwritable at the first append.
+func OpenWith(dir string, o Options, replay func(turn.Record, Position)) (*Log, error) {
+	if o.Files == nil {
+		o.Files = filesystem.OS{}
+	}
+	if o.OnChange == nil {
+		o.OnChange = func(*Failure) {}
+	}
+	if err := o.Files.MkdirAll(dir, 0o755); err != nil {
 		return nil, Error.Wrap(err)
 	}
-	l := &Log{dir: dir, files: map[uint32]*os.File{}, unreleased: map[uint32]int{}, wake: make(chan struct{}, 1), done: make(chan struct{})}
-	numbers, err := listSegments(dir)
+	l := &Log{dir: dir, disk: o.Files, onChange: o.OnChange, closing: make(chan struct{}), files: map[uint32]filesystem.File{}, sizes: map[uint32]int64{},
+		unreleased: map[uint32]int{}, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	numbers, err := l.listSegments()
 	if err != nil {
 		return nil, err
 	}
 	newest := uint32(0)
 	for _, number := range numbers {
 		if err := l.loadSegment(number, replay); err != nil {
-			return nil, err
+			return nil, errors.Join(err, l.closeFiles())
 		}
 		newest = number
 	}
+	l.removeAbandoned()
 	l.pending = &batch{segment: newest + 1, synced: make(chan struct{})}
 	go l.commitLoop()
 	return l, nil
 }
 
-func listSegments(dir string) ([]uint32, error) {
-	entries, err := os.ReadDir(dir)
+// listSegments returns the numbers of the segments in order, and removes temporary files.
+func (l *Log) listSegments() ([]uint32, error) {
+	entries, err := l.disk.ReadDir(l.dir)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
 	var numbers []uint32
 	for _, entry := range entries {
+		name := entry.Name()
+		if name == probeFile || strings.HasSuffix(name, atomicfile.TemporarySuffix) {
+			_ = l.disk.Remove(filepath.Join(l.dir, name)) // its next writer replaces it
+			continue
+		}
 		var number uint32
-		if filepath.Ext(entry.Name()) != segmentSuffix {
+		if filepath.Ext(name) != segmentSuffix {
 			continue
 		}
-		if _, err := fmt.Sscanf(entry.Name(), "%08x", &number); err != nil {
-			return nil, Error.New("%s: not a segment file name", entry.Name())
+		if _, err := fmt.Sscanf(name, "%08x", &number); err != nil {
+			return nil, Error.New("%s: not a segment file name", name)
 		}
 		numbers = append(numbers, number)
 	}
@@ -133,7 +227,7 @@
 }
 
 func (l *Log) loadSegment(segment uint32, replay func(turn.Record, Position)) error {
-	file, err := os.Open(l.segmentPath(segment))
+	file, err := l.disk.OpenFile(l.segmentPath(segment), os.O_RDONLY, 0)
 	if err != nil {
 		return Error.Wrap(err)
 	}
@@ -142,9 +236,10 @@
 		return Error.Wrap(errors.Join(err, file.Close()))
 	}
 	if _, _, ok := decodeFrame(data); !ok {
-		return Error.Wrap(errors.Join(file.Close(), os.Remove(l.segmentPath(segment))))
+		l.abandoned = append(l.abandoned, segment)
+		return Error.Wrap(file.Close())
 	}
-	l.files[segment] = file
+	l.files[segment], l.sizes[segment] = file, int64(len(data))
 	l.bytes += int64(len(data))
 	for offset := 0; ; {
 		record, length, ok := decodeFrame(data[offset:])
@@ -176,18 +271,18 @@
 
 // segmentFile returns the file of a segment, and creates it if it is missing. It syncs the directory, so that a new
 // file survives a power loss.
-func (l *Log) segmentFile(segment uint32) (*os.File, error) {
+func (l *Log) segmentFile(segment uint32) (filesystem.File, error) {
 	l.mu.Lock()
 	file := l.files[segment]
 	l.mu.Unlock()
 	if file != nil {
 		return file, nil
 	}
-	file, err := os.OpenFile(l.segmentPath(segment), os.O_CREATE|os.O_RDWR|os.O_EXCL, 0o644)
+	file, err := l.disk.OpenFile(l.segmentPath(segment), os.O_CREATE|os.O_RDWR|os.O_EXCL, 0o644)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	if err := errors.Join(file.Sync(), atomicfile.SyncDir(l.dir)); err != nil {
+	if err := errors.Join(file.Sync(), filesystem.SyncDir(l.disk, l.dir)); err != nil {
 		return nil, Error.Wrap(errors.Join(err, file.Close()))
 	}
 	l.mu.Lock()
@@ -204,7 +299,11 @@
 	batch    *batch
 }
 
-// Wait blocks until the record is on the disk, or returns the error of the write.
+// Done is closed when the outcome of the append is known, so that Wait returns at once.
+func (p PendingAppend) Done() <-chan struct{} { return p.batch.synced }
+
+// Wait blocks until the record is on the disk, or returns the error of the write: ErrUnwritable, ErrUnsure or
+// ErrClosed.
 func (p PendingAppend) Wait() error {
 	<-p.batch.synced
 	return p.batch.err
@@ -219,12 +318,18 @@
 	}
 }
 
-// Append assigns a position to a record. The record is durable once Wait returns nil.
+// Append assigns a position to a record. The record is durable once Wait returns nil. While the disk takes no writes
+// the append fails at once.
 func (l *Log) Append(record *turn.Record) PendingAppend {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.pending
 	l.unreleased[b.segment]++
+	if l.failure != nil && !l.closed {
+		refused := &batch{segment: b.segment, synced: make(chan struct{})}
+		refused.end(l.failure.refusal())
+		return PendingAppend{Position: Position{Segment: b.segment}, log: l, batch: refused}
+	}
 	if l.closed {
 		return PendingAppend{Position: Position{Segment: b.segment}, log: l, batch: b}
 	}
@@ -242,8 +347,8 @@
 	return PendingAppend{Position: position, log: l, batch: b}
 }
 
-// commitLoop writes pending batches. After a failed write all later appends fail: what the disk holds is unknown until
-// the log is opened again.
+// commitLoop writes pending batches. After a failed write it waits until the disk takes writes again, and continues in a
+// new segment: what the disk holds of the failed batch is unknown.
 func (l *Log) commitLoop() {
 	defer close(l.done)
 	for range l.wake {
@@ -251,22 +356,30 @@
 		l.mu.Lock()
 		b := l.pending
 		l.pending = b.following() // later appends go to the next batch
-		l.bytes += int64(len(b.data))
-		b.err = l.failed
+		l.writing = b
+		failure := l.failure // set only if the log closes, else recoverWrites has cleared it
 		l.mu.Unlock()
-		if b.err == nil && len(b.data) > 0 {
-			began := time.Now()
-			b.err = l.writeBatch(b)
-			l.pacer.recordSync(began, time.Now())
+		if failure != nil || len(b.data) == 0 {
+			b.end(failure.refusal())
+			continue
 		}
-		l.mu.Lock()
-		l.failed = b.err
-		l.mu.Unlock()
-		close(b.synced)
+		began := time.Now()
+		stall := time.AfterFunc(stallTimeout, func() { l.fail(b, errStalled) })
+		err := l.writeBatch(b)
+		stall.Stop()
+		l.pacer.recordSync(began, time.Now())
+		if err != nil {
+			l.fail(b, err)
+			l.abandon(b)
+			b.end(errors.Join(ErrUnsure, err))
+		} else {
+			l.endWriting(b)
+			b.end(nil)
+		}
+		l.recoverWrites()
 	}
 	l.mu.Lock()
-	l.pending.err = ErrClosed
-	close(l.pending.synced)
+	l.pending.end(ErrClosed)
 	l.mu.Unlock()
 }
 
@@ -281,6 +394,134 @@
 	return Error.Wrap(file.Sync())
 }
 
+// endWriting counts a batch that was written, and ends the watch for a stall.
+func (l *Log) endWriting(b *batch) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.writing = nil
+	l.bytes += int64(len(b.data))
+	l.sizes[b.segment] += int64(len(b.data))
+}
+
+// fail refuses further appends, and those that wait for the next write, until recoverWrites succeeds. The next batch
+// goes to a new segment. It does nothing unless b is being written.
+func (l *Log) fail(b *batch, err error) {
+	path := l.segmentPath(b.segment)
+	l.mu.Lock()
+	if l.writing != b {
+		l.mu.Unlock()
+		return
+	}
+	if l.failure != nil {
+		l.failure.Path, l.failure.Err = path, err
+		l.mu.Unlock()
+		return
+	}
+	failure := Failure{Since: time.Now(), Path: path, Err: err, Bytes: l.bytes}
+	l.failure = &failure
+	if waiting := l.pending; !l.closed {
+		l.pending = waiting.inNextSegment()
+		waiting.end(failure.refusal())
+	}
+	reported := failure
+	l.mu.Unlock()
+	l.onChange(&reported)
+}
+
+// abandon drops the file of a failed batch if no record in it was acknowledged.
+func (l *Log) abandon(b *batch) {
+	if b.offset > 0 {
+		return
+	}
+	l.mu.Lock()
+	file := l.files[b.segment]
+	delete(l.files, b.segment)
+	l.abandoned = append(l.abandoned, b.segment)
+	l.mu.Unlock()
+	if file != nil {
+		_ = file.Close() // nothing in it is needed
+	}
+}
+
+// removeAbandoned removes the files of abandoned segments. Those that can't be removed are left for the next attempt.
+func (l *Log) removeAbandoned() {
+	l.mu.Lock()
+	segments := l.abandoned
+	l.abandoned = nil
+	l.mu.Unlock()
+	var left []uint32
+	for _, segment := range segments {
+		if err := l.disk.Remove(l.segmentPath(segment)); err != nil && !errors.Is(err, os.ErrNotExist) {
+			left = append(left, segment)
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.abandoned = append(l.abandoned, left...)
+}
+
+// recoverWrites returns once the disk takes writes, or when the log closes. A disk that fails again soon after a probe
+// succeeded is probed at the longest interval.
+func (l *Log) recoverWrites() {
+	delay := minProbeDelay
+	if time.Since(l.recoveredAt) < 2*maxProbeDelay {
+		delay = maxProbeDelay
+	}
+	for ; l.Failure() != nil; delay = min(2*delay, maxProbeDelay) {
+		timer := time.NewTimer(delay)
+		select {
+		case <-timer.C:
+		case <-l.closing:
+			timer.Stop()
+			return
+		}
+		l.removeAbandoned()
+		began := time.Now()
+		err := l.probe()
+		if err == nil && time.Since(began) >= stallTimeout {
+			err = errStalled
+		}
+		l.mu.Lock()
+		if err != nil {
+			l.failure.Path, l.failure.Err = filepath.Join(l.dir, probeFile), err
+		} else {
+			l.failure = nil
+		}
+		l.mu.Unlock()
+		if err == nil {
+			l.recoveredAt = time.Now()
+			l.onChange(nil)
+		}
+	}
+}
+
+// probe creates, writes, syncs and removes a file, as a new segment needs it.
+func (l *Log) probe() error {
+	path := filepath.Join(l.dir, probeFile)
+	file, err := l.disk.OpenFile(path, os.O_CREATE|os.O_RDWR|os.O_TRUNC, 0o600)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	if _, err = file.WriteAt(make([]byte, probeBytes), 0); err == nil {
+		err = errors.Join(file.Sync(), filesystem.SyncDir(l.disk, l.dir))
+	}
+	// A file that can't be removed is overwritten by the next probe and removed at the next start.
+	_ = l.disk.Remove(path)
+	return Error.Wrap(errors.Join(err, file.Close()))
+}
+
+// Failure returns why the log takes no appends, or nil if it takes them.
+func (l *Log) Failure() *Failure {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.failure == nil {
+		return nil
+	}
+	failure := *l.failure
+	failure.Bytes = l.bytes
+	return &failure
+}
+
 // Read returns the record at a position.
 func (l *Log) Read(p Position) (turn.Record, error) {
 	l.mu.Lock()
@@ -315,7 +556,8 @@
 	return l.pending.segment
 }
 
-// RemoveSegment deletes a segment. It returns ErrInUse for the active segment and for one with unreleased appends.
+// RemoveSegment deletes a segment. It returns ErrInUse for the active segment and for one with unreleased appends. After
+// another error the segment is still there and can be removed later.
 func (l *Log) RemoveSegment(segment uint32) error {
 	l.mu.Lock()
 	file := l.files[segment]
@@ -327,15 +569,20 @@
 		l.mu.Unlock()
 		return Error.New("no file %d", segment)
 	}
-	delete(l.files, segment)
-	if info, err := file.Stat(); err == nil {
-		l.bytes -= info.Size()
+	l.mu.Unlock()
+	if err := l.disk.Remove(l.segmentPath(segment)); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return Error.Wrap(err)
 	}
+	l.mu.Lock()
+	delete(l.files, segment)
+	l.bytes -= l.sizes[segment]
+	delete(l.sizes, segment)
 	l.mu.Unlock()
-	return Error.Wrap(errors.Join(file.Close(), os.Remove(l.segmentPath(segment))))
+	return Error.Wrap(file.Close())
 }
 
-// Close stops the log and closes its files. Later appends fail with ErrClosed. Calling Close again does nothing.
+// Close stops the log and closes its files. Later appends fail with ErrClosed. A write that does not return within
+// closeTimeout is left behind, with the files open. Calling Close again does nothing.
 func (l *Log) Close() error {
 	l.mu.Lock()
 	if l.closed {
@@ -344,8 +591,19 @@
 	}
 	l.closed = true
 	close(l.wake)
+	close(l.closing)
 	l.mu.Unlock()
-	<-l.done
+	timeout := time.NewTimer(closeTimeout)
+	defer timeout.Stop()
+	select {
+	case <-l.done:
+	case <-timeout.C:
+		return Error.Wrap(errStalled)
+	}
+	return l.closeFiles()
+}
+
+func (l *Log) closeFiles() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var group errs.Group
