replica: keep the store running on a disk that refuses writes or hangs

Cause: a store daemon ended if its disk refused a call at the start, held its lock while it saved a layout, so that a hanging disk blocked reads and pings, and did not adopt a layout that it could not save.

Change: NewStore opens the disk in the background with retries. The layout is adopted in memory and saved by a goroutine; a fence still counts only once it is saved. The ledger writes to other disks of the group first.

--- a/internal/turns/ledger/ledger.go
+++ b/internal/turns/ledger/ledger.go
@@ -41,7 +41,7 @@
 	// fallbackDelay is how long the nearest disks may take to acknowledge a finished turn before it is sent to the rest
 	// of the group. It is far above a usual answer, so that busy disks do not get more work.
 	fallbackDelay = 100 * time.Millisecond
-	// failureMemory is for how long a disk that has not answered is asked after all others.
+	// failureMemory is for how long a disk that has not answered, or took no writes, is written to after all others.
 	failureMemory = 3 * time.Second
 	// hedgeDelay is how long a fetch waits for an answer before it asks the next disk as well.
 	hedgeDelay = 20 * time.Millisecond
@@ -54,7 +54,7 @@
 	topology place.Topology
 	layout   atomic.Pointer[layout.Layout]
 	cache    *turnCache
-	// lastFailure holds, by the ID of a disk, when it last did not answer.
+	// lastFailure holds, by the ID of a disk, when it last did not answer or took no writes.
 	lastFailure sync.Map
 	// background tracks the calls that continue after their caller has returned.
 	background sync.WaitGroup
@@ -224,7 +224,7 @@
 			defer cancel()
 			result := writeResult{slot: slot}
 			result.reply, result.err = peerlink.Call[replica.WriteReply](callCtx, l.links.LinkTo(disk.Address), replica.ServiceName+".Write", args)
-			l.recordCallResult(disk.ID, result.err)
+			l.recordWriteResult(disk.ID, result)
 			r.results <- result
 		})
 	}
@@ -251,16 +251,21 @@
 	return r
 }
 
-// recordCallResult notes whether a disk has answered.
-func (l *Ledger) recordCallResult(disk string, err error) {
-	if err != nil {
+// recordWriteResult notes whether a disk takes writes. A refusal for another reason is answered by a working disk.
+func (l *Ledger) recordWriteResult(disk string, result writeResult) {
+	failed := result.err != nil
+	if !failed {
+		status := result.reply.Header.Status
+		failed = status == replica.Failed || status == replica.Unwritable || status == replica.Unsure
+	}
+	if failed {
 		l.lastFailure.Store(disk, time.Now())
 	} else {
 		l.lastFailure.Delete(disk)
 	}
 }
 
-// sortFailedLast moves the slots to the end whose disks failed to answer within failureMemory.
+// sortFailedLast moves the slots to the end whose disks failed within failureMemory.
 func (l *Ledger) sortFailedLast(current *layout.Layout, group []int) {
 	recentlyFailed := func(slot int) int {
 		at, failed := l.lastFailure.Load(current.Slots[slot].Disk.ID)
@@ -352,6 +357,10 @@
 		return errStaleLayout
 	case replica.WrongDisk:
 		return errWrongDisk
+	case replica.Unwritable:
+		return errDiskUnwritable
+	case replica.Unsure:
+		return errDiskUnsure
 	default:
 		return errDiskFailed
 	}
@@ -361,6 +370,9 @@
 	errStaleLayout = errors.New("layout is out of date")
 	errWrongDisk   = errors.New("another disk answers at the address")
 	errDiskFailed  = errors.New("disk could not be read or written")
+	// errDiskUnwritable means that the record is not on the disk; after errDiskUnsure it may or may not be.
+	errDiskUnwritable = errors.New("disk takes no writes")
+	errDiskUnsure     = errors.New("disk has not written the record in time")
 )
 
 // mergeEntry adds an entry to those known; a later state of a turn wins.
--- a/internal/turns/replica/clean.go
+++ b/internal/turns/replica/clean.go
@@ -13,6 +13,8 @@
 const (
 	// cleanInterval is the time between two removals of expired programs.
 	cleanInterval = 5 * time.Second
+	// fullCleanInterval is the same on a disk that is nearly full or takes no writes, where each removal counts.
+	fullCleanInterval = time.Second
 	// compactionThreshold is the share of the disk above which the oldest segment is copied forward.
 	compactionThreshold = 0.7
 )
@@ -20,22 +22,31 @@
 // clean removes expired programs, and on a disk that fills up copies the oldest segment forward so that it can be
 // removed.
 func (c *Controller) clean(now time.Time) {
-	if now.Sub(c.lastClean) < cleanInterval {
+	s := c.store
+	if !s.isOpen() {
+		return
+	}
+	unwritable := s.files.Failure() != nil
+	nearlyFull := c.diskBytes > 0 && float64(s.files.Bytes()) >= compactionThreshold*float64(c.diskBytes)
+	interval := cleanInterval
+	if unwritable || nearlyFull {
+		interval = fullCleanInterval
+	}
+	if now.Sub(c.lastClean) < interval {
 		return
 	}
 	c.lastClean = now
-	s := c.store
 	for _, segment := range s.index.expire(now, s.files.ActiveSegment()) {
 		err := s.files.RemoveSegment(segment)
-		if errors.Is(err, turnlog.ErrInUse) {
-			s.index.retrySegment(segment) // retried at the next cleaning
+		if err == nil {
 			continue
 		}
-		if err != nil {
+		s.index.retrySegment(segment) // retried at the next cleaning
+		if !errors.Is(err, turnlog.ErrInUse) {
 			c.log.WithFields(logrus.Fields{"event": "clean-failed", "error": err}).Warn("turn segment not removed")
 		}
 	}
-	if c.diskBytes == 0 || float64(s.files.Bytes()) < compactionThreshold*float64(c.diskBytes) {
+	if unwritable || !nearlyFull {
 		return
 	}
 	for _, position := range s.index.oldestSegmentRecords(s.files.ActiveSegment()) {
@@ -54,10 +65,5 @@
 // copyForward copies a record to the active segment.
 func (s *Store) copyForward(record *turn.Record, from turnlog.Position) error {
 	pending := s.files.Append(record)
-	defer pending.Release()
-	if err := pending.Wait(); err != nil {
-		return err
-	}
-	s.index.relocate(record.ID, from, pending.Position)
-	return nil
+	return s.await(appendTimeout, pending, func() { s.index.relocate(record.ID, from, pending.Position) })
 }
--- a/internal/turns/replica/controller.go
+++ b/internal/turns/replica/controller.go
@@ -107,6 +107,9 @@
 }
 
 func (c *Controller) step(ctx context.Context) error {
+	if !c.store.isOpen() {
+		return nil
+	}
 	l := c.store.Layout()
 	if l == nil {
 		return c.formLayout(ctx)
@@ -118,6 +121,9 @@
 	if slot := l.SlotOf(self.ID); slot >= 0 {
 		return c.keepOrVacate(ctx, l, slot)
 	}
+	if len(c.store.DiskProblems()) > 0 {
+		return nil // nothing can be copied to this disk
+	}
 	if slot := l.SlotJoinedBy(self.ID); slot >= 0 {
 		return c.takeOver(ctx, l, slot)
 	}
--- a/internal/turns/replica/identity.go
+++ b/internal/turns/replica/identity.go
@@ -6,10 +6,10 @@
 	"encoding/json"
 	"errors"
 	"io/fs"
-	"os"
 	"path/filepath"
 
 	"github.com/rookpass/rookpass/internal/base/atomicfile"
+	"github.com/rookpass/rookpass/internal/base/filesystem"
 	"github.com/rookpass/rookpass/internal/turns/layout"
 )
 
@@ -33,11 +33,11 @@
 }
 
 // loadIdentity reads the identity of the disk at dir. An empty disk gets a new one.
-func loadIdentity(dir string) (identity, error) {
-	data, err := os.ReadFile(filepath.Join(dir, identityFile))
+func loadIdentity(files filesystem.FS, dir string) (identity, error) {
+	data, err := filesystem.ReadFile(files, filepath.Join(dir, identityFile))
 	if errors.Is(err, fs.ErrNotExist) {
 		id := identity{Disk: newDiskID()}
-		return id, saveIdentity(dir, id)
+		return id, saveIdentity(files, dir, id)
 	}
 	if err != nil {
 		return identity{}, Error.Wrap(err)
@@ -56,10 +56,10 @@
 }
 
 // saveIdentity stores the identity so that it survives a power loss.
-func saveIdentity(dir string, id identity) error {
+func saveIdentity(files filesystem.FS, dir string, id identity) error {
 	data, err := json.Marshal(id)
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	return Error.Wrap(atomicfile.Write(filepath.Join(dir, identityFile), data))
+	return Error.Wrap(atomicfile.WriteTo(files, filepath.Join(dir, identityFile), data))
 }
--- a/internal/turns/replica/messages.go
+++ b/internal/turns/replica/messages.go
@@ -24,6 +24,10 @@
 	WrongDisk
 	// Failed means that the disk could not be read or written.
 	Failed
+	// Unwritable means that the disk takes no writes, or is not open yet. A record that was sent is not stored.
+	Unwritable
+	// Unsure means that a record may or may not be stored.
+	Unsure
 )
 
 // Target is the disk that a request is meant for, and the epoch of the sender's layout.
--- a/internal/turns/replica/service.go
+++ b/internal/turns/replica/service.go
@@ -1,13 +1,13 @@
 package replica
 
 import (
-	"os"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/zeebo/errs"
 
+	"github.com/rookpass/rookpass/internal/base/filesystem"
 	"github.com/rookpass/rookpass/internal/turns/layout"
 	"github.com/rookpass/rookpass/internal/turns/turn"
 	"github.com/rookpass/rookpass/internal/turns/turnlog"
@@ -22,46 +22,68 @@
 	pullPageBytes   = 256 << 10
 )
 
-// Store holds one disk's records and the newest layout that it knows.
+// Store holds one disk's records and the newest layout that it knows. It works as far as its disk does: while the disk
+// can't be opened it knows only the layout, and while the disk takes no writes it serves reads.
 type Store struct {
-	log  logrus.FieldLogger
-	dir  string
-	self layout.Disk
+	log    logrus.FieldLogger
+	dir    string
+	disk   filesystem.FS
+	health *diskHealth
+
+	// opened is closed once index and files are set.
+	opened chan struct{}
+	index  *index
+	files  *turnlog.Log
 
-	index *index
-	files *turnlog.Log
+	closing               chan struct{}
+	openerDone, saverDone chan struct{}
+	saverWake             chan struct{}
 
-	mu sync.Mutex
-	id identity
+	mu     sync.Mutex
+	closed bool
+	// self has no ID until the disk is open.
+	self layout.Disk
+	// id is the identity in use, saved the one on the disk. savedChange is closed and replaced when saved changes.
+	id, saved   identity
+	savedChange chan struct{}
 }
 
-// OpenStore opens the store at dir. self is the disk with its daemon's address; its ID is filled in.
-func OpenStore(dir string, self layout.Disk, log logrus.FieldLogger) (*Store, error) {
-	if err := os.MkdirAll(dir, 0o755); err != nil {
-		return nil, Error.Wrap(err)
-	}
-	id, err := loadIdentity(dir)
-	if err != nil {
-		return nil, err
-	}
-	self.ID = id.Disk
-	s := &Store{log: log, dir: dir, self: self, index: newIndex(), id: id}
-	now := time.Now()
-	s.files, err = turnlog.Open(dir, func(r turn.Record, p turnlog.Position) { s.index.add(&r, p, now) })
-	if err != nil {
-		return nil, err
+// NewStore returns the store on the disk at dir. self is the disk with its daemon's address; its ID is filled in. If
+// the disk can't be opened within openWait, the store is returned without records and goes on trying.
+func NewStore(files filesystem.FS, dir string, self layout.Disk, log logrus.FieldLogger) *Store {
+	s := &Store{log: log, dir: dir, disk: files, self: self, opened: make(chan struct{}), closing: make(chan struct{}),
+		openerDone: make(chan struct{}), saverDone: make(chan struct{}), saverWake: make(chan struct{}, 1), savedChange: make(chan struct{})}
+	s.health = &diskHealth{log: log, bytes: s.Bytes, problems: map[problemKind]DiskProblem{}}
+	firstAttempt := make(chan struct{})
+	go s.openUntilDone(firstAttempt)
+	go s.saveIdentities()
+	timer := time.NewTimer(openWait)
+	defer timer.Stop()
+	select {
+	case <-firstAttempt:
+	case <-timer.C:
+		s.health.set(problemOpen, dir, errOpenSlow)
+		if s.isOpen() { // it opened just now
+			s.health.set(problemOpen, dir, nil)
+		}
 	}
-	_, turns := s.Size()
-	log.WithFields(logrus.Fields{"event": "disk-open", "disk": id.Disk, "turns": turns,
-		"complete": id.complete(), "fence": id.Fence}).Info("disk opened")
-	return s, nil
+	return s
 }
 
-// Self returns the disk.
-func (s *Store) Self() layout.Disk { return s.self }
+// Self returns the disk. Its ID is empty until the disk is open.
+func (s *Store) Self() layout.Disk {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.self
+}
 
 // Syncs returns the number of syncs of records and their total duration.
-func (s *Store) Syncs() (n int64, busy time.Duration) { return s.files.Syncs() }
+func (s *Store) Syncs() (n int64, busy time.Duration) {
+	if !s.isOpen() {
+		return 0, 0
+	}
+	return s.files.Syncs()
+}
 
 // Layout returns the newest known layout, or nil.
 func (s *Store) Layout() *layout.Layout {
@@ -70,43 +92,38 @@
 	return s.id.Layout
 }
 
-// UpdateLayout saves a layout and adopts it if it is newer than the known one. It reports whether it was adopted.
+// UpdateLayout adopts a layout if it is newer than the known one, and saves it in the background. It reports whether it
+// was adopted. A layout that is lost before it is saved is learned again, as by a daemon that was cut off.
 func (s *Store) UpdateLayout(l *layout.Layout) bool {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	if s.id.Layout != nil && s.id.Layout.Epoch >= l.Epoch {
+		s.mu.Unlock()
 		return false
 	}
-	id := s.id
-	id.Layout = l
-	if err := saveIdentity(s.dir, id); err != nil {
-		s.log.WithFields(logrus.Fields{"event": "identity-failed", "error": err}).Error("layout not saved")
-		return false
-	}
-	s.id = id
+	s.id.Layout = l
+	self := s.self.ID
+	s.mu.Unlock()
+	s.wakeSaver()
 	s.log.WithFields(logrus.Fields{"event": "layout", "epoch": l.Epoch,
-		"slot": l.SlotOf(s.self.ID), "joining": l.SlotJoinedBy(s.self.ID)}).Info("layout updated")
+		"slot": l.SlotOf(self), "joining": l.SlotJoinedBy(self)}).Info("layout updated")
 	return true
 }
 
-// raiseFence makes the disk refuse layouts older than epoch from now on, also after a restart.
+// raiseFence makes the disk refuse layouts older than epoch from now on. It returns nil once the fence is on the disk,
+// so that it holds after a restart too.
 func (s *Store) raiseFence(epoch uint64) error {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.id.Fence >= epoch {
-		return nil
-	}
-	id := s.id
-	id.Fence = epoch
-	if err := saveIdentity(s.dir, id); err != nil {
-		return err
-	}
-	s.id = id
-	return nil
+	s.id.Fence = max(s.id.Fence, epoch)
+	s.mu.Unlock()
+	s.wakeSaver()
+	return s.awaitFence(epoch)
 }
 
 // check compares a request's target with this disk, and returns the header of the reply.
 func (s *Store) check(target Target) Header {
+	if !s.isOpen() {
+		return Header{Status: Unwritable}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h := Header{Status: OK, Complete: s.id.complete()}
@@ -129,12 +146,7 @@
 		return nil
 	}
 	pending := s.files.Append(r)
-	defer pending.Release()
-	if err := pending.Wait(); err != nil {
-		return err
-	}
-	s.index.add(r, pending.Position, time.Now())
-	return nil
+	return s.await(appendTimeout, pending, func() { s.index.add(r, pending.Position, time.Now()) })
 }
 
 // Service serves a store to other daemons. Its exported methods are net/rpc methods.
@@ -151,8 +163,10 @@
 		return nil
 	}
 	if err := s.write(&args.Record); err != nil {
-		s.log.WithFields(logrus.Fields{"event": "write-failed", "turn": args.Record.ID, "error": err}).Error("disk write failed")
-		reply.Header.Status = Failed
+		reply.Header.Status = writeStatus(err)
+		if reply.Header.Status == Failed { // the state of the disk is logged when it changes
+			s.log.WithFields(logrus.Fields{"event": "write-failed", "turn": args.Record.ID, "error": err}).Error("disk write failed")
+		}
 		return nil
 	}
 	// A take-over may have raised the fence during the write, and its export may lack this record.
@@ -195,9 +209,13 @@
 func (v *Service) Export(args *ExportArgs, reply *ExportReply) error {
 	s := v.store
 	s.UpdateLayout(&args.Layout)
+	if !s.isOpen() {
+		reply.Header.Status = Unwritable
+		return nil
+	}
 	if err := s.raiseFence(args.Layout.Epoch); err != nil {
 		s.log.WithFields(logrus.Fields{"event": "identity-failed", "error": err}).Error("fence not saved")
-		reply.Header.Status = Failed
+		reply.Header.Status = Unwritable
 		return nil
 	}
 	reply.Header = s.check(Target{Disk: args.From, Epoch: args.Layout.Epoch})
@@ -266,20 +284,62 @@
 	return nil
 }
 
-// Ping reports whether this disk is the requested one.
+// Ping reports whether this disk is the requested one and works.
 func (v *Service) Ping(args *PingArgs, reply *PingReply) error {
 	reply.Header = v.store.check(Target{Disk: args.Disk, Epoch: 1 << 62})
+	if reply.Header.Status == OK && v.store.health.lasting() {
+		reply.Header.Status = Unwritable
+	}
 	return nil
 }
 
-// Close closes the store. Later writes fail.
-func (s *Store) Close() error { return s.files.Close() }
+// Close saves the layout, unless the disk fails, and closes the store. Later writes fail. It does not wait longer than
+// closeTimeout for a disk that hangs, for each of its uses.
+func (s *Store) Close() error {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return nil
+	}
+	s.closed = true
+	close(s.closing)
+	s.mu.Unlock()
+	s.wakeSaver()
+	timeout := time.NewTimer(closeTimeout)
+	defer timeout.Stop()
+	for _, done := range []chan struct{}{s.openerDone, s.saverDone} {
+		select {
+		case <-done:
+		case <-timeout.C:
+			return Error.New("disk does not return from a call")
+		}
+	}
+	if !s.isOpen() {
+		return nil
+	}
+	return s.files.Close()
+}
 
 // Size returns the numbers of stored programs and turns.
-func (s *Store) Size() (programs, turns int) { return s.index.counts() }
+func (s *Store) Size() (programs, turns int) {
+	if !s.isOpen() {
+		return 0, 0
+	}
+	return s.index.counts()
+}
 
 // Bytes returns the size of the stored records on the disk.
-func (s *Store) Bytes() int64 { return s.files.Bytes() }
+func (s *Store) Bytes() int64 {
+	if !s.isOpen() {
+		return 0
+	}
+	return s.files.Bytes()
+}
 
 // Turns returns the budget entries of a program's turns.
-func (s *Store) Turns(program string) []BudgetEntry { return s.index.budgetEntries(program) }
+func (s *Store) Turns(program string) []BudgetEntry {
+	if !s.isOpen() {
+		return nil
+	}
+	return s.index.budgetEntries(program)
+}
--- a/internal/turns/replica/takeover.go
+++ b/internal/turns/replica/takeover.go
@@ -218,16 +218,16 @@
 			added = append(added, i)
 		}
 	}
-	defer func() {
-		for _, p := range pending {
-			p.Release()
-		}
-	}()
+	var firstErr error
+	timeout := appendTimeout
 	for k, p := range pending {
-		if err := p.Wait(); err != nil {
-			return 0, err
+		err := s.await(timeout, p, func() { s.index.add(&records[added[k]], p.Position, time.Now()) })
+		if err != nil && firstErr == nil {
+			firstErr, timeout = err, 0 // the others only have to be released
 		}
-		s.index.add(&records[added[k]], p.Position, time.Now())
+	}
+	if firstErr != nil {
+		return 0, firstErr
 	}
 	return len(pending), nil
 }
