Store daemon: serve mirrors on a failing disk; report its state; rows in the fault matrix

Cause: the start waited for saved copies of mirrors, so a hanging disk kept the daemon from listening, and a failed save was logged every second. Operators saw the state of a disk only in log lines of single writes.

Change: copies are loaded and saved beside the daemon's work, with a log line when saving fails and when it works again. Metrics rookpass_disk_failed_seconds and rookpass_disk_record_bytes, and disk_problems on the status page. Rows in the fault matrix: a full disk, a hanging one, and a daemon that starts again on a full disk.

--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -18,6 +18,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/rookpass/rookpass/internal/base/filesystem/faultfs"
 	"github.com/rookpass/rookpass/internal/decide/quota"
 	"github.com/rookpass/rookpass/internal/testing/testbubble"
 	"github.com/rookpass/rookpass/internal/testing/workload"
@@ -79,6 +80,8 @@
 	host string
 	stop context.CancelFunc
 	done chan struct{}
+	// disk is the file system of a store VM.
+	disk *faultfs.FS
 }
 
 func (m *vm) callerAddress() string { return m.ip + ":8149" }
@@ -115,7 +118,7 @@
 	w.publishConfig()
 	for i := range stores {
 		w.seeds = append(w.seeds, fmt.Sprintf("10.1.0.%d:8144", i+1))
-		w.stores = append(w.stores, &vm{name: fmt.Sprint("store-", i), ip: fmt.Sprint("10.1.0.", i+1), role: "store", dataCentre: fmt.Sprint("dc", i%3)})
+		w.stores = append(w.stores, &vm{name: fmt.Sprint("store-", i), ip: fmt.Sprint("10.1.0.", i+1), role: "store", dataCentre: fmt.Sprint("dc", i%3), disk: faultfs.New()})
 	}
 	for i := range fronts {
 		w.fronts = append(w.fronts, &vm{name: fmt.Sprint("front-", i), ip: fmt.Sprint("10.0.0.", i+1), role: "front", dataCentre: fmt.Sprint("dc", i%3)})
@@ -179,6 +182,7 @@
 		dial: func(ctx context.Context, _, address string) (net.Conn, error) {
 			return c.fabric.Dial(ctx, name, address)
 		},
+		disk:   m.disk,
 		load:   func() (platform.Settings, error) { return settings, nil },
 		output: c.logOutput(),
 	}, settings, "info", m.role)
--- a/internal/node/matrix_test.go
+++ b/internal/node/matrix_test.go
@@ -5,11 +5,13 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/rookpass/rookpass/internal/base/filesystem/faultfs"
 	"github.com/rookpass/rookpass/internal/testing/testbubble"
 	"github.com/rookpass/rookpass/internal/testing/workload"
 	"github.com/rookpass/rookpass/platform/platformtest"
@@ -66,6 +68,13 @@
 			w.fabric.Thaw(m(w).host)
 		}
 	}
+	diskFault := func(begin func(*faultfs.FS)) func(*cluster) {
+		return func(w *cluster) {
+			begin(disk(w).disk)
+			time.Sleep(faultDuration)
+			disk(w).disk.Repair()
+		}
+	}
 	return []fault{
 		{"nothing", func(*cluster) { time.Sleep(faultDuration) }, -1, false},
 		{"front killed", func(w *cluster) { w.restart(front(w), faultDuration, false) }, 0, false},
@@ -81,6 +90,14 @@
 		{"disk's daemon killed", func(w *cluster) { w.restart(disk(w), faultDuration, false) }, -1, false},
 		{"disk lost", func(w *cluster) { w.restart(disk(w), faultDuration, true) }, -1, false},
 		{"disk's daemon frozen", frozen(disk), -1, true},
+		{"disk full", diskFault(func(d *faultfs.FS) { d.Refuse(syscall.ENOSPC, faultfs.FullDisk...) }), -1, false},
+		{"disk hangs", diskFault(func(d *faultfs.FS) { d.Delay(faultDuration, faultfs.Write, faultfs.Sync) }), -1, false},
+		{"disk full and its daemon started again", func(w *cluster) {
+			disk(w).disk.Refuse(syscall.ENOSPC, faultfs.FullDisk...)
+			w.restart(disk(w), faultDuration/2, false)
+			time.Sleep(faultDuration / 2)
+			disk(w).disk.Repair()
+		}, -1, false},
 		{"disk cut off from the platform", func(w *cluster) { w.cut(disk(w), []string{storeHost}, faultDuration) }, -1, false},
 		{"disk cut off from the fronts", func(w *cluster) { w.cut(disk(w), hostNames(w.fronts), faultDuration) }, -1, false},
 		{"disk cut off from the others", func(w *cluster) { w.cut(disk(w), hostNames(w.stores[1:]), faultDuration) }, -1, false},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/rookpass/rookpass/internal/base/eventlog"
+	"github.com/rookpass/rookpass/internal/base/filesystem"
 	"github.com/rookpass/rookpass/internal/base/metrics"
 	"github.com/rookpass/rookpass/internal/base/telemetry"
 	"github.com/rookpass/rookpass/internal/objects/objectapi"
@@ -71,6 +72,8 @@
 type host struct {
 	listen func(address string) (net.Listener, error)
 	dial   network.DialContext
+	// disk is the file system that holds a store daemon's data directory.
+	disk filesystem.FS
 	// load reads the settings file.
 	load func() (platform.Settings, error)
 	// output receives the log.
@@ -82,6 +85,7 @@
 	return host{
 		listen: func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
 		dial:   network.NewDialer(connectTimeout, unacknowledgedTimeout),
+		disk:   filesystem.OS{},
 		load:   platform.LoadSettings,
 		output: os.Stdout,
 	}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -68,13 +68,15 @@
 
 // StoreStatus is the status page of a store daemon. ProgramTurns are the turns of the requested program.
 type StoreStatus struct {
-	Node         string                `json:"node"`
-	Disk         string                `json:"disk"`
-	Slot         int                   `json:"slot"`
-	Programs     int                   `json:"programs"`
-	TurnCount    int                   `json:"turns"`
-	Bytes        int64                 `json:"bytes"`
-	Layout       *layout.Layout        `json:"layout"`
+	Node      string         `json:"node"`
+	Disk      string         `json:"disk"`
+	Slot      int            `json:"slot"`
+	Programs  int            `json:"programs"`
+	TurnCount int            `json:"turns"`
+	Bytes     int64          `json:"bytes"`
+	Layout    *layout.Layout `json:"layout"`
+	// DiskProblems tell which uses of the disk fail and why; empty if the disk works.
+	DiskProblems []replica.DiskProblem `json:"disk_problems"`
 	ProgramTurns []replica.BudgetEntry `json:"program_turns,omitempty"`
 	// Limits are the request counts of the organisations that are counted here.
 	Limits []quota.Count `json:"limits"`
@@ -103,9 +105,9 @@
 // storeStatus returns the handler of a store daemon's status page.
 func storeStatus(node string, store *replica.Store, quotas *quota.Service) func(*http.Request) any {
 	return func(r *http.Request) any {
-		s := StoreStatus{Node: node, Disk: store.Self().ID, Slot: -1, Bytes: store.Bytes(), Layout: store.Layout(), Limits: quotas.Counts()}
+		s := StoreStatus{Node: node, Disk: store.Self().ID, Slot: -1, Bytes: store.Bytes(), Layout: store.Layout(), DiskProblems: store.DiskProblems(), Limits: quotas.Counts()}
 		s.Programs, s.TurnCount = store.Size()
-		if s.Layout != nil {
+		if s.Layout != nil && s.Disk != "" {
 			s.Slot = s.Layout.SlotOf(s.Disk)
 		}
 		if program := r.URL.Query().Get("program"); program != "" {
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -60,10 +60,7 @@
 		return Error.New("a store daemon needs data_dir")
 	}
 	self := layout.Disk{Node: s.Node, Address: s.PeerAddress(), DataCentre: s.DataCentre}
-	store, err := replica.OpenStore(s.DataDir, self, b.log)
-	if err != nil {
-		return err
-	}
+	store := replica.NewStore(b.host.disk, s.DataDir, self, b.log)
 	b.metrics.Gauge("rookpass_disk_syncs_total", func() float64 {
 		n, _ := store.Syncs()
 		return float64(n)
@@ -72,6 +69,8 @@
 		_, busy := store.Syncs()
 		return busy.Seconds()
 	})
+	b.metrics.Gauge("rookpass_disk_failed_seconds", func() float64 { return failedSeconds(store.DiskProblems()) })
+	b.metrics.Gauge("rookpass_disk_record_bytes", func() float64 { return float64(store.Bytes()) })
 	retiring := &retirements{platform: b.store, nodes: map[string]bool{}, log: b.log}
 	controller := replica.NewController(replica.Options{
 		Store: store, API: b.store, Links: b.links, Retirements: retiring, Log: b.log, Topology: s.Topology(), LayoutKey: layoutKey, CandidatesPrefix: candidatesPrefix,
@@ -127,12 +126,9 @@
 		})
 	}
 	for i, name := range []string{"configuration", "servers", "layout"} { // old retirements are of no use
-		path := filepath.Join(s.DataDir, name+".json")
-		if err := mirrors[i].Load(path); err != nil {
-			// The copy is only needed while the platform's store is unavailable, so the daemon starts without it.
-			b.log.WithFields(logrus.Fields{"event": "mirror-load-failed", "file": path, "error": err}).Error("saved copy not read")
-		}
-		group.Go(func() error { return mirrors[i].SavePeriodically(ctx, path, b.log) })
+		file := &mirror.File{Mirror: mirrors[i], Disk: b.host.disk, Path: filepath.Join(s.DataDir, name+".json"), Log: b.log}
+		file.Restore()
+		group.Go(func() error { return file.Save(ctx) })
 	}
 	group.Go(func() error { return controller.Run(ctx) })
 	group.Go(func() error {
@@ -152,6 +148,15 @@
 	return errors.Join(group.Wait(), store.Close())
 }
 
+// failedSeconds returns for how long any use of a disk has failed; 0 if all work.
+func failedSeconds(problems []replica.DiskProblem) float64 {
+	longest := time.Duration(0)
+	for _, problem := range problems {
+		longest = max(longest, time.Since(problem.Since))
+	}
+	return longest.Seconds()
+}
+
 // hubsByArea returns a function that lists, by area, the addresses at which its hub may be.
 func hubsByArea(store *replica.Store, regions map[string]string) func(crowded bool) map[string][]string {
 	return func(crowded bool) map[string][]string {
--- a/internal/objects/mirror/file.go
+++ b/internal/objects/mirror/file.go
@@ -5,13 +5,13 @@
 	"encoding/json"
 	"errors"
 	"io/fs"
-	"os"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/zeebo/errs"
 
 	"github.com/rookpass/rookpass/internal/base/atomicfile"
+	"github.com/rookpass/rookpass/internal/base/filesystem"
 	"github.com/rookpass/rookpass/internal/base/wait"
 	"github.com/rookpass/rookpass/internal/objects/objectapi"
 )
@@ -22,10 +22,47 @@
 // saveInterval is the least time between two writes of the copy to disk.
 const saveInterval = time.Second
 
-// Load restores a copy written by SavePeriodically. The copy counts as stale until the API confirms it. A missing file
-// is no error.
-func (m *Mirror) Load(path string) error {
-	data, err := os.ReadFile(path)
+const (
+	// loadWait is how long Restore waits for the saved copy. It is longer than reading a copy from a working disk takes.
+	loadWait = 500 * time.Millisecond
+	// stopWait is how long Save waits for a write that is under way when it is stopped.
+	stopWait = time.Second
+)
+
+// File is the saved copy of a mirror.
+type File struct {
+	Mirror *Mirror
+	// Disk is the file system, and Path the file's path in it.
+	Disk filesystem.FS
+	Path string
+	Log  logrus.FieldLogger
+
+	loaded chan struct{}
+	// savedVersion is the version of the copy in the file; 0 if there is none.
+	savedVersion uint64
+}
+
+// Restore starts to load the saved copy and waits for it, but not for a disk that hangs. Call it once, before Save.
+func (f *File) Restore() {
+	f.loaded = make(chan struct{})
+	go func() {
+		defer close(f.loaded)
+		if err := f.load(); err != nil {
+			// The copy is only needed while the API is unavailable, so the daemon starts without it.
+			f.Log.WithFields(logrus.Fields{"event": "mirror-load-failed", "file": f.Path, "error": err}).Error("saved copy not read")
+		}
+	}()
+	timer := time.NewTimer(loadWait)
+	defer timer.Stop()
+	select {
+	case <-f.loaded:
+	case <-timer.C:
+	}
+}
+
+// load restores a copy written by Save. The copy counts as stale until the API confirms it. A missing file is no error.
+func (f *File) load() error {
+	data, err := filesystem.ReadFile(f.Disk, f.Path)
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil
 	}
@@ -34,34 +71,62 @@
 	}
 	var snapshot objectapi.Snapshot
 	if err := json.Unmarshal(data, &snapshot); err != nil {
-		return Error.New("%s: %w", path, err)
+		return Error.New("%s: %w", f.Path, err)
 	}
-	m.Reset(snapshot.Objects, snapshot.Version)
+	f.savedVersion = snapshot.Version
+	f.Mirror.restore(snapshot)
 	return nil
 }
 
-// SavePeriodically writes the copy to a file whenever it has changed, until ctx ends. Failed writes are logged and
-// retried.
-func (m *Mirror) SavePeriodically(ctx context.Context, path string, log logrus.FieldLogger) error {
-	saved := m.currentVersion()
+// Save writes the copy to the file whenever it has changed, until ctx ends. Failed writes are retried; the first and
+// the last of a row are logged. The file keeps its old content meanwhile: a copy of an old version is all that a daemon
+// knows if the power fails while the API is unavailable.
+func (f *File) Save(ctx context.Context) error {
+	select {
+	case <-f.loaded:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	failing := false
 	for wait.For(ctx, saveInterval) == nil {
-		if m.currentVersion() == saved {
+		if f.Mirror.currentVersion() == f.savedVersion {
 			continue
 		}
-		snapshot, _ := m.LastKnown()
-		if err := writeSnapshot(path, snapshot); err != nil {
-			log.WithFields(logrus.Fields{"event": "mirror-save-failed", "file": path, "error": err}).Warn("copy not saved to disk; retrying")
-			continue
+		snapshot, _ := f.Mirror.LastKnown()
+		err := f.write(ctx, snapshot)
+		switch {
+		case err == nil:
+			f.savedVersion = snapshot.Version
+			if failing {
+				f.Log.WithFields(logrus.Fields{"event": "mirror-saved", "file": f.Path}).Info("copy saved to disk again")
+			}
+		case !failing:
+			f.Log.WithFields(logrus.Fields{"event": "mirror-save-failed", "file": f.Path, "error": err}).Warn("copy not saved to disk; retrying")
 		}
-		saved = snapshot.Version
+		failing = err != nil
 	}
 	return ctx.Err()
 }
 
-func writeSnapshot(path string, snapshot objectapi.Snapshot) error {
+// write saves a snapshot. When ctx ends it does not wait longer than stopWait for the disk.
+func (f *File) write(ctx context.Context, snapshot objectapi.Snapshot) error {
 	data, err := json.Marshal(snapshot)
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	return Error.Wrap(atomicfile.Write(path, data))
+	written := make(chan error, 1)
+	go func() { written <- Error.Wrap(atomicfile.WriteTo(f.Disk, f.Path, data)) }()
+	select {
+	case err := <-written:
+		return err
+	case <-ctx.Done():
+	}
+	timer := time.NewTimer(stopWait)
+	defer timer.Stop()
+	select {
+	case err := <-written:
+		return err
+	case <-timer.C:
+		return ctx.Err()
+	}
 }
--- a/internal/objects/mirror/mirror.go
+++ b/internal/objects/mirror/mirror.go
@@ -55,19 +55,33 @@
 // Prefix implements watch.Handler.
 func (m *Mirror) Prefix() string { return m.prefix }
 
+// restore applies a saved copy, unless a newer one has arrived.
+func (m *Mirror) restore(saved objectapi.Snapshot) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.version == 0 {
+		m.replace(saved.Objects, saved.Version)
+	}
+}
+
+// replace sets the copy and drops the history. The caller holds mu.
+func (m *Mirror) replace(objects []objectapi.Object, version uint64) {
+	clear(m.objects)
+	m.events = nil
+	for _, object := range objects {
+		m.objects[object.Key] = object
+	}
+	m.trimmedVersion = version
+	m.advance(version)
+}
+
 // Reset implements watch.Handler. A list that follows another one is applied as the changes between the two, so that
 // readers need not list again when the API's history was compacted.
 func (m *Mirror) Reset(objects []objectapi.Object, version uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.version == 0 {
-		clear(m.objects)
-		m.events = nil
-		for _, object := range objects {
-			m.objects[object.Key] = object
-		}
-		m.trimmedVersion = version
-		m.advance(version)
+		m.replace(objects, version)
 		return
 	}
 	listed := make(map[string]bool, len(objects))
