--- a/internal/turns/turnlog/fulldisk_test.go
+++ b/internal/turns/turnlog/fulldisk_test.go
@@ -92,6 +92,9 @@
 		assert.DeepEqual(t, changes, []string{"unwritable", "writable"})
 	}
 	assert.Assert(t, l.Failure() == nil)
+	segments, err := filepath.Glob(filepath.Join(dir, "*.turns"))
+	assert.NilError(t, err)
+	assert.Assert(t, len(segments) <= min(1, before)+1, "segments without a record are left: %v", segments)
 	assert.NilError(t, l.Close())
 	assert.NilError(t, disk.LosePower())
 	l, found := openFaulty(t, dir, disk, nil)
