--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -70,6 +70,7 @@
 		return busy.Seconds()
 	})
 	b.metrics.Gauge("rookpass_disk_failed_seconds", func() float64 { return failedSeconds(store.DiskProblems()) })
+	b.metrics.Gauge("rookpass_disk_refused_writes_total", func() float64 { return float64(store.RefusedWrites()) })
 	b.metrics.Gauge("rookpass_disk_record_bytes", func() float64 { return float64(store.Bytes()) })
 	retiring := &retirements{platform: b.store, nodes: map[string]bool{}, log: b.log}
 	controller := replica.NewController(replica.Options{
--- a/internal/turns/ledger/fulldisk_test.go
+++ b/internal/turns/ledger/fulldisk_test.go
@@ -62,6 +62,26 @@
 	}
 }
 
+// TestFullDiskIsWrittenToLast guards against finished turns, which hold whole inputs and outputs, that are sent to a disk
+// which has just refused a write although the rest of the group suffices.
+func TestFullDiskIsWrittenToLast(t *testing.T) {
+	testbubble.Run(t, func(t *testing.T) {
+		w := newCluster(t, 3, 1)
+		l := w.ledger("front")
+		full := w.nodes[nodeName(0)].store
+		w.disk(nodeName(0)).Refuse(syscall.ENOSPC, faultfs.FullDisk...)
+		_, err := l.Reserve(context.Background(), reservedTurn("p", "t", 10), 1000)
+		assert.NilError(t, err)
+		time.Sleep(20 * time.Millisecond)
+		before := full.RefusedWrites()
+		assert.Assert(t, before > 0)
+		for i := range 20 {
+			assert.NilError(t, l.Finish(context.Background(), finishedTurn("p", fmt.Sprint("t", i), "", "x")))
+		}
+		assert.Equal(t, full.RefusedWrites(), before)
+	})
+}
+
 // checkFinished checks that a new front finds the turn of each program finished, and its budget charged.
 func checkFinished(t *testing.T, w *cluster, programs []string) {
 	t.Helper()
--- a/internal/turns/replica/service.go
+++ b/internal/turns/replica/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -35,6 +36,9 @@
 	index  *index
 	files  *turnlog.Log
 
+	// refused counts the writes that were answered with Unwritable or Unsure.
+	refused atomic.Int64
+
 	closing               chan struct{}
 	openerDone, saverDone chan struct{}
 	saverWake             chan struct{}
@@ -85,6 +89,9 @@
 	return s.files.Syncs()
 }
 
+// RefusedWrites returns the number of writes that were refused, or whose outcome was unknown, because of the disk.
+func (s *Store) RefusedWrites() int64 { return s.refused.Load() }
+
 // Layout returns the newest known layout, or nil.
 func (s *Store) Layout() *layout.Layout {
 	s.mu.Lock()
@@ -164,8 +171,10 @@
 	}
 	if err := s.write(&args.Record); err != nil {
 		reply.Header.Status = writeStatus(err)
-		if reply.Header.Status == Failed { // the state of the disk is logged when it changes
+		if reply.Header.Status == Failed {
 			s.log.WithFields(logrus.Fields{"event": "write-failed", "turn": args.Record.ID, "error": err}).Error("disk write failed")
+		} else {
+			s.refused.Add(1) // the disk's state is logged when it changes
 		}
 		return nil
 	}
--- a/internal/turns/turnlog/fulldisk_test.go
+++ b/internal/turns/turnlog/fulldisk_test.go
@@ -213,6 +213,32 @@
 	assert.NilError(t, l.Close())
 }
 
+// TestCloseDuringFailedWrite guards against an acknowledgement of a record that is written behind a torn one while the
+// log closes, since the next start ignores it.
+func TestCloseDuringFailedWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dir, disk := t.TempDir(), faultfs.New()
+		l, _ := openFaulty(t, dir, disk, nil)
+		assert.NilError(t, appendRecord(l, "before"))
+		disk.Delay(300*time.Millisecond, faultfs.Write)
+		disk.Refuse(syscall.EIO, faultfs.Write)
+		torn, behind := newRecord("torn"), newRecord("behind")
+		first := l.Append(&torn)
+		time.Sleep(10 * time.Millisecond)
+		second := l.Append(&behind)
+		go func() {
+			time.Sleep(295 * time.Millisecond) // the write has failed, and the next one is paced
+			disk.Repair()
+		}()
+		assert.NilError(t, l.Close())
+		assert.ErrorIs(t, first.Wait(), turnlog.ErrUnsure)
+		assert.Assert(t, second.Wait() != nil)
+		l, found := openFaulty(t, dir, disk, nil)
+		assert.DeepEqual(t, found, []string{"before"})
+		assert.NilError(t, l.Close())
+	})
+}
+
 // TestSlowDiskStaysInService guards against refusals by a disk that is slow but returns within the stall timeout.
 func TestSlowDiskStaysInService(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
