replica: remove segments that hold only duplicates

Cause: a segment was counted once one of its records entered the index. One that holds only records which were already known, as after writes that became durable late, stayed until the next start.

Change: such segments are counted with no live record.

--- a/internal/turns/replica/fulldisk_test.go
+++ b/internal/turns/replica/fulldisk_test.go
@@ -307,6 +307,18 @@
 	})
 }
 
+// TestSegmentOfLateDuplicatesIsRemoved guards against a segment that is never removed because all of its records became
+// durable only after later attempts to write them.
+func TestSegmentOfLateDuplicatesIsRemoved(t *testing.T) {
+	x, now := newIndex(), time.Now()
+	r := finishedTurn("t", "")
+	x.add(&r, positionIn(2), now)
+	x.add(&r, positionIn(1), now)
+	assert.DeepEqual(t, x.expire(now, 3), []uint32{1})
+	x.relocate("t", positionIn(1), positionIn(4)) // another copy is in use
+	assert.DeepEqual(t, x.expire(now, 5), []uint32{4})
+}
+
 // TestCopiesAnswerInTimeOnFailingDisk guards against a take-over that waits for each record of a page on a hanging disk.
 func TestCopiesAnswerInTimeOnFailingDisk(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/turns/replica/index.go
+++ b/internal/turns/replica/index.go
@@ -78,6 +78,7 @@
 		x.turns[r.ID] = e
 		p.turns = append(p.turns, e)
 	} else if e.state >= r.State {
+		x.liveRecords[position.Segment] += 0 // so that expire returns a segment that holds nothing else
 		return false
 	} else {
 		x.liveRecords[e.position.Segment]--
@@ -246,6 +247,7 @@
 	defer x.mu.Unlock()
 	e := x.turns[id]
 	if e == nil || e.position != from {
+		x.liveRecords[to.Segment] += 0 // as in add
 		return
 	}
 	x.liveRecords[from.Segment]--
