turnlog, atomicfile: remove failed segments later too; one Write

Cause: the file of a failed segment whose removal was refused stayed until the next failure or start. atomicfile had a second entry that only tests used.

Change: each cleaning removes such files. atomicfile.Write takes the file system.

--- a/internal/base/atomicfile/atomicfile.go
+++ b/internal/base/atomicfile/atomicfile.go
@@ -17,11 +17,9 @@
 const TemporarySuffix = ".new"
 
 // Write replaces the file at path, readable by its owner only. When it returns nil, the new content is synced to disk.
-func Write(path string, data []byte) error { return WriteTo(filesystem.OS{}, path, data) }
-
-// WriteTo is Write on a given file system. After an error the file has its old or its new content, and no temporary
-// file takes up room unless its removal failed too.
-func WriteTo(files filesystem.FS, path string, data []byte) error {
+// After an error the file has its old or its new content, and no temporary file takes up room unless its removal failed
+// too.
+func Write(files filesystem.FS, path string, data []byte) error {
 	temporary := path + TemporarySuffix
 	// A file left by an interrupted write may have wider permissions.
 	if err := files.Remove(temporary); err != nil && !errors.Is(err, os.ErrNotExist) {
--- a/internal/objects/mirror/file.go
+++ b/internal/objects/mirror/file.go
@@ -115,7 +115,7 @@
 		return Error.Wrap(err)
 	}
 	written := make(chan error, 1)
-	go func() { written <- Error.Wrap(atomicfile.WriteTo(f.Disk, f.Path, data)) }()
+	go func() { written <- Error.Wrap(atomicfile.Write(f.Disk, f.Path, data)) }()
 	select {
 	case err := <-written:
 		return err
--- a/internal/turns/replica/clean.go
+++ b/internal/turns/replica/clean.go
@@ -36,6 +36,7 @@
 		return
 	}
 	c.lastClean = now
+	s.files.RemoveAbandoned()
 	for _, segment := range s.index.expire(now, s.files.ActiveSegment()) {
 		err := s.files.RemoveSegment(segment)
 		if err == nil {
--- a/internal/turns/replica/disk.go
+++ b/internal/turns/replica/disk.go
@@ -85,7 +85,7 @@
 	}
 }
 
-// list returns the problems, the oldest first.
+// list returns the problems.
 func (h *diskHealth) list() []DiskProblem {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/turns/replica/identity.go
+++ b/internal/turns/replica/identity.go
@@ -61,5 +61,5 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	return Error.Wrap(atomicfile.WriteTo(files, filepath.Join(dir, identityFile), data))
+	return Error.Wrap(atomicfile.Write(files, filepath.Join(dir, identityFile), data))
 }
--- a/internal/turns/turnlog/fulldisk_test.go
+++ b/internal/turns/turnlog/fulldisk_test.go
@@ -276,6 +276,28 @@
 	assert.NilError(t, l.Close())
 }
 
+// TestAbandonedSegmentIsRemovedLater guards against the file of a failed segment that stays on the disk because its
+// removal was refused until the disk took writes again.
+func TestAbandonedSegmentIsRemovedLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dir, disk := t.TempDir(), faultfs.New()
+		l, _ := openFaulty(t, dir, disk, nil)
+		synctest.Wait()
+		disk.Refuse(syscall.ENOSPC, faultfs.Write, faultfs.Remove)
+		assert.ErrorIs(t, appendRecord(l, "failed"), turnlog.ErrUnsure)
+		disk.Repair()
+		disk.Refuse(syscall.EIO, faultfs.Remove)
+		time.Sleep(1100 * time.Millisecond)
+		assert.NilError(t, appendRecord(l, "after"))
+		disk.Repair()
+		l.RemoveAbandoned()
+		segments, err := filepath.Glob(filepath.Join(dir, "*.turns"))
+		assert.NilError(t, err)
+		assert.Equal(t, len(segments), 1, "%v", segments)
+		assert.NilError(t, l.Close())
+	})
+}
+
 // TestCloseDoesNotWaitForHangingDisk guards against a daemon that can't be stopped while a write does not return.
 func TestCloseDoesNotWaitForHangingDisk(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/turns/turnlog/turnlog.go
+++ b/internal/turns/turnlog/turnlog.go
@@ -188,7 +188,7 @@
 		}
 		newest = number
 	}
-	l.removeAbandoned()
+	l.RemoveAbandoned()
 	l.pending = &batch{segment: newest + 1, synced: make(chan struct{})}
 	go l.commitLoop()
 	return l, nil
@@ -460,8 +460,9 @@
 	}
 }
 
-// removeAbandoned removes the files of abandoned segments. Those that can't be removed are left for the next attempt.
-func (l *Log) removeAbandoned() {
+// RemoveAbandoned removes the files of segments in which no record was acknowledged. Those that can't be removed are left
+// for the next attempt. The log does so by itself at its start and while the disk takes no writes.
+func (l *Log) RemoveAbandoned() {
 	l.mu.Lock()
 	segments := l.abandoned
 	l.abandoned = nil
@@ -492,7 +493,7 @@
 			timer.Stop()
 			return
 		}
-		l.removeAbandoned()
+		l.RemoveAbandoned()
 		began := time.Now()
 		err := l.probe()
 		if err == nil && time.Since(began) >= stallTimeout {
