Account for all memory held for callers and servers in one budget

Cause: only request bodies and cached turns had a bound. Buffered responses, events and outputs of streams, histories and connection buffers did not, so that slow callers could make a small VM's daemon exceed its memory. A server that cut off a response which its caller had left unread counted as failed.

Change: package membudget accounts for all classes of memory under one limit, with a reserve for small requests and one for requests that run. Memory for a response is reserved before the request is sent, at the size learnt by route; a response that does not fit is forwarded without buffering. Writes to callers and reads of bodies without a deadline are bounded by progress. A response that the server cut off after the caller left it unread is recorded as abandoned. Events of many lines are bounded as well. The connection to the server is released before a buffered response is written.

--- a/internal/front/gateway/attempt.go
+++ b/internal/front/gateway/attempt.go
@@ -128,7 +128,7 @@
 	switch {
 	case failure.Reason == reasonShed, failure.Reason == upstream.ReasonNoConns:
 		result = balance.Shed
-	case x.r.Context().Err() != nil:
+	case x.r.Context().Err() != nil, failure.Reason == reasonUnread:
 		result = balance.Abandoned
 	}
 	x.recordAttempt(choice, began, failure.Reason, result)
--- a/internal/front/gateway/events.go
+++ b/internal/front/gateway/events.go
@@ -6,7 +6,8 @@
 	"io"
 )
 
-// maxEventBytes bounds one event of a stream.
+// maxEventBytes bounds one event of a stream, also one of many lines: a server that never ends an event must not make it
+// grow for good.
 const maxEventBytes = 4 << 20
 
 // event is a server-sent event: its raw bytes, data and id.
@@ -18,10 +19,22 @@
 }
 
 // eventReader splits a text/event-stream into events.
-type eventReader struct{ reader *bufio.Reader }
+type eventReader struct {
+	reader *bufio.Reader
+	// keepData is set if the data of events is needed.
+	keepData bool
+	// reserve, if set, is called before an event of more than maxUnreservedBytes grows to n bytes.
+	reserve func(n int) error
+	// spill, if set, forwards the beginning of an event for which reserve returned an error, so that it need not be
+	// held.
+	spill func(raw []byte, memoryErr error) error
+}
+
+// maxUnreservedBytes is the size of events that need no reservation of their own.
+const maxUnreservedBytes = 2 << 10
 
 func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(r, 2<<10)}
+	return &eventReader{reader: bufio.NewReaderSize(r, 2<<10), keepData: true}
 }
 
 // readEvent returns the next event. With io.EOF it returns the bytes after the last event's blank line, if any. Any
@@ -30,30 +43,57 @@
 	var ev event
 	for {
 		start := len(ev.raw)
+		// spilled is set if the beginning of the line was spilled.
+		spilled := false
 		for {
 			piece, err := e.reader.ReadSlice('\n')
+			size := len(ev.raw) + len(piece)
+			if size > maxEventBytes {
+				return ev, Error.New("event exceeds %d bytes", maxEventBytes)
+			}
+			if memoryErr := e.makeRoom(size); memoryErr != nil {
+				if e.spill == nil {
+					return ev, memoryErr
+				}
+				if !spilled {
+					ev.addLine(ev.raw[start:], false)
+				}
+				if spillErr := e.spill(ev.raw, memoryErr); spillErr != nil {
+					return ev, spillErr
+				}
+				spilled = spilled || len(ev.raw) > start
+				ev.raw, start = nil, 0
+			}
 			ev.raw = append(ev.raw, piece...)
 			if err == nil {
 				break
 			}
 			if err != bufio.ErrBufferFull {
-				ev.addLine(ev.raw[start:])
+				ev.addLine(ev.raw[start:], e.keepData)
 				return ev, err
 			}
-			if len(ev.raw) > maxEventBytes {
-				return ev, Error.New("event exceeds %d bytes", maxEventBytes)
-			}
+		}
+		if spilled {
+			continue
 		}
 		line := bytes.TrimRight(ev.raw[start:], "\r\n")
 		if len(line) == 0 {
 			return ev, nil
 		}
-		ev.addLine(line)
+		ev.addLine(line, e.keepData)
+	}
+}
+
+// makeRoom reserves memory for an event that grows to size bytes.
+func (e *eventReader) makeRoom(size int) error {
+	if e.reserve == nil || size <= maxUnreservedBytes {
+		return nil
 	}
+	return e.reserve(size)
 }
 
 // addLine adds a line to an event. Several data lines are joined by line feeds.
-func (ev *event) addLine(line []byte) {
+func (ev *event) addLine(line []byte, keepData bool) {
 	if id, isID := bytes.CutPrefix(line, []byte("id:")); isID {
 		ev.id = string(bytes.TrimSpace(id))
 		return
@@ -63,9 +103,12 @@
 		return
 	}
 	value = bytes.TrimPrefix(value, []byte(" "))
-	if ev.hasData {
-		ev.data = append(ev.data, '\n')
+	switch {
+	case !keepData:
+	case ev.hasData:
+		ev.data = append(append(ev.data, '\n'), value...)
+	default:
+		ev.data = append(ev.data, value...)
 	}
-	ev.data = append(ev.data, value...)
 	ev.hasData = true
 }
--- a/internal/front/gateway/fixture_test.go
+++ b/internal/front/gateway/fixture_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/base/membudget"
 	"github.com/rookpass/rookpass/internal/base/metrics"
 	"github.com/rookpass/rookpass/internal/base/place"
 	"github.com/rookpass/rookpass/internal/base/secret"
@@ -157,6 +158,7 @@
 	// outcomes receives the outcome of each completed request.
 	outcomes chan string
 	url      string
+	memory   *membudget.Budget
 }
 
 // Levels implements logrus.Hook.
@@ -172,6 +174,7 @@
 
 func newFixture(t *testing.T, servers ...http.HandlerFunc) *fixture {
 	r := &fixture{t: t, scheduler: dispatch.New(), ledger: &memoryLedger{turns: map[string]*turn.Record{}, fail: map[string]error{}}, catalog: catalog.New(),
+		memory: membudget.New(membudget.Limits{Total: 64 << 20, ByClass: map[membudget.Class]int64{membudget.RequestBodies: 1500}}),
 		quotas: &fakeQuotas{}, outcomes: make(chan string, 1000)}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -188,7 +191,7 @@
 	r.configure(log)
 	dial := (&net.Dialer{}).DialContext
 	r.gateway = gateway.New(gateway.Options{Catalog: r.catalog, Balancer: balancer, Sender: upstream.NewPool(dial, testCodec{}, 100),
-		Ledger: r.ledger, HeaderCodec: testCodec{}, Log: log, Stats: gateway.NewStats(metrics.New()), Scheduler: r.scheduler, BodyBytes: 1500,
+		Ledger: r.ledger, HeaderCodec: testCodec{}, Log: log, Stats: gateway.NewStats(metrics.New()), Scheduler: r.scheduler, Memory: r.memory,
 		ConfigAgeLimits: policy.NewConfigAgeLimits(maxRevocationDelay, maxAdditionDelay), Quotas: r.quotas})
 	front := httptest.NewServer(r.gateway)
 	t.Cleanup(front.Close)
--- a/internal/front/gateway/gateway.go
+++ b/internal/front/gateway/gateway.go
@@ -14,8 +14,8 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/zeebo/errs"
-	"golang.org/x/sync/semaphore"
 
+	"github.com/rookpass/rookpass/internal/base/membudget"
 	"github.com/rookpass/rookpass/internal/decide/dispatch"
 	"github.com/rookpass/rookpass/internal/decide/policy"
 	"github.com/rookpass/rookpass/internal/decide/quota"
@@ -61,8 +61,9 @@
 	headerCodec call.HeaderCodec
 	log         logrus.FieldLogger
 	stats       *Stats
-	// bodyMemory bounds the total memory of request bodies, in bytes.
-	bodyMemory      *semaphore.Weighted
+	// memory accounts for all that is held for callers and servers.
+	memory          *membudget.Budget
+	sizes           sizeEstimates
 	scheduler       *dispatch.Scheduler
 	configAgeLimits policy.ConfigAgeLimits
 	quotas          Quotas
@@ -82,8 +83,8 @@
 	Stats       *Stats
 	// Scheduler decides when turns are sent to model servers.
 	Scheduler *dispatch.Scheduler
-	// BodyBytes bounds the total memory of request bodies.
-	BodyBytes int64
+	// Memory bounds all that is held for callers and servers.
+	Memory *membudget.Budget
 	// ConfigAgeLimits bound the age of the configuration with which callers' keys are checked.
 	ConfigAgeLimits policy.ConfigAgeLimits
 	// Quotas grants requests of organisations with a rate limit.
@@ -93,7 +94,7 @@
 // New returns a gateway.
 func New(o Options) *Gateway {
 	g := &Gateway{catalog: o.Catalog, balancer: o.Balancer, sender: o.Sender, ledger: o.Ledger, headerCodec: o.HeaderCodec,
-		log: o.Log, stats: o.Stats, scheduler: o.Scheduler, configAgeLimits: o.ConfigAgeLimits, quotas: o.Quotas, bodyMemory: semaphore.NewWeighted(o.BodyBytes)}
+		log: o.Log, stats: o.Stats, scheduler: o.Scheduler, configAgeLimits: o.ConfigAgeLimits, quotas: o.Quotas, memory: o.Memory}
 	g.steps = []step{withRequestInfo, withConfig, withRoute, withOrganisation, withDeadline, withBody, withinRateLimit}
 	return g
 }
@@ -123,9 +124,9 @@
 	// grant is the right to run under the organisation's rate limit; nil if it has none.
 	grant *quota.Grant
 	body  []byte
-	// reservedBytes is the body's share of Gateway.bodyMemory.
-	reservedBytes int64
-	header        http.Header
+	// memory is the request's part of Gateway.memory.
+	memory *membudget.Holding
+	header http.Header
 	// serviceName is the service picked by the route's weights.
 	serviceName string
 
@@ -150,8 +151,10 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.activeRequests.Add(1)
 	defer g.activeRequests.Add(-1)
-	x := &exchange{g: g, w: w, r: r, ctx: r.Context(), arrived: time.Now()}
-	defer x.releaseBody()
+	x := &exchange{g: g, w: w, r: r, ctx: r.Context(), arrived: time.Now(), memory: g.memory.NewHolding()}
+	defer x.memory.Close()
+	x.setWriteDeadline(time.Time{}) // the previous request on the connection has left one
+	defer func() { x.setWriteDeadline(time.Now().Add(finalWriteTime)) }()
 	defer x.returnGrant()
 	var cancel context.CancelFunc
 	x.ctx, cancel = context.WithCancel(x.ctx)
@@ -167,11 +170,10 @@
 		x.ctx, cancelDeadline = context.WithDeadline(x.ctx, x.deadline)
 		defer cancelDeadline()
 		x.setWriteDeadline(x.deadline.Add(writeGrace))
-		defer x.setWriteDeadline(time.Time{})
 	}
 	x.serviceName = x.route.PickService(randomFraction())
 	var refused *refusal
-	if x.route.RetainTurns || x.route.Kind == catalog.Stream {
+	if x.streams() {
 		refused = x.serveStream()
 	} else {
 		refused = x.servePlain()
@@ -183,10 +185,17 @@
 	x.recordOutcome(0, "answered", nil)
 }
 
+// streams reports whether events of the response are forwarded as they arrive.
+func (x *exchange) streams() bool { return x.route.RetainTurns || x.route.Kind == catalog.Stream }
+
 // writeGrace is how long after its deadline a response may still be written, since the last event of a turn waits for
 // the turn's record.
 const writeGrace = maxRecordWait + 500*time.Millisecond
 
+// finalWriteTime bounds writing the end of a response after the request has ended. It is longer than idle connections
+// are kept, so that it does not affect what net/http itself writes on them.
+const finalWriteTime = 2 * time.Minute
+
 // setWriteDeadline bounds writes to a caller that does not read. The zero time removes the bound.
 func (x *exchange) setWriteDeadline(until time.Time) {
 	if err := http.NewResponseController(x.w).SetWriteDeadline(until); err != nil {
--- a/internal/front/gateway/plain.go
+++ b/internal/front/gateway/plain.go
@@ -20,14 +20,22 @@
 // replaced by another server's.
 const maxBufferedBytes = 256 << 10
 
+// copyBytes is the most that is read at once of a response that is not buffered whole.
+const copyBytes = 32 << 10
+
+// reasonCallerLeft means that the caller disconnected, or did not read its response in time.
+const reasonCallerLeft = "caller-left"
+
 func randomFraction() float64 { return rand.Float64() }
 
 // servePlain sends the request to servers until one responds, up to the route's number of attempts. Idempotent
 // requests are hedged: if a server is slow to respond, another one is asked in parallel.
 func (x *exchange) servePlain() *refusal {
-	c := &hedgedRequest{x: x, balancerRequest: balance.Request{Route: x.route.Name, Tried: map[incarnation.ID]bool{}, Connected: x.hasIdleConnection},
+	x.memory.SetRunning()
+	c := &hedgedRequest{x: x, spare: x.takeAllocation(), balancerRequest: balance.Request{Route: x.route.Name, Tried: map[incarnation.ID]bool{}, Connected: x.hasIdleConnection},
 		results: make(chan *attemptResult, x.route.MaxAttempts)}
 	defer c.cancelRemaining()
+	defer func() { c.spare.release() }()
 	hedge := time.NewTimer(x.g.balancer.HedgeAfter(x.route.Name))
 	defer hedge.Stop()
 	for {
@@ -62,6 +70,9 @@
 	mayHaveRun bool
 	lastErr    error
 	cancels    []context.CancelFunc
+	// spare is memory for the response of the next attempt: that of an attempt that failed. It is nil while the only
+	// attempt so far runs.
+	spare *allocation
 }
 
 // attemptResult is the result of one attempt: a failure, or a response whose first maxBufferedBytes are buffered.
@@ -72,6 +83,8 @@
 	buffered  []byte
 	truncated bool
 	failure   *upstream.Failure
+	// memory is that of the response.
+	memory *allocation
 }
 
 // startAttempt starts an attempt at another server, or returns false if none is left.
@@ -79,9 +92,14 @@
 	if c.attempts >= c.x.route.MaxAttempts {
 		return false
 	}
+	memory := c.takeMemory()
+	if memory == nil {
+		return false
+	}
 	c.x.refreshServers(&c.balancerRequest)
 	choice, found := c.x.g.balancer.Pick(&c.balancerRequest)
 	if !found {
+		c.returnMemory(memory)
 		return false
 	}
 	c.balancerRequest.Tried[choice.Server.ID] = true
@@ -91,12 +109,34 @@
 	choice.CancelOnRestart(cancel)
 	c.cancels = append(c.cancels, func() { cancel(nil) })
 	replace := c.attempts < c.x.route.MaxAttempts
-	go func() { c.results <- c.x.fetch(ctx, choice, replace) }()
+	go func() { c.results <- c.x.fetch(ctx, choice, replace, memory) }()
 	return true
 }
 
+// takeMemory returns memory for the response of another attempt, or nil if an attempt runs and no memory is left for a
+// second one.
+func (c *hedgedRequest) takeMemory() *allocation {
+	if memory := c.spare; memory != nil {
+		c.spare = nil
+		return memory
+	}
+	memory, err := c.x.newAllocation(int64(c.x.g.sizes.expect(c.x.route.Name, responseSize, maxBufferedBytes)))
+	if err != nil {
+		c.x.logMemoryExceeded(err, memoryNoHedge)
+		return nil
+	}
+	return memory
+}
+
+// returnMemory keeps the memory of an attempt without a response for the next attempt.
+func (c *hedgedRequest) returnMemory(memory *allocation) {
+	c.spare.release()
+	c.spare = memory
+}
+
 // handleFailure records a failed attempt. It returns a refusal if no further attempt may be made.
 func (c *hedgedRequest) handleFailure(t *attemptResult) *refusal {
+	c.returnMemory(t.memory)
 	c.x.recordFailure(t.choice, t.began, t.failure)
 	c.lastErr = t.failure
 	switch t.failure.Reason {
@@ -131,6 +171,7 @@
 			if t.response != nil {
 				t.response.Close()
 			}
+			t.memory.release()
 			t.choice.Done(result)
 		}
 	}()
@@ -138,8 +179,8 @@
 
 // fetch sends the request to one server and buffers up to maxBufferedBytes of its response. If replace is set, another
 // server may still be asked, and an error status for an idempotent request is a failure.
-func (x *exchange) fetch(ctx context.Context, choice *balance.Choice, replace bool) *attemptResult {
-	t := &attemptResult{choice: choice, began: time.Now()}
+func (x *exchange) fetch(ctx context.Context, choice *balance.Choice, replace bool, memory *allocation) *attemptResult {
+	t := &attemptResult{choice: choice, began: time.Now(), memory: memory}
 	response, failure := x.sendTo(ctx, choice, [][]byte{x.body}, x.requestInfo.LastEvent)
 	if failure != nil {
 		t.failure = failure
@@ -150,43 +191,108 @@
 		t.failure = upstream.NewFailure(verdict.MayHaveRun, "status-"+strconv.Itoa(response.Status), Error.New("server responded with status %d", response.Status))
 		return t
 	}
-	head, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
-	if err != nil {
+	if err := x.buffer(t, response); err != nil {
 		response.Close()
 		t.failure = upstream.NewFailure(verdict.MayHaveRun, failureReason(ctx, upstream.ReasonMalformed), err)
-		return t
 	}
-	t.response, t.buffered, t.truncated = response, head, len(head) == maxBufferedBytes
 	return t
 }
 
+// buffer reads up to maxBufferedBytes of a response, or less if memory for more can't be reserved: the rest is then
+// forwarded as the caller reads it.
+func (x *exchange) buffer(t *attemptResult, response *upstream.Response) error {
+	var memoryErr error
+	if response.Length >= 0 {
+		// One byte more than the response has, so that its end is read too.
+		wanted := min(response.Length+1, maxBufferedBytes)
+		t.memory.shrinkTo(max(wanted, minResponseBytes))
+		memoryErr = t.memory.growTo(wanted)
+	}
+	buffered := make([]byte, 0, min(t.memory.bytes, maxBufferedBytes))
+	for {
+		if len(buffered) == cap(buffered) {
+			wanted := min(2*cap(buffered), maxBufferedBytes)
+			if memoryErr == nil {
+				memoryErr = t.memory.growTo(int64(wanted))
+			}
+			if memoryErr != nil || len(buffered) == maxBufferedBytes {
+				t.truncated = true
+				break
+			}
+			buffered = append(make([]byte, 0, wanted), buffered...)
+		}
+		n, err := response.Body.Read(buffered[len(buffered):cap(buffered)])
+		buffered = buffered[:len(buffered)+n]
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return err
+		}
+	}
+	if memoryErr != nil {
+		x.logMemoryExceeded(memoryErr, memoryUnbuffered)
+	}
+	x.g.sizes.observe(x.route.Name, responseSize, max(len(buffered), int(min(response.Length, maxBufferedBytes))))
+	t.response, t.buffered = response, buffered
+	return nil
+}
+
 // forwardResponse sends a server's response to the caller.
 func (x *exchange) forwardResponse(t *attemptResult) *refusal {
+	defer t.memory.release()
 	defer t.response.Close()
-	x.writeResponseHead(t.response, len(t.buffered), t.truncated)
-	_, err := x.w.Write(t.buffered)
-	if err == nil && t.truncated {
-		_, err = io.Copy(x.w, t.response.Body)
-	}
-	if err != nil {
-		failure := upstream.NewFailure(verdict.MayHaveRun, upstream.ReasonRead, err)
-		x.recordFailure(t.choice, t.began, failure)
-		return x.failureResponse(true, failure)
-	}
 	result := balance.Answered
 	if t.response.Status >= 500 {
 		result = balance.Failed
 	}
-	x.recordAttempt(t.choice, t.began, strconv.Itoa(t.response.Status), result)
+	status := strconv.Itoa(t.response.Status)
+	var pace callerPace
+	x.writeResponseHead(t.response, len(t.buffered), t.truncated)
+	if !t.truncated {
+		// The server is done. Its connection and its measured duration must not depend on how fast the caller reads.
+		x.recordAttempt(t.choice, t.began, status, result)
+		t.response.Close()
+		if err := x.write(t.buffered, &pace); err != nil {
+			return x.unwritten(err)
+		}
+		return nil
+	}
+	if err := x.write(t.buffered, &pace); err != nil {
+		x.recordAttempt(t.choice, t.began, reasonCallerLeft, balance.Abandoned)
+		return x.unwritten(err)
+	}
+	body := &pacedReader{t.response.Body, &pace}
+	for piece := t.buffered[:min(cap(t.buffered), copyBytes)]; ; {
+		n, err := body.Read(piece)
+		if writeErr := x.write(piece[:n], &pace); writeErr != nil {
+			x.recordAttempt(t.choice, t.began, reasonCallerLeft, balance.Abandoned)
+			return x.unwritten(writeErr)
+		}
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			failure := upstream.NewFailure(verdict.MayHaveRun, pace.failureReason(upstream.ReasonRead), err)
+			x.recordFailure(t.choice, t.began, failure)
+			return x.failureResponse(true, failure)
+		}
+	}
+	x.recordAttempt(t.choice, t.began, status, pace.outcome(result))
 	return nil
 }
 
+// unwritten returns the refusal for a response of which a part could not be written to the caller.
+func (x *exchange) unwritten(err error) *refusal {
+	return &refusal{status: http.StatusBadGateway, reason: reasonCallerLeft, err: err}
+}
+
 // failureResponse returns the refusal for a request without a response. Its status says that the request did not run
 // only if that is certain.
 func (x *exchange) failureResponse(mayHaveRun bool, err error) *refusal {
 	switch {
 	case x.r.Context().Err() != nil:
-		return &refusal{status: http.StatusBadGateway, reason: "caller-left", err: err}
+		return &refusal{status: http.StatusBadGateway, reason: reasonCallerLeft, err: err}
 	case errors.Is(x.ctx.Err(), context.DeadlineExceeded) && mayHaveRun:
 		return &refusal{status: http.StatusGatewayTimeout, reason: "timeout", err: err}
 	case mayHaveRun:
--- a/internal/front/gateway/stats.go
+++ b/internal/front/gateway/stats.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/rookpass/rookpass/internal/base/membudget"
 )
 
 // Observer receives counts and durations; the metrics registry implements it.
@@ -36,6 +38,15 @@
 	}
 }
 
+// memoryExceeded counts a reservation of memory that did not fit, by class where the request was refused.
+func (s *Stats) memoryExceeded(c membudget.Class, outcome string) {
+	if outcome == memoryRefused {
+		s.observer.Count("rookpass_memory_refusals_total", c.String())
+		return
+	}
+	s.observer.Count("rookpass_memory_exceeded_total", outcome)
+}
+
 func (s *Stats) quota(took time.Duration) {
 	s.observer.Observe("rookpass_quota_seconds", "asked", took)
 }
--- a/internal/front/gateway/steps.go
+++ b/internal/front/gateway/steps.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/rookpass/rookpass/internal/base/membudget"
 )
 
 // step processes a request and may refuse it.
@@ -18,8 +20,8 @@
 	retryStarting = 300 * time.Millisecond
 	// retryBusy is for requests that found all servers busy: about the duration of a short request.
 	retryBusy = 100 * time.Millisecond
-	// retryBodyMemory is for requests whose body exceeds the free memory for bodies: about the duration of a call.
-	retryBodyMemory = 200 * time.Millisecond
+	// retryMemory is for requests that exceed the free memory: about the duration of a call.
+	retryMemory = 200 * time.Millisecond
 	// retryLedger is for turns that the ledger could not process: about the time that a failover takes.
 	retryLedger = 200 * time.Millisecond
 )
@@ -82,19 +84,23 @@
 	if !x.deadline.IsZero() {
 		_ = http.NewResponseController(x.w).SetReadDeadline(x.deadline) // on failure a slow body has no bound
 	}
-	reader := io.Reader(x.r.Body)
+	if refused := x.reserveResponse(); refused != nil {
+		return refused
+	}
+	reader := io.Reader(&progressReader{x, http.NewResponseController(x.w)})
 	if x.r.ContentLength < 0 {
-		reader = &meteredReader{x}
-	} else if !x.reserveBody(x.r.ContentLength) {
-		return noMemory()
+		reader = &meteredReader{x, reader}
+	} else if refused := x.reserve(membudget.RequestBodies, x.r.ContentLength); refused != nil {
+		return refused
 	}
 	if limit > 0 {
 		reader = io.LimitReader(reader, limit+1)
 	}
 	body, err := readSized(reader, x.r.ContentLength)
 	_ = http.NewResponseController(x.w).SetReadDeadline(time.Time{}) // see above
-	if errors.Is(err, errNoMemory) {
-		return noMemory()
+	var exceeded *membudget.ExceededError
+	if errors.As(err, &exceeded) {
+		return x.memoryRefusal(err)
 	}
 	if err != nil {
 		status := http.StatusBadRequest
@@ -106,37 +112,26 @@
 	if limit > 0 && int64(len(body)) > limit {
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body-too-large"}
 	}
+	if refused := x.reserveRecord(len(body)); refused != nil {
+		return refused
+	}
 	x.body = body
 	x.header = x.g.headerCodec.ForwardedHeaders(x.r.Header)
 	return nil
 }
 
-// errNoMemory means that bodies of other requests use all the memory reserved for bodies.
-var errNoMemory = Error.New("memory for request bodies is exhausted")
-
-func noMemory() *refusal {
-	return &refusal{status: http.StatusServiceUnavailable, reason: "no-memory", retryAfter: jitter(retryBodyMemory), err: errNoMemory}
-}
-
-// reserveBody reserves memory for n bytes of the body, or returns false if too little is left.
-func (x *exchange) reserveBody(n int64) bool {
-	if !x.g.bodyMemory.TryAcquire(n) {
-		return false
-	}
-	x.reservedBytes += n
-	return true
-}
-
-// releaseBody releases the memory reserved for the body.
-func (x *exchange) releaseBody() { x.g.bodyMemory.Release(x.reservedBytes) }
-
 // meteredReader reads a body of unknown length and reserves memory for it as it arrives.
-type meteredReader struct{ x *exchange }
+type meteredReader struct {
+	x      *exchange
+	reader io.Reader
+}
 
 func (m *meteredReader) Read(p []byte) (int, error) {
-	n, err := m.x.r.Body.Read(p)
-	if n > 0 && !m.x.reserveBody(int64(n)) {
-		return 0, errNoMemory
+	n, err := m.reader.Read(p)
+	if n > 0 {
+		if memoryErr := m.x.memory.Reserve(membudget.RequestBodies, int64(n)); memoryErr != nil {
+			return 0, memoryErr
+		}
 	}
 	return n, err
 }
--- a/internal/front/gateway/stream.go
+++ b/internal/front/gateway/stream.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/base/membudget"
 	"github.com/rookpass/rookpass/internal/base/verdict"
 	"github.com/rookpass/rookpass/internal/front/balance"
 	"github.com/rookpass/rookpass/internal/transport/call"
@@ -39,6 +40,10 @@
 		x.releaseReservation(p.reservation)
 		return refused
 	}
+	x.memory.SetRunning()
+	s.memory = x.takeAllocation()
+	s.initialBytes = s.memory.bytes
+	defer s.memory.release()
 	if refused := s.run(); refused != nil {
 		if !s.mayHaveRun && !x.headSent {
 			x.releaseReservation(p.reservation)
@@ -74,6 +79,12 @@
 	events      sentEvents
 	// complete is set when the response's last event has been forwarded.
 	complete bool
+	// memory is that of the event under way and of the output of a turn that will be recorded.
+	memory *allocation
+	// initialBytes is the memory that was reserved before the request was sent to a server.
+	initialBytes int64
+	// spilled is set once a part of an event was forwarded since the event did not fit into the memory limit.
+	spilled bool
 }
 
 // streamAttempt is one attempt at one server.
@@ -83,6 +94,7 @@
 	response *upstream.Response
 	ctx      context.Context
 	cancel   context.CancelFunc
+	pace     callerPace
 }
 
 func (x *exchange) newStream(p turnContext) *stream {
@@ -164,14 +176,20 @@
 	if err == nil {
 		s.complete = true
 		s.attempt.choice.Generated = s.x.countTokens(s.attempt.choice.Server, s.events)
-		s.x.recordAttempt(s.attempt.choice, s.attempt.began, strconv.Itoa(s.attempt.response.Status), balance.Answered)
+		s.x.recordAttempt(s.attempt.choice, s.attempt.began, strconv.Itoa(s.attempt.response.Status), s.attempt.pace.outcome(balance.Answered))
 		return true, nil
 	}
-	failure := upstream.NewFailure(verdict.MayHaveRun, failureReason(s.attempt.ctx, upstream.ReasonRead), err)
-	if errors.Is(err, errCallerLeft) {
-		s.x.recordAttempt(s.attempt.choice, s.attempt.began, "caller-left", balance.Abandoned)
-		return false, s.x.failureResponse(true, err)
+	var exceeded *membudget.ExceededError
+	switch {
+	case errors.Is(err, errCallerLeft):
+		s.x.recordAttempt(s.attempt.choice, s.attempt.began, reasonCallerLeft, balance.Abandoned)
+		return false, s.x.unwritten(err)
+	case errors.As(err, &exceeded):
+		s.x.logMemoryExceeded(err, memoryAborted)
+		s.x.recordAttempt(s.attempt.choice, s.attempt.began, reasonNoMemory, balance.Abandoned)
+		return false, &refusal{status: http.StatusBadGateway, reason: "no-memory-for-answer", err: err}
 	}
+	failure := upstream.NewFailure(verdict.MayHaveRun, failureReason(s.attempt.ctx, s.attempt.pace.failureReason(upstream.ReasonRead)), err)
 	if !s.recordFailure(s.attempt, failure) || s.x.ctx.Err() != nil {
 		return false, s.x.failureResponse(true, failure)
 	}
@@ -187,13 +205,13 @@
 		s.recordFailure(s.attempt, failure)
 		return false, nil
 	}
-	head, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
-	if err != nil {
+	t := &attemptResult{choice: s.attempt.choice, began: s.attempt.began, memory: s.memory}
+	if err := s.x.buffer(t, response); err != nil {
 		failure := upstream.NewFailure(verdict.MayHaveRun, upstream.ReasonMalformed, err)
 		s.x.recordFailure(s.attempt.choice, s.attempt.began, failure)
 		return false, s.x.failureResponse(true, failure)
 	}
-	return true, s.x.forwardResponse(&attemptResult{choice: s.attempt.choice, began: s.attempt.began, response: response, buffered: head, truncated: len(head) == maxBufferedBytes})
+	return true, s.x.forwardResponse(t)
 }
 
 // errCallerLeft means that a write to the caller failed.
@@ -203,9 +221,16 @@
 var errOutOfOrder = Error.New("event id out of order")
 
 // copyEvents copies events until the end of the response. Events are sent only whole, so that another server can
-// continue after the last one.
+// continue after the last one. No event is read while the caller has not taken the one before, so that a caller that
+// does not read holds back the server.
 func (s *stream) copyEvents() error {
-	reader := newEventReader(s.attempt.response.Body)
+	pace := &s.attempt.pace
+	reader := newEventReader(&pacedReader{s.attempt.response.Body, pace})
+	reader.keepData = s.x.route.RetainTurns
+	reader.reserve = s.reserveEvent
+	if !s.x.route.RetainTurns && !s.x.route.Repeatable() {
+		reader.spill = s.spillEvent
+	}
 	control := http.NewResponseController(s.x.w)
 	for {
 		event, err := reader.readEvent()
@@ -216,20 +241,62 @@
 			if !s.inOrder(&event) {
 				return errOutOfOrder
 			}
-			if _, writeErr := s.x.w.Write(event.raw); writeErr != nil {
+			if memoryErr := s.reserveRecorded(len(event.raw)); memoryErr != nil {
+				return memoryErr
+			}
+			if writeErr := s.x.write(event.raw, pace); writeErr != nil {
 				return errCallerLeft
 			}
 			s.recordEvent(&event)
+			s.releaseEvent()
 		}
 		if err != nil {
 			return nil
 		}
-		if flushErr := control.Flush(); flushErr != nil {
+		if flushErr := s.x.flush(control, pace); flushErr != nil {
 			return errCallerLeft
 		}
 	}
 }
 
+// outputMemory returns the memory of an output of n bytes: its bytes, the spare capacity of their buffer, and the copies
+// made when the turn is recorded.
+func outputMemory(n int) int64 { return int64(n) + int64(n)/2 + recordCopies*int64(n) }
+
+// reserveEvent reserves memory for an event under way of n bytes, and for its part of the output if that is recorded.
+func (s *stream) reserveEvent(n int) error {
+	needed := eventCopies * int64(n)
+	if s.x.route.RetainTurns {
+		needed += int64(n) + outputMemory(len(s.events.output)+n)
+	}
+	return s.memory.growTo(needed)
+}
+
+// reserveRecorded reserves memory for an event before it is added to an output that is recorded.
+func (s *stream) reserveRecorded(n int) error {
+	if !s.x.route.RetainTurns {
+		return nil
+	}
+	return s.reserveEvent(n)
+}
+
+// releaseEvent releases the memory of an event that was sent.
+func (s *stream) releaseEvent() {
+	s.memory.shrinkTo(max(s.initialBytes, outputMemory(len(s.events.output))))
+}
+
+// spillEvent forwards the beginning of an event that does not fit into the memory limit.
+func (s *stream) spillEvent(raw []byte, memoryErr error) error {
+	if !s.spilled {
+		s.spilled = true
+		s.x.logMemoryExceeded(memoryErr, memoryUnbuffered)
+	}
+	if err := s.x.write(raw, &s.attempt.pace); err != nil {
+		return errCallerLeft
+	}
+	return nil
+}
+
 // inOrder reports whether an event may follow those already sent. A server that was asked to continue must not start
 // over.
 func (s *stream) inOrder(e *event) bool {
--- a/internal/front/gateway/turn.go
+++ b/internal/front/gateway/turn.go
@@ -54,6 +54,10 @@
 	if !x.requestInfo.HasBudget && !x.route.RetainTurns {
 		return turnContext{}, nil
 	}
+	expectedHistory, refused := x.reserveHistory()
+	if refused != nil {
+		return turnContext{}, refused
+	}
 	limit := maxLedgerWait
 	if left := x.timeLeft(); left > 0 {
 		limit = min(limit, left/ledgerTimeDivisor)
@@ -90,7 +94,10 @@
 			x.g.balancer.RecordCached(cached)
 		}
 	}
-	refused := refusalForLedger(chainErr, reserveErr)
+	refused = refusalForLedger(chainErr, reserveErr)
+	if refused == nil {
+		refused = x.adjustHistory(expectedHistory, chain)
+	}
 	if refused != nil {
 		x.releaseReservation(p.reservation)
 	}
@@ -148,6 +155,7 @@
 		}
 		return nil
 	}
+	x.g.sizes.observe(x.route.Name, outputSize, len(events.output))
 	record.Input, record.Output = x.body, events.output
 	x.linkRecord(record, p.history)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), maxRecordWait)
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"net"
 	"net/http"
@@ -14,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/base/membudget"
 	"github.com/rookpass/rookpass/internal/base/wait"
 	"github.com/rookpass/rookpass/internal/decide/dispatch"
 	"github.com/rookpass/rookpass/internal/decide/policy"
@@ -51,10 +53,19 @@
 	// store.
 	layoutTimeout      = 4 * time.Second
 	layoutPollInterval = 10 * time.Millisecond
+	// heldMemoryShare is the share of a VM's memory for all that is held for callers and servers. With gcPercent the
+	// heap may grow to 1.4 times the live data, which stays below memoryLimitShare.
+	heldMemoryShare = 0.4
 	// turnCacheShare is the share of a VM's memory for cached turns.
 	turnCacheShare = 0.05
 	// requestBodyShare is the share of a VM's memory for the bodies of requests.
 	requestBodyShare = 0.2
+	// smallRequestBytes is the most memory of a request for which a part of the memory is reserved.
+	smallRequestBytes = 64 << 10
+	// callerConnectionBytes and serverConnectionBytes approximate the buffers of a connection and the stacks of its
+	// goroutines: net/http keeps a reader and a writer of 4 KiB each, package upstream a reader of 4 KiB.
+	callerConnectionBytes = 14 << 10
+	serverConnectionBytes = 6 << 10
 	// serverConnectionShare is the share of a VM's descriptors for connections to servers; callers, disks and other
 	// daemons need the rest.
 	serverConnectionShare = 0.5
@@ -83,6 +94,7 @@
 	pool      *upstream.Pool
 	ledger    *ledger.Ledger
 	gateway   *gateway.Gateway
+	memory    *membudget.Budget
 	relay     *tunnel.Dialer
 	stopping  atomic.Bool
 }
@@ -102,12 +114,16 @@
 	f := &front{base: b, catalog: catalog.New(), balancer: balance.New(b.settings.Node, b.settings.Topology()), scheduler: dispatch.New()}
 	f.pool = upstream.NewPool(b.host.dial, platform.HeaderCodec{}, int(serverConnectionShare*float64(b.settings.MaxDescriptors)))
 	f.pool.OnDial(f.recordConnectTime)
+	memoryShare := func(share float64) int64 { return int64(share * float64(b.settings.MemoryBytes)) }
+	f.memory = membudget.New(membudget.Limits{Total: memoryShare(heldMemoryShare), SmallBytes: smallRequestBytes,
+		ByClass: map[membudget.Class]int64{membudget.RequestBodies: memoryShare(requestBodyShare)}})
+	f.pool.OnOpenChange(func(change int) { f.memory.Charge(membudget.Connections, serverConnectionBytes*int64(change)) })
 	f.relay = tunnel.NewDialer(b.host.dial, b.settings.PeerAddress())
 	b.links.WithFallback(f.relay.Dial, diskFallbackDelay)
-	f.ledger = ledger.New(b.links, b.settings.Topology(), int(turnCacheShare*float64(b.settings.MemoryBytes)), b.log)
+	f.ledger = ledger.New(b.links, b.settings.Topology(), int(memoryShare(turnCacheShare)), b.log).WithMemory(f.memory)
 	f.gateway = gateway.New(gateway.Options{
 		Catalog: f.catalog, Balancer: f.balancer, Sender: f.pool, Ledger: f.ledger, HeaderCodec: platform.HeaderCodec{},
-		Log: b.log, Stats: gateway.NewStats(b.metrics), Scheduler: f.scheduler, BodyBytes: int64(requestBodyShare * float64(b.settings.MemoryBytes)),
+		Log: b.log, Stats: gateway.NewStats(b.metrics), Scheduler: f.scheduler, Memory: f.memory,
 		ConfigAgeLimits: policy.NewConfigAgeLimits(b.settings.MaxRevocationDelay, b.settings.MaxConfigDelay), Quotas: quota.NewClient(b.links, f.quotaCounters),
 	})
 	b.metrics.Gauge("rookpass_connections_opened_total", func() float64 { return float64(f.pool.Opened()) })
@@ -120,6 +136,11 @@
 		_, age := f.catalog.TableWithAge()
 		return age.Seconds()
 	})
+	for _, c := range membudget.Classes() {
+		b.metrics.Gauge(fmt.Sprintf("rookpass_memory_held_bytes{class=%q}", c), func() float64 { return float64(f.memory.Held(c)) })
+	}
+	b.metrics.Gauge("rookpass_memory_limit_bytes", func() float64 { return float64(f.memory.Limit()) })
+	b.metrics.Gauge("rookpass_memory_peak_bytes", func() float64 { return float64(f.memory.Peak()) })
 	b.metrics.Gauge("rookpass_servers", func() float64 { return float64(f.catalog.Servers().Len()) })
 	return f
 }
@@ -137,7 +158,7 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: f.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	server := &http.Server{Handler: f.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: f.countCallerConnection}
 	ready := &http.Server{Handler: http.HandlerFunc(f.serveReadiness), ReadHeaderTimeout: headerTimeout}
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
@@ -169,6 +190,17 @@
 	return group.Wait()
 }
 
+// countCallerConnection accounts for the memory of a caller's connection. It is held whether it fits or not; requests are
+// refused while it does not.
+func (f *front) countCallerConnection(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		f.memory.Charge(membudget.Connections, callerConnectionBytes)
+	case http.StateClosed, http.StateHijacked:
+		f.memory.Release(membudget.Connections, callerConnectionBytes)
+	}
+}
+
 func serve(server *http.Server, listener net.Listener) error {
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return Error.Wrap(err)
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -47,6 +47,8 @@
 
 	// onDial is called after each new connection; may be nil.
 	onDial func(to Endpoint, took time.Duration)
+	// onOpenChange is called with the change of the number of open connections; may be nil. It is called with mu held.
+	onOpenChange func(change int)
 
 	opened atomic.Int64
 	reused atomic.Int64
@@ -67,6 +69,10 @@
 // the first request.
 func (p *Pool) OnDial(onDial func(to Endpoint, took time.Duration)) { p.onDial = onDial }
 
+// OnOpenChange sets a function that is called with each change of the number of open connections. It must be called
+// before the first request, and must not call the pool.
+func (p *Pool) OnOpenChange(onOpenChange func(change int)) { p.onOpenChange = onOpenChange }
+
 // Opened returns the number of connections opened.
 func (p *Pool) Opened() int64 { return p.opened.Load() }
 
@@ -139,7 +145,7 @@
 		return Error.New("all %d connections to servers are busy", p.maxConns)
 	}
 	p.host(to).open++
-	p.open++
+	p.addOpen(1)
 	return nil
 }
 
@@ -160,12 +166,20 @@
 // countClosedLocked counts a connection as closed. The caller holds mu.
 func (p *Pool) countClosedLocked(to Endpoint, h *host) {
 	h.open--
-	p.open--
+	p.addOpen(-1)
 	if h.open <= 0 && len(h.idle) == 0 {
 		delete(p.hosts, to)
 	}
 }
 
+// addOpen changes the number of open connections. The caller holds mu.
+func (p *Pool) addOpen(change int) {
+	p.open += change
+	if p.onOpenChange != nil {
+		p.onOpenChange(change)
+	}
+}
+
 func (p *Pool) host(to Endpoint) *host {
 	h := p.hosts[to]
 	if h == nil {
@@ -247,7 +261,7 @@
 			}
 			closing = append(closing, c)
 			h.open--
-			p.open--
+			p.addOpen(-1)
 		}
 		h.idle = kept
 		if h.open <= 0 && len(h.idle) == 0 {
--- a/internal/turns/ledger/cache.go
+++ b/internal/turns/ledger/cache.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"sync"
 
+	"github.com/rookpass/rookpass/internal/base/membudget"
 	"github.com/rookpass/rookpass/internal/turns/turn"
 )
 
@@ -13,6 +14,9 @@
 // turnCache is an LRU cache of turns, bounded in bytes.
 type turnCache struct {
 	limitBytes int
+	// memory bounds the cache together with what else the daemon holds; nil for no such bound. It must be set before the
+	// first use.
+	memory *membudget.Budget
 
 	mu        sync.Mutex
 	sizeBytes int
@@ -29,7 +33,7 @@
 func (c *turnCache) add(r *turn.Record) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.byID[r.ID] != nil {
+	if c.byID[r.ID] != nil || !c.reserve(cachedBytes(r)) {
 		return
 	}
 	c.byID[r.ID] = c.order.PushFront(r)
@@ -39,6 +43,19 @@
 		old := c.order.Remove(last).(*turn.Record)
 		delete(c.byID, old.ID)
 		c.sizeBytes -= cachedBytes(old)
+		c.release(cachedBytes(old))
+	}
+}
+
+// reserve reserves memory for a turn, and reports whether it fits. Turns that do not fit are not cached: requests need
+// the memory more.
+func (c *turnCache) reserve(n int) bool {
+	return c.memory == nil || c.memory.Reserve(membudget.CachedTurns, int64(n), membudget.Large) == nil
+}
+
+func (c *turnCache) release(n int) {
+	if c.memory != nil {
+		c.memory.Release(membudget.CachedTurns, int64(n))
 	}
 }
 
--- a/internal/turns/ledger/ledger.go
+++ b/internal/turns/ledger/ledger.go
@@ -12,6 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/rookpass/rookpass/internal/base/membudget"
 	"github.com/rookpass/rookpass/internal/base/place"
 	"github.com/rookpass/rookpass/internal/base/wait"
 	"github.com/rookpass/rookpass/internal/transport/peerlink"
@@ -66,6 +67,12 @@
 	return &Ledger{links: links, topology: topology, cache: newTurnCache(cacheBytes), log: log}
 }
 
+// WithMemory makes the cached turns count towards a memory budget. It must be called before the first request.
+func (l *Ledger) WithMemory(memory *membudget.Budget) *Ledger {
+	l.cache.memory = memory
+	return l
+}
+
 // UpdateLayout replaces the layout if next is newer.
 func (l *Ledger) UpdateLayout(next *layout.Layout) {
 	for {
