Add slow callers to the fault matrix and test the smallest VM

Cause: the matrix had no callers that stall, and no test compared the daemon's accounts with the memory that it uses.

Change: rows "callers stall" and "callers stall and servers read requests late"; all clusters of package node run as VMs of 112 MB.

--- a/internal/front/gateway/memory.go
+++ b/internal/front/gateway/memory.go
@@ -4,12 +4,10 @@
 	"errors"
 	"net/http"
 	"sync"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/rookpass/rookpass/internal/base/membudget"
-	"github.com/rookpass/rookpass/internal/decide/policy"
 	"github.com/rookpass/rookpass/internal/turns/turn"
 )
 
@@ -22,12 +20,16 @@
 	// recordCopies is how many encoded copies of a finished turn are held while it is recorded: one for each disk of the
 	// nearest quorum.
 	recordCopies = 2
-	// initialResponseBytes is reserved for responses of a route, and for histories, before any has been observed.
-	initialResponseBytes = 8 << 10
+	// initialBytes is reserved for outputs and histories of a route before any has been observed, and for its responses
+	// if maxBufferedBytes does not fit.
+	initialBytes = 8 << 10
 	// minResponseBytes is the least that is reserved for a response.
 	minResponseBytes = 4 << 10
 	// sizeMargin is the factor by which a reservation exceeds the largest size that was recently observed.
 	sizeMargin = 1.25
+	// sizeDecay is the factor by which the largest observed size falls with each smaller one. It does not fall with time:
+	// a crowd may come after hours without requests.
+	sizeDecay = 0.98
 	// maxExpectedBytes bounds the memory reserved in advance for one output or history. More is reserved as it arrives.
 	maxExpectedBytes = 1 << 20
 	// eventCopies is how often an event under way is held: its bytes, and the spare capacity of their buffer.
@@ -66,7 +68,7 @@
 // sizeEstimates learn the sizes of responses, outputs and histories by route. The zero value is ready for use.
 type sizeEstimates struct {
 	mu    sync.Mutex
-	sizes map[sizeKey]*policy.DecayingMax
+	sizes map[sizeKey]float64
 }
 
 // observe records a size.
@@ -74,24 +76,21 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.sizes == nil {
-		e.sizes = map[sizeKey]*policy.DecayingMax{}
+		e.sizes = map[sizeKey]float64{}
 	}
 	k := sizeKey{route, kind}
-	if e.sizes[k] == nil {
-		e.sizes[k] = &policy.DecayingMax{}
-	}
-	e.sizes[k].Observe(time.Now(), float64(n))
+	e.sizes[k] = max(float64(n), sizeDecay*e.sizes[k])
 }
 
-// expect returns the size to reserve, at most limit.
-func (e *sizeEstimates) expect(route string, kind sizeKind, limit int) int {
+// expect returns the size to reserve, at most limit; known is false if none was observed.
+func (e *sizeEstimates) expect(route string, kind sizeKind, limit int64) (n int64, known bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	expected := initialResponseBytes
-	if size := e.sizes[sizeKey{route, kind}]; size != nil {
-		expected = int(sizeMargin * size.Read(time.Now()))
+	size, known := e.sizes[sizeKey{route, kind}]
+	if !known {
+		return initialBytes, false
 	}
-	return min(max(expected, minResponseBytes), limit)
+	return min(max(int64(sizeMargin*size), minResponseBytes), limit), true
 }
 
 // headerBytes returns the size of headers.
@@ -144,12 +143,16 @@
 	}
 	switch {
 	case x.route.RetainTurns:
-		expected := int64(x.g.sizes.expect(x.route.Name, outputSize, maxExpectedBytes))
+		expected, _ := x.g.sizes.expect(x.route.Name, outputSize, maxExpectedBytes)
 		return x.reserve(membudget.Responses, minResponseBytes+(1+recordCopies)*expected)
 	case x.streams():
 		return x.reserve(membudget.Responses, minResponseBytes)
 	default:
-		return x.reserve(membudget.Responses, int64(x.g.sizes.expect(x.route.Name, responseSize, maxBufferedBytes)))
+		expected, known := x.g.sizes.expect(x.route.Name, responseSize, maxBufferedBytes)
+		if !known && x.memory.Reserve(membudget.Responses, maxBufferedBytes) == nil {
+			return nil
+		}
+		return x.reserve(membudget.Responses, expected)
 	}
 }
 
@@ -166,7 +169,7 @@
 	if !x.route.RetainTurns || x.requestInfo.PreviousTurn == "" {
 		return 0, nil
 	}
-	expected := int64(x.g.sizes.expect(x.route.Name, historySize, maxExpectedBytes))
+	expected, _ := x.g.sizes.expect(x.route.Name, historySize, maxExpectedBytes)
 	return expected, x.reserve(membudget.Histories, expected)
 }
 
--- a/internal/front/gateway/plain.go
+++ b/internal/front/gateway/plain.go
@@ -120,7 +120,8 @@
 		c.spare = nil
 		return memory
 	}
-	memory, err := c.x.newAllocation(int64(c.x.g.sizes.expect(c.x.route.Name, responseSize, maxBufferedBytes)))
+	expected, _ := c.x.g.sizes.expect(c.x.route.Name, responseSize, maxBufferedBytes)
+	memory, err := c.x.newAllocation(expected)
 	if err != nil {
 		c.x.logMemoryExceeded(err, memoryNoHedge)
 		return nil
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -41,6 +41,8 @@
 	serverCount   = 6
 	storeHost     = "platform"
 	storeAddress  = storeHost + ":1"
+	// smallestMemory is the memory of the smallest VM.
+	smallestMemory = 112 << 20
 )
 
 // cluster is a whole system in virtual time: the daemons as in production, with stand-ins for the platform, servers and
@@ -79,6 +81,8 @@
 	host string
 	stop context.CancelFunc
 	done chan struct{}
+	// front is the front daemon that runs, nil for store daemons.
+	front *front
 }
 
 func (m *vm) callerAddress() string { return m.ip + ":8149" }
@@ -163,7 +167,7 @@
 	m.host = fmt.Sprintf("%s/%d", m.name, m.starts)
 	settings := platform.Settings{
 		Node: m.name, IP: m.ip, DataCentre: m.dataCentre, FirstStart: first, Seeds: c.seeds[:3],
-		FirstPort: 7380, MemoryBytes: 16 << 30, MaxDescriptors: 4096, ToleratedDiskFailures: 1,
+		FirstPort: 7380, MemoryBytes: smallestMemory, MaxDescriptors: 4096, ToleratedDiskFailures: 1,
 		StoreAddress: storeAddress, StopGrace: 8 * time.Second, Heartbeat: 1200 * time.Millisecond,
 		MaxRevocationDelay: c.maxRevocationDelay, MaxConfigDelay: configDeadline, MaxEvacuationDelay: c.maxEvacuationDelay, Quota: quota.Tolerance{Window: 5 * time.Second, Excess: 0.1, Slack: 20},
 	}
@@ -181,15 +185,21 @@
 		},
 		load:   func() (platform.Settings, error) { return settings, nil },
 		output: c.logOutput(),
+		// The limit would apply to all daemons and callers of the test together.
+		limitMemory: func(int64) {},
 	}, settings, "info", m.role)
 	assert.NilError(c.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	m.stop, m.done = cancel, done
+	if m.role == "front" {
+		m.front = newFront(b)
+	}
+	f := m.front
 	c.ended.Go(func() {
 		defer close(done)
 		if m.role == "front" {
-			err = newFront(b).run(ctx)
+			err = f.run(ctx)
 		} else {
 			err = b.runStore(ctx)
 		}
--- a/internal/node/matrix_test.go
+++ b/internal/node/matrix_test.go
@@ -26,6 +26,9 @@
 	configDeadline = 3 * time.Second
 )
 
+// stalledCalls is the number of calls of callers that stall at each front: more than fit into its memory.
+const stalledCalls = 90
+
 // fault is one kind of fault of the matrix.
 type fault struct {
 	name string
@@ -110,10 +113,35 @@
 			w.restartServers()
 			w.platform.SetFault(nil, false)
 		}, -1, true},
+		{"callers stall", (*cluster).stallCallers, -1, false},
+		{"callers stall and servers read requests late", func(w *cluster) {
+			for _, s := range w.servers[:2] { // one of each service
+				s.SetFault(workload.ReadLate)
+			}
+			w.stallCallers()
+			for _, s := range w.servers[:2] {
+				s.SetFault("")
+			}
+		}, -1, false},
 		{"another writer spoils entries", (*cluster).overwriteEntries, -1, false},
 	}
 }
 
+// stallCallers sends calls of slow callers to all fronts, and checks that the fronts stay within their memory.
+func (c *cluster) stallCallers() {
+	caller := c.caller(0)
+	var wg sync.WaitGroup
+	for _, m := range c.fronts {
+		wg.Go(func() { caller.Stall(m.callerAddress(), stalledCalls, faultDuration) })
+	}
+	wg.Wait()
+	for _, m := range c.fronts {
+		if peak, limit := m.front.memory.Peak(), m.front.memory.Limit(); peak > limit {
+			c.checker.AddViolation("%s held %d bytes for callers and servers, limit %d", m.host, peak, limit)
+		}
+	}
+}
+
 // restartNoticeDelay is the time from a server's restart until its entry shows it.
 const restartNoticeDelay = 300 * time.Millisecond
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"os"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -75,15 +76,18 @@
 	load func() (platform.Settings, error)
 	// output receives the log.
 	output io.Writer
+	// limitMemory sets the memory at which the garbage collector works harder.
+	limitMemory func(bytes int64)
 }
 
 // localHost returns the host that the process runs on.
 func localHost() host {
 	return host{
-		listen: func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
-		dial:   network.NewDialer(connectTimeout, unacknowledgedTimeout),
-		load:   platform.LoadSettings,
-		output: os.Stdout,
+		listen:      func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
+		dial:        network.NewDialer(connectTimeout, unacknowledgedTimeout),
+		load:        platform.LoadSettings,
+		output:      os.Stdout,
+		limitMemory: func(bytes int64) { debug.SetMemoryLimit(bytes) },
 	}
 }
 
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -53,5 +53,5 @@
 func (b *base) applySettings(s platform.Settings) {
 	b.seeds.Store(&s.Seeds)
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryBytes)))
+	b.host.limitMemory(int64(memoryLimitShare * float64(s.MemoryBytes)))
 }
--- a/internal/testing/workload/caller.go
+++ b/internal/testing/workload/caller.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -46,6 +47,7 @@
 	fronts  []string
 	checker *Checker
 	client  *http.Client
+	dial    network.DialContext
 	// organisation is the organisation whose key is sent with each request.
 	organisation string
 	mu           sync.Mutex
@@ -66,7 +68,10 @@
 // network.
 func NewCaller(fronts []string, checker *Checker, seed uint64, dial network.DialContext) *Caller {
 	organisations := Organisations()
-	return &Caller{fronts: fronts, checker: checker, organisation: organisations[seed%uint64(len(organisations))].Name, random: rand.New(rand.NewPCG(seed, 2)),
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	return &Caller{dial: dial, fronts: fronts, checker: checker, organisation: organisations[seed%uint64(len(organisations))].Name, random: rand.New(rand.NewPCG(seed, 2)),
 		client: &http.Client{Transport: &http.Transport{DialContext: dial}}}
 }
 
--- a/internal/testing/workload/server.go
+++ b/internal/testing/workload/server.go
@@ -28,6 +28,10 @@
 	// eventInterval is the time between two events, toolDelay the duration of a tool call.
 	eventInterval = 15 * time.Millisecond
 	toolDelay     = 20 * time.Millisecond
+	// readDelay is how late a server with the fault ReadLate reads a body.
+	readDelay = time.Second
+	// unreadTimeout is how long a large answer may stay unread before the server cuts it off.
+	unreadTimeout = 1500 * time.Millisecond
 )
 
 // Fault is a fault of a server's answers. The zero value means none.
@@ -43,6 +47,8 @@
 	Duplicate Fault = "surplus"
 	// Shed rejects requests with 503, marked as not run.
 	Shed Fault = "shed"
+	// ReadLate reads the body of a request only after readDelay.
+	ReadLate Fault = "read-late"
 )
 
 // Server is a backend server of the model or the tool service. It implements http.Handler.
@@ -136,6 +142,9 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := platformtest.RequestID(r.Header)
+	if s.fault.Load().(Fault) == ReadLate {
+		time.Sleep(readDelay)
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -223,10 +232,20 @@
 }
 
 // toolAnswer returns the body of a tool's answer.
-func toolAnswer(id string) string { return "done " + id + strings.Repeat(".", 200) }
+func toolAnswer(id string) string {
+	if strings.HasPrefix(id, largeAnswerPrefix) {
+		return "done " + id + strings.Repeat(".", largeAnswerBytes)
+	}
+	return "done " + id + strings.Repeat(".", 200)
+}
 
 func writeToolAnswer(w http.ResponseWriter, id string, fault Fault) {
 	body := toolAnswer(id)
+	if len(body) > largeAnswerBytes {
+		control := http.NewResponseController(w)
+		_ = control.SetWriteDeadline(time.Now().Add(unreadTimeout)) // not supported: the answer is not cut off
+		defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
+	}
 	switch fault {
 	case Truncate:
 		w.Header().Set("Content-Length", fmt.Sprint(len(body)))
