--- a/internal/front/gateway/memory.go
+++ b/internal/front/gateway/memory.go
@@ -170,6 +170,11 @@
 		return 0, nil
 	}
 	expected, _ := x.g.sizes.expect(x.route.Name, historySize, maxExpectedBytes)
+	if x.memory.Reserve(membudget.Histories, expected) == nil {
+		return expected, nil
+	}
+	// The turn may be near the beginning of its program. The actual size is checked once the history has been read.
+	expected = min(expected, initialBytes)
 	return expected, x.reserve(membudget.Histories, expected)
 }
 
--- a/internal/front/gateway/slowreaders_test.go
+++ b/internal/front/gateway/slowreaders_test.go
@@ -17,9 +17,11 @@
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
+	"github.com/rookpass/rookpass/internal/base/incarnation"
 	"github.com/rookpass/rookpass/internal/base/membudget"
 	"github.com/rookpass/rookpass/internal/objects/objectapi"
 	"github.com/rookpass/rookpass/internal/transport/network/memnet"
+	"github.com/rookpass/rookpass/internal/turns/turn"
 )
 
 // memoryNetwork is a network in memory. Its connections buffer 64 KiB in each direction, after which writes block.
@@ -246,6 +248,24 @@
 	}
 }
 
+// TestServerThatFailsAfterCallerReadAgain guards against excusing a server for a failure long after the caller was slow.
+func TestServerThatFailsAfterCallerReadAgain(t *testing.T) {
+	for _, path := range []string{"/stream/x", "/turn/x", "/once/x"} {
+		t.Run(path, func(t *testing.T) {
+			inVirtualTime(t, smallestVM, func(t *testing.T, r *fixture, fabric *memnet.Fabric) {
+				c := startCall(r, fabric, path, "hello")
+				time.Sleep(1200 * time.Millisecond)
+				assert.Assert(t, c.read().broken)
+				<-r.outcomes
+				assert.Equal(t, len(r.balancer.Failing()), 1, "%s", r.lastAttempts())
+			}, func(w http.ResponseWriter, r *http.Request) {
+				defer time.Sleep(500 * time.Millisecond) // with that of abortWhileRead more than the caller's 1.2 s
+				abortWhileRead(w, r)
+			})
+		})
+	}
+}
+
 // TestServerThatReadsSlowly checks that a server that does not read a long request holds the memory of that request
 // only, until the deadline.
 func TestServerThatReadsSlowly(t *testing.T) {
@@ -296,6 +316,7 @@
 		}
 		time.Sleep(time.Second)
 		assert.Assert(t, r.memory.Total() > r.memory.Limit()/2, "%d bytes held", r.memory.Total())
+		assert.Equal(t, r.balancer.View(incarnation.ID{Server: "0"}).InFlight, 0, "buffered responses must not occupy servers")
 		for range 20 {
 			assert.Equal(t, r.sendInMemory(fabric, "/once/x", "small").status, http.StatusOK)
 		}
@@ -377,6 +398,23 @@
 	}
 }
 
+// TestHistoryThatDoesNotFit checks that a turn whose history does not fit into the memory limit is refused before it
+// runs, and that its tokens are free again.
+func TestHistoryThatDoesNotFit(t *testing.T) {
+	var runs atomic.Int64
+	inVirtualTime(t, membudget.Limits{Total: 96 << 10}, func(t *testing.T, r *fixture, fabric *memnet.Fabric) {
+		r.ledger.turns["long"] = &turn.Record{ID: "long", Program: "p", Input: make([]byte, 50<<10), Output: make([]byte, 50<<10)}
+		r.ledger.turns["short"] = &turn.Record{ID: "short", Program: "p", Input: []byte("in"), Output: []byte("out")}
+		got := r.sendInMemory(fabric, "/turn/x", "x", "Program", "p", "Budget", "1000", "Previous", "long")
+		assert.Equal(t, got.status, http.StatusServiceUnavailable)
+		assert.Assert(t, got.header.Get("Retry-After") != "")
+		assert.DeepEqual(t, r.ledger.released, []string{"slow"})
+		assert.Equal(t, runs.Load(), int64(0))
+		assert.Equal(t, r.exceeded()[0]["class"], "histories")
+		assert.Equal(t, r.sendInMemory(fabric, "/turn/x", "x", "Program", "p", "Budget", "1000", "Previous", "short").status, http.StatusOK)
+	}, countRequests(&runs, serveEvents))
+}
+
 // TestEndlessEvent guards against an event of many short lines that grows without a limit.
 func TestEndlessEvent(t *testing.T) {
 	inVirtualTime(t, membudget.Limits{Total: 64 << 20}, func(t *testing.T, r *fixture, fabric *memnet.Fabric) {
