New programs wait for started ones only where requests compete

Cause: the rule that new programs wait while turns of started ones fill the slots also held with one priority level and no organisations, where nothing asks for it.

--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -38,6 +38,9 @@
 	Level int
 	// Organisation shares the slots of a level equally with the others that wait; empty if callers have none.
 	Organisation string
+	// Competing is set if the configuration has several priority levels or organisations. New programs then wait while
+	// started ones fill the slots.
+	Competing bool
 	// Tokens is the expected work: the tokens to read and to generate, the latter weighted by their cost.
 	Tokens int64
 	// ProgramStarted is set if turns of the same program were served before.
--- a/internal/decide/dispatch/dispatch_test.go
+++ b/internal/decide/dispatch/dispatch_test.go
@@ -94,17 +94,32 @@
 		s.SetPeerDemand(map[string]dispatch.Demand{"m": {All: share.Demand{0: 4}, Started: share.Demand{0: 4}}})
 		assert.NilError(t, s.Acquire(t.Context(), turn(time.Second)), "a started program")
 		result := make(chan error, 2)
-		go func() { result <- s.Acquire(t.Context(), first(2*time.Second)) }()
+		competing := func() *dispatch.Call {
+			c := first(2 * time.Second)
+			c.Competing = true
+			return c
+		}
+		go func() { result <- s.Acquire(t.Context(), competing()) }()
 		synctest.Wait()
 		assert.Equal(t, s.Waiting(), 1)
 		s.SetPeerDemand(map[string]dispatch.Demand{"m": {All: share.Demand{0: 4}, Started: share.Demand{0: 2}}})
 		assert.NilError(t, <-result)
 		s.SetPeerDemand(map[string]dispatch.Demand{"m": {All: share.Demand{0: 4}, Started: share.Demand{0: 4}}})
-		go func() { result <- s.Acquire(t.Context(), first(2*time.Second)) }()
+		go func() { result <- s.Acquire(t.Context(), competing()) }()
 		assert.ErrorIs(t, <-result, dispatch.ErrNoSlot)
 	})
 }
 
+// TestNewProgramsStartWithoutCompetition checks that new programs start as slots allow where the configuration has one
+// priority level and no organisations.
+func TestNewProgramsStartWithoutCompetition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := dispatch.New()
+		s.SetPeerDemand(map[string]dispatch.Demand{"m": {All: share.Demand{0: 4}, Started: share.Demand{0: 4}}})
+		assert.NilError(t, s.Acquire(t.Context(), first(2*time.Second)))
+	})
+}
+
 // TestLateProgramYields checks that a call whose program becomes late while it waits goes after those that can still
 // meet their deadline.
 func TestLateProgramYields(t *testing.T) {
--- a/internal/decide/dispatch/load_test.go
+++ b/internal/decide/dispatch/load_test.go
@@ -117,7 +117,7 @@
 func (f *fleet) runTurn(p program, started bool, limit time.Duration, deadline time.Time) bool {
 	for range 3 {
 		d := f.daemons[f.pick(len(f.daemons))]
-		c := &dispatch.Call{Service: "m", Route: "r", Slots: f.slots, Level: p.level, Organisation: p.organisation, ProgramStarted: started,
+		c := &dispatch.Call{Service: "m", Route: "r", Slots: f.slots, Level: p.level, Organisation: p.organisation, ProgramStarted: started, Competing: true,
 			TimeBudget: limit, Deadline: deadline, UnloadedDuration: turnTime, FirstEventBy: time.Now().Add(2 * time.Second), Tokens: 1000}
 		if d.Acquire(context.Background(), c) != nil {
 			time.Sleep(d.RetryAfter(c))
--- a/internal/decide/dispatch/servicequeue.go
+++ b/internal/decide/dispatch/servicequeue.go
@@ -76,7 +76,7 @@
 // mayGo reports whether a waiting call may take a slot.
 func (q *serviceQueue) mayGo(call *policy.QueuedCall) bool {
 	w := call.Value.(*waiter)
-	return w.call.ProgramStarted || admission.MayStart(q.loadFor(w.call))
+	return w.call.ProgramStarted || !w.call.Competing || admission.MayStart(q.loadFor(w.call))
 }
 
 // admit lets a call go ahead that was taken from the queue.
--- a/internal/front/catalog/levels.go
+++ b/internal/front/catalog/levels.go
@@ -54,3 +54,6 @@
 	level, _ := slices.BinarySearchFunc(t.levels.sorted, p, comparePriorities)
 	return level
 }
+
+// Competing reports whether requests differ in priority, or belong to different organisations.
+func (t *Table) Competing() bool { return len(t.levels.sorted) > 1 || len(t.Config.Organisations) > 1 }
--- a/internal/front/gateway/admission.go
+++ b/internal/front/gateway/admission.go
@@ -26,7 +26,7 @@
 func (s *stream) schedulerCall(p turnContext) *dispatch.Call {
 	x := s.x
 	c := &dispatch.Call{Service: x.serviceName, Route: x.route.Name, ProgramStarted: p.programStarted, TimeBudget: p.timeBudget,
-		Level: x.level(), Organisation: x.organisationName(), Tokens: outputTokenCost * x.requestInfo.LikelyOutputTokens}
+		Level: x.level(), Organisation: x.organisationName(), Competing: x.table.Competing(), Tokens: outputTokenCost * x.requestInfo.LikelyOutputTokens}
 	x.refreshServers(&s.balancerRequest)
 	c.Slots = s.balancerRequest.Slots
 	c.UnloadedDuration = x.g.balancer.UnloadedDuration(&s.balancerRequest, x.requestInfo.LikelyOutputTokens)
