Server speed: learnt per server, told between daemons, used in costs and hedging

Cause: slowness counted only from 1.5 times the usual on, each front daemon learnt it alone, and a server that was slow for seconds kept its load until each of 66 daemons had met it.

Change: internal/decide/speed estimates a server's speed from its responses against what the cost model or the route's mean expects; daemons report servers that differ (exchange.Speeds, at most 32); balance weighs loads and costs by it, offers slow servers a probe now and then, and adapts the hedging delay. policy.RelativeLatency goes with its tests: TestNormalServersRarelyCountAsSlow and TestResponseWithoutTypicalTimeIsIgnored are kept as strict in speed_test.go; TestSlowServerIsDetectedSoon asked for slowness after two responses and gives way to TestLastingChangeIsFollowed and TestMomentarySlowResponseIsIgnored, since one slow response is to move nothing.

--- a/internal/front/balance/balance.go
+++ b/internal/front/balance/balance.go
@@ -11,6 +11,7 @@
 	"github.com/rookpass/rookpass/internal/base/incarnation"
 	"github.com/rookpass/rookpass/internal/base/place"
 	"github.com/rookpass/rookpass/internal/decide/policy"
+	"github.com/rookpass/rookpass/internal/decide/speed"
 	"github.com/rookpass/rookpass/internal/front/catalog"
 	"github.com/rookpass/rookpass/internal/transport/call"
 )
@@ -36,15 +37,6 @@
 	connectSeconds = 0.003
 	// latencyWeight is the weight of the newest response in the averages of a route, which has many servers.
 	latencyWeight = 0.02
-	// unresponsiveFactor is how many times the route's mean time to the response head a request may wait before its
-	// server counts as unresponsive; at least unresponsiveMin, which exceeds the delays of a busy VM.
-	unresponsiveFactor = 6
-	unresponsiveMin    = 250 * time.Millisecond
-	// hedgeFactor and hedgeMin are the same for asking another server too, where a request may run twice.
-	hedgeFactor = 4
-	hedgeMin    = 60 * time.Millisecond
-	// hedgeDefault applies before a route's mean is known.
-	hedgeDefault = 300 * time.Millisecond
 	// maxSuspectShare is the largest fraction of the servers that may be suspected; beyond it, suspicion is ignored.
 	maxSuspectShare = 0.4
 	// failQuorum is how many daemons must have had their last request to a server fail, within failingWindow, for the
@@ -71,8 +63,10 @@
 	failedAt     time.Time
 	ejectedUntil time.Time
 	busyUntil    time.Time
-	// latency compares its response times with those of the same routes on all servers.
-	latency policy.RelativeLatency
+	// speed is its speed relative to the others of its service; service and slots are as it was last chosen with.
+	speed   speed.Estimate
+	service string
+	slots   int
 	// awaitingHead holds the send times of the requests whose response has not begun, the oldest first.
 	awaitingHead []time.Time
 	// awaitingRoute is the route of the newest of them.
@@ -121,6 +115,7 @@
 	// meanPeerCalls is the mean of the servers' peerCalls; loadsReportedAt is when this daemon last reported its own.
 	meanPeerCalls   float64
 	loadsReportedAt time.Time
+	speeds          speedState
 }
 
 // New returns the balancer of a daemon, given its unique name and its location.
@@ -147,17 +142,19 @@
 	Lookup func(incarnation.ID) *catalog.Server
 	// Tried servers are excluded.
 	Tried map[incarnation.ID]bool
-	// PromptTokens is the size of the prompt; 0 for plain requests.
-	PromptTokens int64
+	// PromptTokens is the size of the prompt; 0 for plain requests. LikelyTokens is how many tokens a turn is likely
+	// to generate; 0 where that is not known.
+	PromptTokens, LikelyTokens int64
 	// Parts are the prompt's parts in order.
 	Parts []call.PromptPart
 	// Connected reports whether there is an idle connection to a server that the request may use; nil where that is
 	// not known.
 	Connected func(*catalog.Server) bool
 	// subsetSize is how many servers are considered, meanInFlight how many calls this daemon has on one of them on
-	// average; Pick sets both.
+	// average, fair the load that each should have; Pick sets them.
 	subsetSize   int
 	meanInFlight float64
+	fair         speed.Fair
 }
 
 // Choice is the server chosen for a request. Done must be called when the request has ended.
@@ -172,15 +169,17 @@
 	// Generated is set to the number of tokens in a turn's response before Done is called.
 	Generated int64
 
-	balancer     *Balancer
-	state        *serverState
-	route        string
-	sentAt       time.Time
-	observed     policy.Observation
+	balancer *Balancer
+	state    *serverState
+	route    string
+	sentAt   time.Time
+	observed policy.Observation
+	// loadAtStart is the load of a turn's server when it was chosen.
+	loadAtStart  float64
 	headReceived bool
 	done         bool
-	// hasSpare is set if there were more servers than considered.
-	hasSpare bool
+	// hasSpare is set if there were more servers than considered, hasAlternative if there was more than one.
+	hasSpare, hasAlternative bool
 }
 
 // Pick chooses a server, or returns false if none may take the request.
@@ -192,6 +191,7 @@
 	candidates := 0
 	req.subsetSize = b.subsetSize(req, now)
 	req.meanInFlight = b.meanInFlight(req)
+	req.fair = b.fairLoad(req, now)
 	// A server that other daemons suspect is preferred to one that fails here, and that one to none.
 	for _, trust := range []trust{unsuspected, alive, coldOrAlive, anyServer} {
 		best, candidates = b.choose(req, now, trust)
@@ -204,12 +204,13 @@
 	}
 	s := b.stateOf(best.ID)
 	c := &Choice{Server: *best, InFlight: s.inFlight, Candidates: candidates, balancer: b, state: s, route: req.Route, sentAt: now,
-		hasSpare: len(req.Servers) > req.subsetSize}
+		hasSpare: len(req.Servers) > req.subsetSize, hasAlternative: len(req.Servers) > 1}
 	if req.PromptTokens > 0 {
 		c.observed = policy.Observation{Uncached: max(0, req.PromptTokens-s.parts.cachedTokens(req.Parts)),
 			InFlight: float64(s.inFlight), MeanInFlight: req.meanInFlight}
 		c.Uncached = c.observed.Uncached
 	}
+	b.requestSent(req, c)
 	s.addInFlight(now, 1)
 	b.calls[best.Service]++
 	if req.Constraints.Restriction(best) == catalog.RestrictedCold {
@@ -235,12 +236,13 @@
 	anyServer
 )
 
-// choose returns the server with the lowest cost, or nil, and how many were eligible. It considers servers in order
+// choose returns the server with the lowest cost of the best rank, or nil, and how many were eligible. It considers servers in order
 // of preference up to subsetSize, so that those of the same data centre's daemons are the same, and in addition the
 // server that has cached most of the prompt.
 func (b *Balancer) choose(req *Request, now time.Time, trust trust) (best *catalog.Server, candidates int) {
 	ignoreReports := trust > unsuspected || b.tooManySuspected(req.Servers)
 	var bestCost float64
+	var bestRank loadRank
 	consider := func(server *catalog.Server) {
 		if req.Tried[server.ID] || !b.admissible(req, server, now, trust) {
 			return
@@ -250,9 +252,9 @@
 			return
 		}
 		candidates++
-		cost := b.cost(req, server, s) * (1 + 0.02*rand.Float64())
-		if best == nil || cost < bestCost {
-			best, bestCost = server, cost
+		rank, cost := b.loadRank(req, server, s, now), b.cost(req, server, s, now)*(1+0.02*rand.Float64())
+		if best == nil || rank < bestRank || rank == bestRank && cost < bestCost {
+			best, bestRank, bestCost = server, rank, cost
 		}
 	}
 	for _, server := range req.Servers {
@@ -280,31 +282,6 @@
 	}
 }
 
-// cost returns the expected cost of a request: seconds for a turn, a number of requests in flight otherwise.
-func (b *Balancer) cost(req *Request, server *catalog.Server, s *serverState) float64 {
-	remote, rtt := b.topology.DistanceTo(server.DataCentre) != place.SameDataCentre, b.interRegionRTT(server.DataCentre)
-	connect := req.Connected != nil && !req.Connected(server)
-	costFactor := s.latency.CostFactor()
-	if req.PromptTokens == 0 {
-		requests := float64(s.inFlight + 1)
-		if remote {
-			requests += remotePenalty + rtt/b.typicalLatency(req.Route)
-		}
-		if connect {
-			requests += connectPenalty
-		}
-		return requests / float64(max(1, server.Slots)) * costFactor
-	}
-	cached := s.parts.cachedTokens(req.Parts)
-	engine := policy.Engine{InFlight: s.inFlight, Capacity: 1 << 30, CachedTokens: cached, Remote: remote, PeerCalls: req.meanInFlight * float64(b.peerCount),
-		PeerCallsAboveMean: s.peerCalls - b.meanPeerCalls}
-	cost := policy.ExpectedCost(engine, req.PromptTokens, b.model(server.Service).Costs())*costFactor + 0.05*(costFactor-1) + rtt
-	if connect {
-		cost += connectSeconds
-	}
-	return cost
-}
-
 // model returns the cost model of a service.
 func (b *Balancer) model(service string) *policy.CostModel {
 	m := b.models[service]
@@ -338,31 +315,6 @@
 	return now.Before(s.ejectedUntil) || now.Before(s.busyUntil) || b.unresponsive(route, s, now)
 }
 
-// unresponsive reports whether the server's oldest request without a response head is overdue.
-func (b *Balancer) unresponsive(route string, s *serverState, now time.Time) bool {
-	if len(s.awaitingHead) == 0 {
-		return false
-	}
-	return b.overdue(route, s.awaitingHead[0], now)
-}
-
-// overdue reports whether a request sent at the given time has waited for the response head much longer than usual.
-func (b *Balancer) overdue(route string, sent, now time.Time) bool {
-	limit := max(unresponsiveMin, time.Duration(unresponsiveFactor*b.headLatencies[route]*float64(time.Second)))
-	return now.Sub(sent) > limit
-}
-
-// HedgeAfter returns how long to wait for the response head before another server is asked too.
-func (b *Balancer) HedgeAfter(route string) time.Duration {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	mean := b.headLatencies[route]
-	if mean == 0 {
-		return hedgeDefault
-	}
-	return max(hedgeMin, time.Duration(hedgeFactor*mean*float64(time.Second)))
-}
-
 // unknownServer is the state of every server that this daemon has not used. It must not be modified.
 var unknownServer = &serverState{parts: newPartCache()}
 
--- a/internal/front/balance/load.go
+++ b/internal/front/balance/load.go
@@ -10,7 +10,7 @@
 
 // peerLoadWeight is the weight of the newest report in serverState.peerCalls: with a report every 300 ms it averages
 // over about a second.
-const peerLoadWeight = 0.3
+const peerLoadWeight = 0.7
 
 // loadUnit is the unit in which daemons report their mean number of calls.
 const loadUnit = 0.1
@@ -47,6 +47,7 @@
 func (b *Balancer) SetPeerLoads(loads map[incarnation.ID]int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.speeds.peerLoadsAt = time.Now()
 	sum, servers := 0.0, 0
 	for id, s := range b.states {
 		s.peerCalls += peerLoadWeight * (loadUnit*float64(loads[id]) - s.peerCalls)
--- a/internal/front/balance/outcome.go
+++ b/internal/front/balance/outcome.go
@@ -59,6 +59,7 @@
 	s.addInFlight(now, -1)
 	b.callEnded(c.Server.Service)
 	delete(s.calls, c)
+	s.speed.Ended(c.sentAt)
 	unresponsive := !c.headReceived && b.overdue(c.route, c.sentAt, now)
 	c.stopWaiting()
 	switch outcome {
@@ -66,7 +67,7 @@
 		s.failures = 0
 		s.failedAt = time.Time{}
 		s.ejectedUntil = time.Time{}
-		b.observeLatency(c.route, s, now.Sub(c.sentAt).Seconds())
+		c.observeSpeed(now)
 		c.observeCost(now)
 	case Shed:
 		s.busyUntil = now.Add(shedBackoff)
@@ -77,7 +78,7 @@
 			s.ejectedUntil = until
 		}
 	case HedgeLost:
-		b.observeLatency(c.route, s, now.Sub(c.sentAt).Seconds())
+		c.observeHedgeLost(now)
 	case Abandoned:
 	}
 }
@@ -108,12 +109,6 @@
 	c.balancer.model(c.Server.Service).Observe(c.observed)
 }
 
-// observeLatency compares the duration of a response with the average of its route. It is called with the lock held.
-func (b *Balancer) observeLatency(route string, s *serverState, seconds float64) {
-	s.latency.Observe(seconds, b.latencies[route])
-	updateMean(b.latencies, route, seconds, latencyWeight)
-}
-
 // updateMean moves an average towards a new value; the first value is taken as it is.
 func updateMean(means map[string]float64, name string, value, weight float64) {
 	mean, known := means[name]
--- a/internal/front/balance/suspects.go
+++ b/internal/front/balance/suspects.go
@@ -69,8 +69,12 @@
 // View is the state of one server, for operators.
 type View struct {
 	InFlight int `json:"in_flight"`
-	// LatencyRatio is the mean ratio of its response times to those of like calls on all servers.
+	// Speed is its speed relative to the servers of its service; LatencyRatio is the reciprocal.
+	Speed        float64 `json:"speed"`
 	LatencyRatio float64 `json:"pace"`
+	// LoadShare is its load over the load that it would have if it were shared in proportion to slots and speed; 0
+	// where that is not known.
+	LoadShare float64 `json:"load_share"`
 	// Ejected is set after repeated failures; Reported is how many other daemons suspect the server, Failing for how
 	// many its last request failed.
 	Ejected  bool `json:"ejected"`
@@ -84,7 +88,9 @@
 	defer b.mu.Unlock()
 	view := View{Reported: b.peerSuspects[id], Failing: b.peerFailing[id]}
 	if s := b.states[id]; s != nil {
-		view.InFlight, view.LatencyRatio, view.Ejected = s.inFlight, s.latency.Ratio(), time.Now().Before(s.ejectedUntil)
+		now := time.Now()
+		view.InFlight, view.Ejected, view.Speed = s.inFlight, now.Before(s.ejectedUntil), b.speedOf(s, now)
+		view.LatencyRatio, view.LoadShare = 1/view.Speed, b.loadShare(s, now)
 	}
 	return view
 }
--- a/internal/front/exchange/exchange.go
+++ b/internal/front/exchange/exchange.go
@@ -48,6 +48,8 @@
 	Demand          map[string]int
 	Levels, Started map[ServiceLevel]int
 	Loads           map[incarnation.ID]int
+	// Speeds are the speeds of servers by the daemon's own recent responses, per mille of the normal speed.
+	Speeds map[incarnation.ID]int
 }
 
 // ServiceLevel is a priority level of the turns for a service; level 0 is the most urgent.
@@ -68,6 +70,8 @@
 	Demand          map[string]int
 	Levels, Started map[ServiceLevel]int
 	Loads           map[incarnation.ID]int
+	// Speeds are what the other daemons report.
+	Speeds map[incarnation.ID]SpeedReports
 }
 
 // Service is the net/rpc service of a hub. Its exported methods with a matching signature are net/rpc methods.
@@ -92,6 +96,7 @@
 	s.local.record(now, args)
 	s.local.replyTo(args, reply)
 	s.mergeRelayed(now, reply)
+	reply.Speeds = boundSpeedReports(reply.Speeds)
 	return nil
 }
 
--- a/internal/front/exchange/relay.go
+++ b/internal/front/exchange/relay.go
@@ -30,6 +30,7 @@
 	Demand            map[string]int
 	Levels, Started   map[ServiceLevel]int
 	Loads             map[incarnation.ID]int
+	Speeds            map[incarnation.ID]SpeedReports
 }
 
 // receivedSums are another hub's sums and when they were received.
@@ -55,7 +56,8 @@
 		return nil
 	}
 	return &Sums{Hub: hub, Daemons: len(s.local.reports), Suspects: maps.Clone(s.local.suspects), Failing: maps.Clone(s.local.failing),
-		Demand: maps.Clone(s.local.demand), Levels: maps.Clone(s.local.levels), Started: maps.Clone(s.local.started), Loads: maps.Clone(s.local.loads)}
+		Demand: maps.Clone(s.local.demand), Levels: maps.Clone(s.local.levels), Started: maps.Clone(s.local.started), Loads: maps.Clone(s.local.loads),
+		Speeds: boundSpeedReports(maps.Clone(s.local.speeds))}
 }
 
 // hubPerDataCentre reports whether there are more than maxDaemonsPerHub daemons, as far as this hub and the daemons
@@ -88,6 +90,7 @@
 		mergeCounts(reply.Levels, r.sums.Levels)
 		mergeCounts(reply.Started, r.sums.Started)
 		mergeCounts(reply.Loads, r.sums.Loads)
+		mergeSpeeds(reply.Speeds, r.sums.Speeds)
 	}
 }
 
--- a/internal/front/exchange/sums.go
+++ b/internal/front/exchange/sums.go
@@ -18,6 +18,7 @@
 	demand            map[string]int
 	levels, started   map[ServiceLevel]int
 	loads             map[incarnation.ID]int
+	speeds            map[incarnation.ID]SpeedReports
 }
 
 // report is the latest report of one daemon. Only the suspects of a stale report count.
@@ -29,7 +30,8 @@
 
 func newAggregate() aggregate {
 	return aggregate{reports: map[string]*list.Element{}, order: list.New(), suspects: map[incarnation.ID]int{},
-		failing: map[incarnation.ID]int{}, demand: map[string]int{}, levels: map[ServiceLevel]int{}, started: map[ServiceLevel]int{}, loads: map[incarnation.ID]int{}}
+		failing: map[incarnation.ID]int{}, demand: map[string]int{}, levels: map[ServiceLevel]int{}, started: map[ServiceLevel]int{}, loads: map[incarnation.ID]int{},
+		speeds: map[incarnation.ID]SpeedReports{}}
 }
 
 // record replaces a daemon's previous report.
@@ -37,6 +39,7 @@
 	if e := s.reports[said.From]; e != nil {
 		s.remove(e)
 	}
+	said.Speeds = BoundSpeeds(said.Speeds)
 	s.reports[said.From] = s.order.PushBack(&report{receivedAt: now, args: said})
 	s.addSuspects(said, 1)
 	s.addRecent(said, 1)
@@ -96,6 +99,9 @@
 	for id, n := range said.Loads {
 		addCount(s.loads, id, by*n)
 	}
+	for id, perMille := range said.Speeds {
+		addSpeed(s.speeds, id, SpeedReports{Total: by * perMille, Reporters: by})
+	}
 }
 
 // replyTo fills in a reply with the sum of all reports but the daemon's own.
@@ -105,6 +111,7 @@
 	reply.Suspects, reply.Failing = maps.Clone(s.suspects), maps.Clone(s.failing)
 	reply.Demand, reply.Loads = maps.Clone(s.demand), maps.Clone(s.loads)
 	reply.Levels, reply.Started = maps.Clone(s.levels), maps.Clone(s.started)
+	reply.Speeds = maps.Clone(s.speeds)
 	s.addSuspects(own, 1)
 	s.addRecent(own, 1)
 	reply.Daemons = len(s.reports) - 1
--- a/internal/front/gateway/plain.go
+++ b/internal/front/gateway/plain.go
@@ -36,8 +36,8 @@
 		results: make(chan *attemptResult, x.route.MaxAttempts)}
 	defer c.cancelRemaining()
 	defer func() { c.spare.release() }()
-	hedge := time.NewTimer(x.g.balancer.HedgeAfter(x.route.Name))
-	defer hedge.Stop()
+	c.hedge = time.NewTimer(x.g.balancer.HedgeAfter(x.route.Name))
+	defer c.hedge.Stop()
 	for {
 		if c.running == 0 && !c.startAttempt() {
 			return x.failureResponse(c.mayHaveRun, c.lastErr)
@@ -51,7 +51,7 @@
 			if final := c.handleFailure(t); final != nil {
 				return final
 			}
-		case <-hedge.C:
+		case <-c.hedge.C:
 			if x.route.Kind == catalog.Idempotent {
 				c.startAttempt()
 			}
@@ -64,7 +64,9 @@
 	x               *exchange
 	balancerRequest balance.Request
 	results         chan *attemptResult
-	running         int
+	// hedge fires when another server is to be asked too.
+	hedge   *time.Timer
+	running int
 	// attempts counts the attempts that may have reached a server.
 	attempts   int
 	mayHaveRun bool
@@ -103,6 +105,9 @@
 		return false
 	}
 	c.balancerRequest.Tried[choice.Server.ID] = true
+	if c.attempts == 0 {
+		c.hedge.Reset(choice.HedgeAfter())
+	}
 	c.attempts++
 	c.running++
 	ctx, cancel := context.WithCancelCause(c.x.ctx)
--- a/internal/front/gateway/stream.go
+++ b/internal/front/gateway/stream.go
@@ -100,7 +100,7 @@
 func (x *exchange) newStream(p turnContext) *stream {
 	s := &stream{x: x, body: x.promptBody(p.history), events: sentEvents{lastID: x.requestInfo.LastEvent}}
 	s.balancerRequest = balance.Request{Route: x.route.Name, Tried: map[incarnation.ID]bool{}, PromptTokens: max(1, x.requestInfo.PromptTokens), Parts: x.requestInfo.Parts,
-		Connected: x.hasIdleConnection, Lookup: x.lookupServer}
+		LikelyTokens: x.requestInfo.LikelyOutputTokens, Connected: x.hasIdleConnection, Lookup: x.lookupServer}
 	s.lastFailure = upstream.NewFailure(verdict.NotRun, "no-server", Error.New("no usable server for the route's service"))
 	return s
 }
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -76,7 +77,7 @@
 	maxHeaderBytes = 64 << 10
 	// sweepInterval is the time between two removals of unused connections and servers.
 	sweepInterval = time.Second
-	// costLogFactor is the factor by which an estimated cost must change to be logged again.
+	// costLogFactor is the factor by which an estimated cost or speed must change to be logged again.
 	costLogFactor = 1.5
 	// unreadyDelay is how long a stopping daemon still accepts connections: until the platform has noticed that it is
 	// not ready.
@@ -131,6 +132,8 @@
 	b.metrics.Gauge("rookpass_requests_active", func() float64 { return float64(f.gateway.ActiveRequests()) })
 	b.metrics.Gauge("rookpass_turns_waiting", func() float64 { return float64(f.scheduler.Waiting()) })
 	b.metrics.Gauge("rookpass_turns_running", func() float64 { return float64(f.scheduler.Running()) })
+	b.metrics.Gauge("rookpass_server_speed_min", func() float64 { slowest, _ := f.balancer.SpeedExtremes(); return slowest })
+	b.metrics.Gauge("rookpass_server_load_share_max", func() float64 { _, share := f.balancer.SpeedExtremes(); return share })
 	b.metrics.Gauge("rookpass_config_certain_age_seconds", func() float64 {
 		_, age := f.catalog.TableWithAge()
 		return age.Seconds()
@@ -337,7 +340,7 @@
 			hub = 0
 		}
 		args := &exchange.Args{From: f.settings.PeerAddress(), Daemons: daemons.Read(), Suspects: f.balancer.Suspects(), Failing: f.balancer.Failing(),
-			Loads: f.balancer.Loads()}
+			Loads: f.balancer.Loads(), Speeds: f.balancer.Speeds()}
 		args.SetDemand(f.scheduler.Demand())
 		args.AddCalls(f.balancer.Calls())
 		hubs := exchange.HubCandidates(l.Disks(), f.settings.Topology(), daemons.Read())
@@ -355,6 +358,7 @@
 		f.balancer.SetPeerReports(reply.Suspects, reply.Failing)
 		f.balancer.SetPeerCount(reply.Daemons)
 		f.balancer.SetPeerLoads(reply.Loads)
+		f.balancer.SetPeerSpeeds(reply.Speeds)
 		f.balancer.SetPeerDemand(reply.Demand)
 		f.scheduler.SetPeerDemand(reply.PeerDemand())
 		f.relay.SetRelays(reply.Peers)
@@ -371,7 +375,7 @@
 
 // sweep closes idle connections to servers that are gone, and forgets those servers, until ctx ends.
 func (f *front) sweep(ctx context.Context) error {
-	logged := map[string]policy.Costs{}
+	logged, loggedSpeeds := map[string]policy.Costs{}, map[incarnation.ID]float64{}
 	for wait.For(ctx, sweepInterval) == nil {
 		servers := f.catalog.Servers()
 		f.pool.CloseIdle(func(e upstream.Endpoint) bool {
@@ -380,6 +384,7 @@
 		})
 		f.balancer.Forget(servers.Has)
 		f.logCosts(logged)
+		f.logSpeeds(loggedSpeeds)
 	}
 	return ctx.Err()
 }
@@ -397,6 +402,25 @@
 	}
 }
 
+// logSpeeds logs the speeds of servers that have changed by more than costLogFactor since they were last logged, or from
+// the normal speed.
+func (f *front) logSpeeds(logged map[incarnation.ID]float64) {
+	speeds := f.balancer.ServerSpeeds()
+	maps.DeleteFunc(logged, func(id incarnation.ID, _ float64) bool { _, known := speeds[id]; return !known })
+	for id, speed := range speeds {
+		before, told := logged[id]
+		if !told {
+			before = 1
+		}
+		if !costChanged(before, speed) {
+			continue
+		}
+		logged[id] = speed
+		f.log.WithFields(logrus.Fields{"event": "server-speed", "server": id, "speed": speed, "before": before,
+			"load_share": f.balancer.View(id).LoadShare}).Info("speed of server changed")
+	}
+}
+
 // costChanged reports whether a positive value has changed by more than costLogFactor.
 func costChanged(from, to float64) bool { return to > from*costLogFactor || from > to*costLogFactor }
 
