--- a/internal/front/balance/balance.go
+++ b/internal/front/balance/balance.go
@@ -236,9 +236,9 @@
 	anyServer
 )
 
-// choose returns the server with the lowest cost of the best rank, or nil, and how many were eligible. It considers servers in order
-// of preference up to subsetSize, so that those of the same data centre's daemons are the same, and in addition the
-// server that has cached most of the prompt.
+// choose returns the server with the lowest cost of the best rank, or nil, and how many were eligible. It considers
+// servers in order of preference up to subsetSize, so that those of the same data centre's daemons are the same, and in
+// addition the server that has cached most of the prompt.
 func (b *Balancer) choose(req *Request, now time.Time, trust trust) (best *catalog.Server, candidates int) {
 	ignoreReports := trust > unsuspected || b.tooManySuspected(req.Servers)
 	var bestCost float64
