--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -1,8 +1,8 @@
 // Package dispatch queues turns while the model servers of a service are full, and decides which goes next.
 //
-// Servers process calls in order of arrival, so calls wait here instead: turns of started programs that can still
-// meet their deadline go before those of programs that can't, and those before new programs. A call that could not
-// start in time is refused at once.
+// Servers process calls in order of arrival, so calls wait here instead. Urgent priority levels go first. Within one,
+// organisations share by work, and of their programs started ones that can meet their deadline go first. A call that
+// could not start in time is refused at once.
 package dispatch
 
 import (
@@ -41,7 +41,7 @@
 	// Competing is set if the configuration has several priority levels or organisations. New programs then wait while
 	// started ones fill the slots.
 	Competing bool
-	// Tokens is the expected work: the tokens to read and to generate, the latter weighted by their cost.
+	// Tokens is the expected work, by which organisations share: the tokens to generate, weighted by their cost.
 	Tokens int64
 	// ProgramStarted is set if turns of the same program were served before.
 	ProgramStarted bool
