Log and count how servers' responses are framed and how they end

The line of a request has the framing of the last response, and for streams the events forwarded and the bytes after the last blank line. rookpass_responses_total counts responses by framing and ending. The report on programs prints the framing of failed requests.

--- a/internal/front/gateway/attempt.go
+++ b/internal/front/gateway/attempt.go
@@ -75,15 +75,16 @@
 	switch {
 	case response.Info.NotRun:
 		_, _ = io.Copy(io.Discard, response.Body) // so that the connection can be reused
+		x.countResponse(response.Framing, response.Ending())
 		response.Close()
 		reason := reasonShed
 		if response.Status == http.StatusMisdirectedRequest {
 			reason = reasonMisdirected
 		}
-		return nil, upstream.NewFailure(verdict.NotRun, reason, Error.New("server responded with status %d", response.Status))
+		return nil, response.NewFailure(verdict.NotRun, reason, Error.New("server responded with status %d", response.Status))
 	case isSuccess(response.Status) && !response.Info.Signed:
 		response.Close()
-		return nil, upstream.NewFailure(verdict.MayHaveRun, upstream.ReasonMalformed, Error.New("response with status %d is not signed", response.Status))
+		return nil, response.NewFailure(verdict.MayHaveRun, upstream.ReasonMalformed, Error.New("response with status %d is not signed", response.Status))
 	}
 	return response, nil
 }
@@ -124,6 +125,9 @@
 
 // recordFailure records a failed attempt.
 func (x *exchange) recordFailure(choice *balance.Choice, began time.Time, failure *upstream.Failure) {
+	if failure.Framing != "" {
+		x.received.begin(failure.Framing)
+	}
 	result := balance.Failed
 	switch {
 	case failure.Reason == reasonShed, failure.Reason == upstream.ReasonNoConns:
--- a/internal/front/gateway/events.go
+++ b/internal/front/gateway/events.go
@@ -28,6 +28,10 @@
 	// spill, if set, forwards the beginning of an event for which reserve returned an error, so that it need not be
 	// held.
 	spill func(raw []byte, memoryErr error) error
+	// unfinished counts the bytes read after the last blank line, spilled ones included.
+	unfinished int64
+	// ended is set once the stream has ended or a read has failed.
+	ended bool
 }
 
 // maxUnreservedBytes is the size of events that need no reservation of their own.
@@ -47,6 +51,8 @@
 		spilled := false
 		for {
 			piece, err := e.reader.ReadSlice('\n')
+			e.unfinished += int64(len(piece))
+			e.ended = err != nil && err != bufio.ErrBufferFull
 			size := len(ev.raw) + len(piece)
 			if size > maxEventBytes {
 				return ev, Error.New("event exceeds %d bytes", maxEventBytes)
@@ -78,6 +84,7 @@
 		}
 		line := bytes.TrimRight(ev.raw[start:], "\r\n")
 		if len(line) == 0 {
+			e.unfinished = 0
 			return ev, nil
 		}
 		ev.addLine(line, e.keepData)
--- a/internal/front/gateway/fixture_test.go
+++ b/internal/front/gateway/fixture_test.go
@@ -159,13 +159,16 @@
 	outcomes chan string
 	url      string
 	memory   *membudget.Budget
+	metrics  *metrics.Registry
 	balancer *balance.Balancer
-	// mu guards attempts and memoryLines.
+	// mu guards attempts, memoryLines and requestLines.
 	mu sync.Mutex
 	// attempts are the logged attempts of the completed requests, and memoryLines the log lines of reservations that did
 	// not fit.
 	attempts    []string
 	memoryLines []logrus.Fields
+	// requestLines are the log lines of the completed requests.
+	requestLines []logrus.Fields
 }
 
 // Levels implements logrus.Hook.
@@ -179,6 +182,7 @@
 		r.memoryLines = append(r.memoryLines, e.Data)
 	}
 	if e.Data["event"] == "request" {
+		r.requestLines = append(r.requestLines, e.Data)
 		r.attempts = append(r.attempts, fmt.Sprint(e.Data["attempts"]))
 		r.outcomes <- fmt.Sprint(e.Data["outcome"])
 	}
@@ -214,7 +218,7 @@
 
 func newFixtureOn(t *testing.T, network fixtureNetwork, limits membudget.Limits, maxBodyBytes int64, servers ...http.HandlerFunc) *fixture {
 	r := &fixture{t: t, scheduler: dispatch.New(), ledger: &memoryLedger{turns: map[string]*turn.Record{}, fail: map[string]error{}}, catalog: catalog.New(),
-		memory: membudget.New(limits),
+		memory: membudget.New(limits), metrics: metrics.New(),
 		quotas: &fakeQuotas{}, outcomes: make(chan string, 1000)}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -229,7 +233,7 @@
 	r.servers.Reset(r.objects, 1)
 	r.configure(log, maxBodyBytes)
 	r.gateway = gateway.New(gateway.Options{Catalog: r.catalog, Balancer: r.balancer, Sender: upstream.NewPool(network.dial, testCodec{}, 10000),
-		Ledger: r.ledger, HeaderCodec: testCodec{}, Log: log, Stats: gateway.NewStats(metrics.New()), Scheduler: r.scheduler, Memory: r.memory,
+		Ledger: r.ledger, HeaderCodec: testCodec{}, Log: log, Stats: gateway.NewStats(r.metrics), Scheduler: r.scheduler, Memory: r.memory,
 		ConfigAgeLimits: policy.NewConfigAgeLimits(maxRevocationDelay, maxAdditionDelay), Quotas: r.quotas})
 	r.url = "http://" + network.serve(t, "front", r.gateway)
 	return r
--- a/internal/front/gateway/gateway.go
+++ b/internal/front/gateway/gateway.go
@@ -135,6 +135,8 @@
 	possibleRuns atomic.Int32
 	// headSent is set once a part of the response has been sent.
 	headSent bool
+	// received describes the servers' responses.
+	received receivedResponse
 }
 
 // refusal is a response that the gateway itself makes in place of a server's.
@@ -255,6 +257,7 @@
 	if x.table != nil && x.table.Config.RequireKeys {
 		fields["organisation"], fields["config_age_ms"] = x.organisationName(), x.tableAge.Milliseconds()
 	}
+	x.received.addTo(fields)
 	if status != 0 {
 		fields["status"] = status
 	}
--- a/internal/front/gateway/plain.go
+++ b/internal/front/gateway/plain.go
@@ -194,12 +194,12 @@
 	}
 	if response.Status >= 500 && replace && x.route.Kind == catalog.Idempotent {
 		response.Close()
-		t.failure = upstream.NewFailure(verdict.MayHaveRun, "status-"+strconv.Itoa(response.Status), Error.New("server responded with status %d", response.Status))
+		t.failure = response.NewFailure(verdict.MayHaveRun, "status-"+strconv.Itoa(response.Status), Error.New("server responded with status %d", response.Status))
 		return t
 	}
 	if err := x.buffer(t, response); err != nil {
 		response.Close()
-		t.failure = upstream.NewFailure(verdict.MayHaveRun, failureReason(ctx, upstream.ReasonMalformed), err)
+		t.failure = response.NewFailure(verdict.MayHaveRun, failureReason(ctx, upstream.ReasonMalformed), err)
 	}
 	return t
 }
@@ -229,6 +229,9 @@
 		}
 		n, err := response.Body.Read(buffered[len(buffered):cap(buffered)])
 		buffered = buffered[:len(buffered)+n]
+		if err != nil {
+			x.countResponse(response.Framing, response.Ending())
+		}
 		if errors.Is(err, io.EOF) {
 			break
 		}
@@ -248,6 +251,7 @@
 func (x *exchange) forwardResponse(t *attemptResult) *refusal {
 	defer t.memory.release()
 	defer t.response.Close()
+	x.received.begin(t.response.Framing)
 	result := balance.Answered
 	if t.response.Status >= 500 {
 		result = balance.Failed
@@ -271,6 +275,9 @@
 	body := &pacedReader{t.response.Body, &pace}
 	for piece := t.buffered[:min(cap(t.buffered), copyBytes)]; ; {
 		n, err := body.Read(piece)
+		if err != nil {
+			x.countResponse(t.response.Framing, t.response.Ending())
+		}
 		if writeErr := x.write(piece[:n], &pace); writeErr != nil {
 			x.recordAttempt(t.choice, t.began, reasonCallerLeft, balance.Abandoned)
 			return x.unwritten(writeErr)
--- a/internal/front/gateway/stats.go
+++ b/internal/front/gateway/stats.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rookpass/rookpass/internal/base/membudget"
+	"github.com/rookpass/rookpass/internal/transport/upstream"
 )
 
 // Observer receives counts and durations; the metrics registry implements it.
@@ -36,6 +37,11 @@
 
 func (s *Stats) attempt(outcome string) { s.observer.Count("rookpass_attempts_total", outcome) }
 
+// response counts a server's response by its framing and how it ended.
+func (s *Stats) response(framing upstream.Framing, ending upstream.Ending) {
+	s.observer.Count("rookpass_responses_total", string(framing)+"-"+string(ending))
+}
+
 // organisation counts a request under its organisation's metrics label, and separately if it was over the rate limit.
 func (s *Stats) organisation(label, outcome string) {
 	s.observer.Count("rookpass_organisation_requests_total", label)
--- a/internal/front/gateway/stream.go
+++ b/internal/front/gateway/stream.go
@@ -29,6 +29,7 @@
 	if refused != nil {
 		return refused
 	}
+	x.received.streamed = true
 	s := x.newStream(p)
 	admission := s.schedulerCall(p)
 	if refused := x.waitForSlot(admission); refused != nil {
@@ -113,7 +114,8 @@
 			return refused
 		}
 		s.x.g.log.WithFields(logrus.Fields{"event": "resume", "id": s.x.requestInfo.ID, "server": s.attempt.choice.Server.ID,
-			"events": s.events.count, "after": s.events.lastID, "error": s.lastFailure}).Info("stream interrupted; resuming on another server")
+			"events": s.events.count, "after": s.events.lastID, "framing": s.x.received.framing, "unfinished_bytes": s.x.received.unfinished,
+			"error": s.lastFailure}).Info("stream interrupted; resuming on another server")
 	}
 	return s.x.failureResponse(s.mayHaveRun, s.lastFailure)
 }
@@ -165,6 +167,7 @@
 func (s *stream) forwardEvents() (done bool, refused *refusal) {
 	defer s.attempt.cancel()
 	defer s.attempt.response.Close()
+	s.x.received.begin(s.attempt.response.Framing)
 	if !isSuccess(s.attempt.response.Status) {
 		return s.forwardFailure()
 	}
@@ -228,6 +231,7 @@
 	reader := newEventReader(&pacedReader{s.attempt.response.Body, pace})
 	reader.keepData = s.x.route.RetainTurns
 	reader.reserve = s.reserveEvent
+	defer func() { s.recordEnd(reader) }()
 	if !s.x.route.RetainTurns && !s.x.route.Repeatable() {
 		reader.spill = s.spillEvent
 	}
@@ -253,12 +257,37 @@
 		if err != nil {
 			return nil
 		}
+		if event.hasData {
+			s.x.received.events++
+		}
 		if flushErr := s.x.flush(control, pace); flushErr != nil {
 			return errCallerLeft
 		}
 	}
 }
 
+// recordEnd records for the log where a response ended, and counts it unless it was given up before its end.
+func (s *stream) recordEnd(reader *eventReader) {
+	s.x.received.unfinished = reader.unfinished
+	if reader.ended {
+		s.x.countResponse(s.attempt.response.Framing, s.ending())
+	}
+}
+
+// ending returns how a response ended. A stream that ends inside an event was broken off whatever its framing says, and
+// so was one that ends with its connection before any event.
+func (s *stream) ending() upstream.Ending {
+	ending, received := s.attempt.response.Ending(), &s.x.received
+	if ending != upstream.EndingComplete {
+		return ending
+	}
+	hasEvents := received.events > 0 || s.events.lastID != ""
+	if received.unfinished > 0 || received.framing == upstream.FramingConnection && !hasEvents {
+		return upstream.EndingTruncated
+	}
+	return upstream.EndingComplete
+}
+
 // outputMemory returns the memory of an output of n bytes: its bytes, the spare capacity of their buffer, and the copies
 // made when the turn is recorded.
 func outputMemory(n int) int64 { return int64(n) + int64(n)/2 + recordCopies*int64(n) }
--- a/internal/testing/programreport/programreport_test.go
+++ b/internal/testing/programreport/programreport_test.go
@@ -334,3 +334,19 @@
 
 note: 21 lines read
 `
+
+// TestReportTellsHowResponseEnded guards against reports that hide whether a failed request's response was broken off.
+func TestReportTellsHowResponseEnded(t *testing.T) {
+	for _, c := range []struct{ line, want string }{
+		{"attempts=m1/read/9ms/0/1 error=\"read: reset\" events=3 framing=connection outcome=no-whole-answer status=502 unfinished_bytes=5",
+			"response framed by connection after 3 events and 5 unfinished bytes"},
+		{"attempts=m1/read/9ms/0/1 framing=length outcome=no-whole-answer status=502", "response framed by length\n"},
+	} {
+		var out strings.Builder
+		assert.NilError(t, analyse(t, "1.00 f event=request id=x ms=10 program=p "+c.line+"\n").Write(&out, 5))
+		assert.Assert(t, strings.Contains(out.String(), c.want), out.String())
+	}
+	var out strings.Builder
+	assert.NilError(t, analyse(t, "1.00 f event=request id=x ms=10 program=p attempts=m1/timeout/9ms/0/1 outcome=timeout status=504\n").Write(&out, 5))
+	assert.Assert(t, !strings.Contains(out.String(), "framed"), out.String())
+}
--- a/internal/testing/programreport/report.go
+++ b/internal/testing/programreport/report.go
@@ -71,7 +71,9 @@
 	Waiting, Running int
 	Resumed          int
 	Attempts         []Attempt
-	Finished         bool
+	// Response describes the last server's response if the request failed; empty if unknown.
+	Response string
+	Finished bool
 }
 
 // Event is an event of one of a program's front daemons.
@@ -212,7 +214,7 @@
 		e.refused = e.refused || r.wasRefused()
 		e.Requests = append(e.Requests, &Request{ID: r.key.id, VM: r.key.vm, Route: r.route, Outcome: r.outcome, Status: r.status,
 			Arrived: r.arrived - e.First, Total: r.total, Ledger: r.ledger, Queue: r.queue, Limit: r.held, Slack: r.slack, HasSlack: r.hasSlack,
-			Waiting: r.waiting, Running: r.running, Resumed: r.resumed, Attempts: r.attempts, Finished: r.finished})
+			Waiting: r.waiting, Running: r.running, Resumed: r.resumed, Attempts: r.attempts, Response: r.response, Finished: r.finished})
 	}
 	e.Total = end - e.First
 	e.Cause = cause(p.last(), state, &e.Times, excess)
--- a/internal/testing/programreport/write.go
+++ b/internal/testing/programreport/write.go
@@ -139,6 +139,9 @@
 		}
 		parts = append(parts, text+")")
 	}
+	if r.Response != "" {
+		parts = append(parts, r.Response)
+	}
 	if r.Resumed > 0 {
 		parts = append(parts, fmt.Sprintf("resumed %d times", r.Resumed))
 	}
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -59,18 +59,62 @@
 	Info   call.ResponseInfo
 	// Length of the body, or -1 if unknown.
 	Length int64
-	Body   io.Reader
+	// Framing is how the end of the body is marked.
+	Framing Framing
+	Body    io.Reader
 
-	conn     *conn
-	resp     *http.Response
-	complete bool
-	close    func(reusable bool)
+	ctx    context.Context
+	conn   *conn
+	resp   *http.Response
+	ending Ending
+	close  func(reusable bool)
 }
 
+// Framing is how the end of a response's body is marked.
+type Framing string
+
+// Framings of responses.
+const (
+	FramingLength  Framing = "length"
+	FramingChunked Framing = "chunked"
+	// FramingConnection means that the body ends with its connection.
+	FramingConnection Framing = "connection"
+	// FramingNone means that the response can't have a body, whatever its headers say.
+	FramingNone Framing = "none"
+)
+
+// framingOf returns the framing of a response to a request with the given method.
+func framingOf(method string, resp *http.Response) Framing {
+	switch {
+	case method == http.MethodHead, resp.StatusCode == http.StatusNoContent, resp.StatusCode == http.StatusNotModified:
+		return FramingNone
+	case len(resp.TransferEncoding) > 0:
+		return FramingChunked
+	case resp.ContentLength >= 0:
+		return FramingLength
+	default:
+		return FramingConnection
+	}
+}
+
+// Ending is how a response's body ended.
+type Ending string
+
+// Endings of responses.
+const (
+	// EndingUnknown means that the body was not read to its end, or that the request was cancelled before.
+	EndingUnknown   Ending = ""
+	EndingComplete  Ending = "complete"
+	EndingTruncated Ending = "truncated"
+)
+
+// Ending returns how the body ended, by its framing only.
+func (a *Response) Ending() Ending { return a.ending }
+
 // Close releases the connection. It is reused only if the body was read to its end.
 func (a *Response) Close() {
 	if a.close != nil {
-		a.close(a.complete)
+		a.close(a.ending == EndingComplete)
 		a.close = nil
 	}
 }
@@ -82,7 +126,9 @@
 	Reason string
 	// Reused reports that the connection had been used by earlier requests.
 	Reused bool
-	err    error
+	// Framing is that of the response, or empty if the failure is not about a response.
+	Framing Framing
+	err     error
 }
 
 // Error implements error.
@@ -160,10 +206,10 @@
 		}
 		return fail(verdict.MayHaveRun, reason, err)
 	}
-	response := &Response{Status: resp.StatusCode, Header: resp.Header, Info: reply, Length: resp.ContentLength, conn: c, resp: resp}
+	response := &Response{Status: resp.StatusCode, Header: resp.Header, Info: reply, Length: resp.ContentLength,
+		Framing: framingOf(r.Method, resp), ctx: ctx, conn: c, resp: resp}
 	response.Body = &eofTracker{response: response}
-	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	keep := framed && !resp.Close && writeDone && writeErr == nil
+	keep := response.Framing != FramingConnection && !resp.Close && writeDone && writeErr == nil
 	response.close = func(complete bool) {
 		ended := stop()
 		if !complete || !keep || !ended || c.reader.Buffered() > 0 {
@@ -212,13 +258,16 @@
 	return nil, call.ResponseInfo{}, errMalformed
 }
 
-// eofTracker records whether a body was read to its end.
+// eofTracker records how a body ended.
 type eofTracker struct{ response *Response }
 
 func (w *eofTracker) Read(p []byte) (int, error) {
 	n, err := w.response.resp.Body.Read(p)
-	if errors.Is(err, io.EOF) {
-		w.response.complete = true
+	switch {
+	case errors.Is(err, io.EOF):
+		w.response.ending = EndingComplete
+	case err != nil && w.response.ctx.Err() == nil:
+		w.response.ending = EndingTruncated
 	}
 	return n, err
 }
@@ -265,3 +314,8 @@
 func NewFailure(v verdict.Verdict, reason string, err error) *Failure {
 	return &Failure{Verdict: v, Reason: reason, err: err}
 }
+
+// NewFailure returns a failure found while reading this response.
+func (a *Response) NewFailure(v verdict.Verdict, reason string, err error) *Failure {
+	return &Failure{Verdict: v, Reason: reason, Framing: a.Framing, err: err}
+}
--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -342,3 +342,75 @@
 	assert.Equal(t, p.Opened(), int64(2))
 	assert.Equal(t, p.Reused(), int64(2))
 }
+
+// TestFramingAndEnding guards against responses whose framing or end the caller of the package can't tell, and against
+// connections that are reused although they mark the end of a response.
+func TestFramingAndEnding(t *testing.T) {
+	const chunked = "Transfer-Encoding: chunked\r\n"
+	for _, c := range []struct {
+		name, method, status, header, body string
+		framing                            upstream.Framing
+		ending                             upstream.Ending
+		kept                               bool
+	}{
+		{"length", "POST", "200 OK", "Content-Length: 5\r\n", "whole", upstream.FramingLength, upstream.EndingComplete, true},
+		{"length, empty", "POST", "200 OK", "Content-Length: 0\r\n", "", upstream.FramingLength, upstream.EndingComplete, true},
+		{"length, cut off", "POST", "200 OK", "Content-Length: 6\r\n", "whole", upstream.FramingLength, upstream.EndingTruncated, false},
+		{"chunks", "POST", "200 OK", chunked, "5\r\nwhole\r\n0\r\n\r\n", upstream.FramingChunked, upstream.EndingComplete, true},
+		{"chunks, cut off", "POST", "200 OK", chunked, "5\r\nwhole\r\n", upstream.FramingChunked, upstream.EndingTruncated, false},
+		{"connection", "POST", "200 OK", "", "whole", upstream.FramingConnection, upstream.EndingComplete, false},
+		{"HEAD, length", "HEAD", "200 OK", "Content-Length: 5\r\n", "", upstream.FramingNone, upstream.EndingComplete, true},
+		{"HEAD, chunks", "HEAD", "200 OK", chunked, "", upstream.FramingNone, upstream.EndingComplete, true},
+		{"HEAD, neither", "HEAD", "200 OK", "", "", upstream.FramingNone, upstream.EndingComplete, true},
+		{"no content", "POST", "204 No Content", "", "", upstream.FramingNone, upstream.EndingComplete, true},
+		{"not modified", "GET", "304 Not Modified", "Content-Length: 5\r\n", "", upstream.FramingNone, upstream.EndingComplete, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			address := server(t, func(conn net.Conn, r *bufio.Reader) {
+				for {
+					request, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, request.Body)
+					_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\nId: %s\r\nSeal: s\r\n%s\r\n%s", c.status, request.Header.Get("Id"), c.header, c.body)
+					if !c.kept {
+						return
+					}
+				}
+			})
+			p := newPool()
+			for range 2 {
+				r := request("1")
+				r.Method = c.method
+				a, failure := p.Do(background(t), upstream.Endpoint{Address: address}, 0, r)
+				assert.Assert(t, failure == nil, "%v", failure)
+				assert.Equal(t, a.Framing, c.framing)
+				assert.Equal(t, a.Ending(), upstream.EndingUnknown)
+				_, err := io.ReadAll(a.Body)
+				assert.Equal(t, err == nil, c.ending == upstream.EndingComplete)
+				assert.Equal(t, a.Ending(), c.ending)
+				a.Close()
+			}
+			assert.Equal(t, p.Reused() == 1, c.kept)
+		})
+	}
+}
+
+// TestCancelledResponseHasNoEnding guards against responses that are taken for broken off by the server although the
+// request was cancelled.
+func TestCancelledResponseHasNoEnding(t *testing.T) {
+	address := server(t, func(conn net.Conn, r *bufio.Reader) {
+		id, _, _ := read(r)
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\n\r\nbegun", id)
+		_, _ = r.ReadByte()
+	})
+	ctx, cancel := context.WithCancel(background(t))
+	a, failure := newPool().Do(ctx, upstream.Endpoint{Address: address}, 0, request("1"))
+	assert.Assert(t, failure == nil, "%v", failure)
+	defer a.Close()
+	cancel()
+	_, err := io.ReadAll(a.Body)
+	assert.Assert(t, err != nil)
+	assert.Equal(t, a.Ending(), upstream.EndingUnknown)
+}
