--- a/internal/front/gateway/endings_test.go
+++ b/internal/front/gateway/endings_test.go
@@ -869,3 +869,15 @@
 		}
 	}
 }
+
+// Guards against a resumed stream that breaks off since its head has the first server's length and the second server's
+// events add up to another one.
+func TestResumedStreamHasNoLengthOfFirstServer(t *testing.T) {
+	for _, last := range []int{3, 5} {
+		f := newEndingFixture(t, func(w http.ResponseWriter, r *http.Request) { serveEventsUpTo(w, r, last) })
+		a := rawAnswer{status: "200 OK", framing: byLength, body: events(1, 4)}
+		_, got := f.get(http.MethodPost, "/resume/x", a, ending{cut: len(events(1, 2)) + 5})
+		assert.Assert(t, !got.broken, "events up to %d: body %q", last, got.body)
+		assert.Equal(t, got.body, events(1, last))
+	}
+}
