gateway: a stream that ends inside an event is broken off

What callers saw: a turn's stream whose backend server had crashed in the middle came with status 200, the server's signature and a complete framing, but without the rest of its events, and with a part of one event. The turn was kept, so that the program went on from half an answer.

Cause: a response may come with neither a length nor chunks and end with its connection. Its io.EOF says only that the connection was closed. copyEvents took it for the end of the stream at any byte, forwarded what stood after the last blank line as a last event, wrote the last chunk for the caller and recorded the turn as finished. Of the two ends of such a stream, a reset was noticed and a close was not.

Evidence: the recorded requests ended "200 crashed" at their servers and `outcome=answered` at the front daemons, with no error; all other breaks in the same seconds were resets and were noticed.

Change: readEvent returns io.EOF only after a blank line, else errTruncatedEvent, whatever the framing; a response that ends with its connection before any event of the stream gives errNoEvents. Both take the way of every other break: the caller's connection ends without the last chunk, the turn isn't kept, its tokens stay reserved, and a resumable stream goes on at another server. It works because a complete stream always ends with a blank line, so that no byte after one can be an end, and because the check stands where all streams pass, before anything of the unfinished event is sent.

--- a/internal/front/gateway/events.go
+++ b/internal/front/gateway/events.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 )
 
@@ -41,8 +42,12 @@
 	return &eventReader{reader: bufio.NewReaderSize(r, 2<<10), keepData: true}
 }
 
-// readEvent returns the next event. With io.EOF it returns the bytes after the last event's blank line, if any. Any
-// other error means that the stream was truncated.
+// errTruncatedEvent means that a response ended inside an event. The server has broken it off, even if the response's
+// framing is complete.
+var errTruncatedEvent = Error.New("response ended inside an event")
+
+// readEvent returns the next event, or io.EOF if the response ended after a blank line or is empty. Any other error
+// means that the stream was truncated.
 func (e *eventReader) readEvent() (event, error) {
 	var ev event
 	for {
@@ -74,8 +79,10 @@
 			if err == nil {
 				break
 			}
+			if errors.Is(err, io.EOF) && e.unfinished > 0 {
+				return ev, errTruncatedEvent
+			}
 			if err != bufio.ErrBufferFull {
-				ev.addLine(ev.raw[start:], e.keepData)
 				return ev, err
 			}
 		}
--- a/internal/front/gateway/stream.go
+++ b/internal/front/gateway/stream.go
@@ -223,69 +223,68 @@
 // errOutOfOrder means that a server did not continue after the last event of the previous server.
 var errOutOfOrder = Error.New("event id out of order")
 
+// errNoEvents means that a response without a length or chunks ended before its first event.
+var errNoEvents = Error.New("response without length or chunks ended before its first event")
+
 // copyEvents copies events until the end of the response. Events are sent only whole, so that another server can
 // continue after the last one. No event is read while the caller has not taken the one before, so that a caller that
 // does not read holds back the server.
-func (s *stream) copyEvents() error {
+func (s *stream) copyEvents() (err error) {
 	pace := &s.attempt.pace
 	reader := newEventReader(&pacedReader{s.attempt.response.Body, pace})
 	reader.keepData = s.x.route.RetainTurns
 	reader.reserve = s.reserveEvent
-	defer func() { s.recordEnd(reader) }()
+	defer func() { s.recordEnd(reader, err) }()
 	if !s.x.route.RetainTurns && !s.x.route.Repeatable() {
 		reader.spill = s.spillEvent
 	}
 	control := http.NewResponseController(s.x.w)
 	for {
-		event, err := reader.readEvent()
-		if err != nil && !errors.Is(err, io.EOF) {
-			return err
+		event, readErr := reader.readEvent()
+		if errors.Is(readErr, io.EOF) {
+			return s.checkEnd()
+		}
+		if readErr != nil {
+			return readErr
 		}
-		if len(event.raw) > 0 {
-			if !s.inOrder(&event) {
-				return errOutOfOrder
-			}
-			if memoryErr := s.reserveRecorded(len(event.raw)); memoryErr != nil {
-				return memoryErr
-			}
-			if writeErr := s.x.write(event.raw, pace); writeErr != nil {
-				return errCallerLeft
-			}
-			s.recordEvent(&event)
-			s.releaseEvent()
+		if !s.inOrder(&event) {
+			return errOutOfOrder
 		}
-		if err != nil {
-			return nil
+		if memoryErr := s.reserveRecorded(len(event.raw)); memoryErr != nil {
+			return memoryErr
 		}
-		if event.hasData {
-			s.x.received.events++
+		if writeErr := s.x.write(event.raw, pace); writeErr != nil {
+			return errCallerLeft
 		}
+		s.recordEvent(&event)
+		s.releaseEvent()
 		if flushErr := s.x.flush(control, pace); flushErr != nil {
 			return errCallerLeft
 		}
 	}
 }
 
-// recordEnd records for the log where a response ended, and counts it unless it was given up before its end.
-func (s *stream) recordEnd(reader *eventReader) {
-	s.x.received.unfinished = reader.unfinished
-	if reader.ended {
-		s.x.countResponse(s.attempt.response.Framing, s.ending())
+// checkEnd returns an error if a response that ended between two events can't be complete: the end of a connection
+// before any event says nothing about the response.
+func (s *stream) checkEnd() error {
+	hasEvents := s.events.count > 0 || s.events.lastID != ""
+	if s.attempt.response.Framing == upstream.FramingConnection && !hasEvents {
+		return errNoEvents
 	}
+	return nil
 }
 
-// ending returns how a response ended. A stream that ends inside an event was broken off whatever its framing says, and
-// so was one that ends with its connection before any event.
-func (s *stream) ending() upstream.Ending {
-	ending, received := s.attempt.response.Ending(), &s.x.received
-	if ending != upstream.EndingComplete {
-		return ending
+// recordEnd records for the log where a response ended, and counts it unless it was given up before its end.
+func (s *stream) recordEnd(reader *eventReader, err error) {
+	s.x.received.events, s.x.received.unfinished = s.events.count, reader.unfinished
+	if !reader.ended {
+		return
 	}
-	hasEvents := received.events > 0 || s.events.lastID != ""
-	if received.unfinished > 0 || received.framing == upstream.FramingConnection && !hasEvents {
-		return upstream.EndingTruncated
+	ending := s.attempt.response.Ending()
+	if errors.Is(err, errTruncatedEvent) || errors.Is(err, errNoEvents) {
+		ending = upstream.EndingTruncated
 	}
-	return upstream.EndingComplete
+	s.x.countResponse(s.attempt.response.Framing, ending)
 }
 
 // outputMemory returns the memory of an output of n bytes: its bytes, the spare capacity of their buffer, and the copies
