--- /dev/null
+++ b/internal/front/gateway/endings_test.go
@@ -0,0 +1,212 @@
+package gateway_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// rawReply is what a caller receives on a connection of its own.
+type rawReply struct {
+	head string
+	body string
+	// err is the error that ended the connection, nil if it was closed in order.
+	err error
+}
+
+// sendRaw sends a POST request with a protocol version and returns everything up to the end of the connection.
+func (r *fixture) sendRaw(version, path string, headers ...string) rawReply {
+	r.t.Helper()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+	assert.NilError(r.t, err)
+	defer func() { _ = conn.Close() }()
+	assert.NilError(r.t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+	_, err = fmt.Fprintf(conn, "POST %s %s\r\nHost: 127.0.0.1\r\nId: id-x\r\nContent-Length: 1\r\n%s\r\nx", path, version, strings.Join(headers, ""))
+	assert.NilError(r.t, err)
+	all, err := io.ReadAll(bufio.NewReader(conn))
+	head, body, _ := strings.Cut(string(all), "\r\n\r\n")
+	return rawReply{head: head, body: body, err: err}
+}
+
+// serveLargeThenBreak is a server that aborts a response of unknown length after more than the gateway buffers.
+func serveLargeThenBreak(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Id", r.Header.Get("Id"))
+	w.Header().Set("Seal", "s")
+	_, _ = io.WriteString(w, strings.Repeat("x", 600<<10)) // the caller may have left
+	w.(http.Flusher).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+// TestAbortedResponseOfHTTP10CallerIsReset guards against a broken-off response that a caller takes for a complete one:
+// without chunks and length, an orderly close of the connection ends the response.
+func TestAbortedResponseOfHTTP10CallerIsReset(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		path   string
+		server http.HandlerFunc
+	}{
+		{"stream", "/stream/x", serveThenBreak},
+		{"retained turn", "/turn/x", serveThenBreak},
+		{"resumed stream without a further server", "/resume/x", serveThenBreak},
+		{"plain response", "/once/x", serveLargeThenBreak},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newFixture(t, c.server, c.server)
+			got := r.sendRaw("HTTP/1.0", c.path)
+			assert.Assert(t, strings.HasPrefix(got.head, "HTTP/1.0 200"), "%q", got.head)
+			assert.Assert(t, !strings.Contains(got.head, "Content-Length"), "%q", got.head)
+			assert.Assert(t, errors.Is(got.err, syscall.ECONNRESET), "the connection ended with error %v after %d bytes", got.err, len(got.body))
+		})
+	}
+}
+
+// TestTurnNotKeptOfHTTP10CallerIsReset guards against a complete-looking response to a turn that could not be recorded.
+func TestTurnNotKeptOfHTTP10CallerIsReset(t *testing.T) {
+	r := newFixture(t, serveEvents)
+	r.ledger.fail["finish"] = errors.New("no quorum")
+	got := r.sendRaw("HTTP/1.0", "/turn/x")
+	assert.Assert(t, errors.Is(got.err, syscall.ECONNRESET), "the connection ended with error %v after %d bytes", got.err, len(got.body))
+}
+
+// TestAbortedResponseOfClosingCallerHasNoEnd guards against a last chunk after a broken-off response to a caller whose
+// connection ends with the response anyway.
+func TestAbortedResponseOfClosingCallerHasNoEnd(t *testing.T) {
+	for _, path := range []string{"/stream/x", "/turn/x", "/once/x"} {
+		t.Run(path, func(t *testing.T) {
+			h := serveThenBreak
+			if path == "/once/x" {
+				h = serveLargeThenBreak
+			}
+			r := newFixture(t, h)
+			got := r.sendRaw("HTTP/1.1", path, "Connection: close\r\n")
+			assert.Assert(t, strings.Contains(got.head, "Transfer-Encoding: chunked"), "%q", got.head)
+			assert.Assert(t, !strings.HasSuffix(got.body, "\r\n0\r\n\r\n"), "%q", got.body[max(0, len(got.body)-100):])
+		})
+	}
+}
+
+// serveEventsWithLength is a server whose response has events 1 to 6 and a Content-Length.
+func serveEventsWithLength(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Length", fmt.Sprint(len(events(1, 6))))
+	serveEvents(w, r)
+}
+
+// TestTurnNotKeptHasNoEndDespiteLength guards against a turn whose response reaches its Content-Length before the turn is
+// recorded: the caller would take it for complete although it can't be continued.
+func TestTurnNotKeptHasNoEndDespiteLength(t *testing.T) {
+	r := newFixture(t, serveEventsWithLength)
+	r.ledger.fail["finish"] = errors.New("no quorum")
+	got := r.send("/turn/x", "hello")
+	assert.Equal(t, <-r.outcomes, "turn-not-kept")
+	assert.Assert(t, got.broken, "the caller got %q as a complete response", got.body)
+}
+
+// TestResumedStreamIgnoresFirstLength guards against the Content-Length of a broken-off response being used for the
+// response that another server continues, which may have another length.
+func TestResumedStreamIgnoresFirstLength(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// last is the last event of the server that continues.
+		last int
+	}{
+		{"longer", 8}, {"shorter", 5},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := firstThen(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Content-Length", fmt.Sprint(len(events(1, 6))))
+				serveThenBreak(w, r)
+			}, func(w http.ResponseWriter, r *http.Request) { serveEventsUpTo(w, r, c.last) })
+			r := newFixture(t, h, h)
+			got := r.send("/resume/x", "hello")
+			assert.Equal(t, got.body, events(1, c.last))
+			assert.Assert(t, !got.broken)
+		})
+	}
+}
+
+// TestStreamBrokenBeforeFirstEvent guards against a connection that ends without a status where nothing of the response
+// had been sent.
+func TestStreamBrokenBeforeFirstEvent(t *testing.T) {
+	for _, path := range []string{"/stream/x", "/turn/x", "/resume/x"} {
+		t.Run(path, func(t *testing.T) {
+			h := func(w http.ResponseWriter, r *http.Request) {
+				serveEventsUpTo(w, r, 0)
+				w.(http.Flusher).Flush()
+				panic(http.ErrAbortHandler)
+			}
+			r := newFixture(t, h, h)
+			got := r.send(path, "hello")
+			assert.Equal(t, got.status, http.StatusBadGateway)
+		})
+	}
+}
+
+// TestResumptionNeedsEventIDs guards against a response that has the same events twice: a server that is asked to continue
+// a stream without event ids starts over.
+func TestResumptionNeedsEventIDs(t *testing.T) {
+	withoutIDs := func(w http.ResponseWriter, r *http.Request, last int) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Seal", "s")
+		for n := 1; n <= last; n++ {
+			_, _ = fmt.Fprintf(w, "data: %d\n\n", n) // the caller may have left
+			w.(http.Flusher).Flush()
+		}
+	}
+	h := firstThen(func(w http.ResponseWriter, r *http.Request) {
+		withoutIDs(w, r, 2)
+		panic(http.ErrAbortHandler)
+	}, func(w http.ResponseWriter, r *http.Request) { withoutIDs(w, r, 4) })
+	r := newFixture(t, h, h)
+	got := r.send("/resume/x", "hello")
+	assert.Equal(t, got.body, "data: 1\n\ndata: 2\n\n")
+	assert.Assert(t, got.broken)
+}
+
+// TestEventStreamOnPlainRoute guards against an event stream that ends inside an event and is forwarded as complete by a
+// route that does not forward events one by one.
+func TestEventStreamOnPlainRoute(t *testing.T) {
+	h := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Seal", "s")
+		w.Header().Set("Content-Type", "text/event-stream")
+		conn, out, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		_, _ = fmt.Fprintf(out, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Type: text/event-stream\r\n\r\n%sid: 4\nda", r.Header.Get("Id"), events(1, 3))
+		_ = out.Flush()
+	}
+	for _, path := range []string{"/twice/x", "/once/x"} {
+		t.Run(path, func(t *testing.T) {
+			r := newFixture(t, h, h, h)
+			got := r.send(path, "hello")
+			assert.Equal(t, got.status, http.StatusBadGateway, "%q", got.body)
+		})
+	}
+}
+
+// TestHeadKeepsLength guards against a HEAD response that announces an empty body in place of the server's length.
+func TestHeadKeepsLength(t *testing.T) {
+	r := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Seal", "s")
+		w.Header().Set("Content-Length", "42")
+	})
+	req, err := http.NewRequest(http.MethodHead, r.url+"/twice/x", nil)
+	assert.NilError(t, err)
+	req.Header.Set("Id", "id-head")
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	assert.Equal(t, resp.ContentLength, int64(42))
+}
