--- a/internal/front/gateway/endings_test.go
+++ b/internal/front/gateway/endings_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -174,18 +175,7 @@
 // TestEventStreamOnPlainRoute guards against an event stream that ends inside an event and is forwarded as complete by a
 // route that does not forward events one by one.
 func TestEventStreamOnPlainRoute(t *testing.T) {
-	h := func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("Id", r.Header.Get("Id"))
-		w.Header().Set("Seal", "s")
-		w.Header().Set("Content-Type", "text/event-stream")
-		conn, out, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			return
-		}
-		defer func() { _ = conn.Close() }()
-		_, _ = fmt.Fprintf(out, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Type: text/event-stream\r\n\r\n%sid: 4\nda", r.Header.Get("Id"), events(1, 3))
-		_ = out.Flush()
-	}
+	h := serveRaw("Content-Type: text/event-stream\r\n", events(1, 3)+"id: 4\nda", false)
 	for _, path := range []string{"/twice/x", "/once/x"} {
 		t.Run(path, func(t *testing.T) {
 			r := newFixture(t, h, h, h)
@@ -210,3 +200,79 @@
 	defer func() { _ = resp.Body.Close() }()
 	assert.Equal(t, resp.ContentLength, int64(42))
 }
+
+// TestRequestBodyCutOff guards against a request whose body ends early being sent to a server as a complete one.
+func TestRequestBodyCutOff(t *testing.T) {
+	for _, c := range []struct{ name, sent string }{
+		{"length", "HTTP/1.1\r\nContent-Length: 5\r\n%s\r\nfour"},
+		{"length, HTTP/1.0", "HTTP/1.0\r\nContent-Length: 5\r\n%s\r\nfour"},
+		{"chunks", "HTTP/1.1\r\nTransfer-Encoding: chunked\r\n%s\r\n4\r\nfour\r\n"},
+		{"chunks, no last line", "HTTP/1.1\r\nTransfer-Encoding: chunked\r\n%s\r\n4\r\nfour\r\n0\r\n"},
+	} {
+		for _, path := range []string{"/twice/x", "/once/x", "/stream/x", "/turn/x"} {
+			t.Run(c.name+path, func(t *testing.T) {
+				var requests atomic.Int64
+				r := newFixture(t, countRequests(&requests, serveEvents))
+				conn, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+				assert.NilError(t, err)
+				defer func() { _ = conn.Close() }()
+				assert.NilError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+				_, err = io.WriteString(conn, "POST "+path+" "+fmt.Sprintf(c.sent, "Host: 127.0.0.1\r\nId: id-x\r\n"))
+				assert.NilError(t, err)
+				assert.NilError(t, conn.(*net.TCPConn).CloseWrite())
+				got, err := io.ReadAll(conn)
+				assert.NilError(t, err)
+				assert.Assert(t, strings.Contains(string(got), " 400 "), "%q", got)
+				assert.Equal(t, requests.Load(), int64(0))
+			})
+		}
+	}
+}
+
+// serveRaw is a server that sends a response without the framing of net/http and ends its connection by a reset or a
+// close.
+func serveRaw(fields, body string, reset bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // unread bytes would make a close a reset
+		conn, out, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		_, _ = fmt.Fprintf(out, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\n%s\r\n%s", r.Header.Get("Id"), fields, body) // the gateway may have left
+		_ = out.Flush()
+		if reset {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
+	}
+}
+
+// TestBrokenOffPlainResponseIsReplaced guards against a broken-off response that is buffered whole being forwarded.
+func TestBrokenOffPlainResponseIsReplaced(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		server http.HandlerFunc
+		whole  bool
+	}{
+		{"no length, closed", serveRaw("", "four", false), true},
+		{"no length, reset", serveRaw("", "four", true), false},
+		{"length, closed", serveRaw("Content-Length: 5\r\n", "four", false), false},
+		{"length, reset", serveRaw("Content-Length: 5\r\n", "four", true), false},
+		{"chunks, closed", serveRaw("Transfer-Encoding: chunked\r\n", "4\r\nfour\r\n", false), false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newFixture(t, c.server, c.server, c.server)
+			want := http.StatusBadGateway
+			if c.whole {
+				want = http.StatusOK
+			}
+			assert.Equal(t, r.send("/once/x", "hello").status, want)
+			assert.Equal(t, r.send("/twice/x", "hello").status, want)
+			h := firstThen(c.server, echo)
+			r = newFixture(t, h, h)
+			got := r.send("/twice/x", "hello")
+			assert.Equal(t, got.status, http.StatusOK)
+			assert.Equal(t, got.body == "four", c.whole, "%q", got.body)
+		})
+	}
+}
