--- a/internal/front/gateway/endings_test.go
+++ b/internal/front/gateway/endings_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/rookpass/rookpass/internal/base/membudget"
 )
 
 // rawReply is what a caller receives on a connection of its own.
@@ -276,3 +278,29 @@
 		})
 	}
 }
+
+// TestSpilledEventCutOff guards against a stream that ends inside an event of which the beginning was forwarded, since it
+// did not fit into the memory limit, being taken for complete.
+func TestSpilledEventCutOff(t *testing.T) {
+	for _, size := range []int{100 << 10, 200 << 10, 200<<10 + 1, 200<<10 + 2035} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			h := serveRaw("Content-Type: text/event-stream\r\n", events(1, 1)+"id: 2\ndata: "+strings.Repeat("e", size), false)
+			r := newFixtureOn(t, loopback{}, membudget.Limits{Total: 64 << 10}, 1000, h)
+			got := r.send("/stream/x", "hello")
+			assert.Assert(t, got.broken, "the caller got %d bytes as a complete response", len(got.body))
+			assert.Equal(t, r.exceeded()[0]["outcome"], "unbuffered")
+		})
+	}
+}
+
+// TestCallerPastDeadlineIsReset guards against the orderly close of an HTTP/1.0 caller's connection when the response could
+// not be written in time.
+func TestCallerPastDeadlineIsReset(t *testing.T) {
+	r := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		serveEventsUpTo(w, r, 3)
+		<-r.Context().Done()
+	})
+	got := r.sendRaw("HTTP/1.0", "/stream/x", "Deadline: 200ms\r\n")
+	assert.Equal(t, got.body, events(1, 3))
+	assert.Assert(t, errors.Is(got.err, syscall.ECONNRESET), "the connection ended with error %v", got.err)
+}
