--- a/internal/front/gateway/endings_test.go
+++ b/internal/front/gateway/endings_test.go
@@ -304,3 +304,53 @@
 	assert.Equal(t, got.body, events(1, 3))
 	assert.Assert(t, errors.Is(got.err, syscall.ECONNRESET), "the connection ended with error %v", got.err)
 }
+
+// TestStreamsWithoutEvents checks that responses without a body, and empty ones that say so, are complete on routes that
+// forward events, also where a stream without events that ends with its connection is not.
+func TestStreamsWithoutEvents(t *testing.T) {
+	for _, c := range []struct {
+		name, method string
+		server       http.HandlerFunc
+		status       int
+	}{
+		{"HEAD", http.MethodHead, serveRaw("Content-Type: text/event-stream\r\n", "", false), http.StatusOK},
+		{"HEAD with a length", http.MethodHead, serveRaw("Content-Type: text/event-stream\r\nContent-Length: 42\r\n", "", false), http.StatusOK},
+		{"empty", http.MethodPost, serveRaw("Content-Type: text/event-stream\r\nContent-Length: 0\r\n", "", false), http.StatusOK},
+		{"empty chunks", http.MethodPost, serveRaw("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n", "0\r\n\r\n", false), http.StatusOK},
+		{"204", http.MethodPost, func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Id", r.Header.Get("Id"))
+			w.Header().Set("Seal", "s")
+			w.WriteHeader(http.StatusNoContent)
+		}, http.StatusNoContent},
+	} {
+		for _, path := range []string{"/stream/x", "/resume/x"} {
+			t.Run(c.name+path, func(t *testing.T) {
+				r := newFixture(t, c.server)
+				req, err := http.NewRequest(c.method, r.url+path, nil)
+				assert.NilError(t, err)
+				req.Header.Set("Id", "id-empty")
+				resp, err := http.DefaultTransport.RoundTrip(req)
+				assert.NilError(t, err)
+				defer func() { _ = resp.Body.Close() }()
+				body, err := io.ReadAll(resp.Body)
+				assert.NilError(t, err)
+				assert.Equal(t, resp.StatusCode, c.status)
+				assert.Equal(t, len(body), 0)
+				assert.Equal(t, <-r.outcomes, "answered")
+			})
+		}
+	}
+}
+
+// TestResumptionWithoutFurtherEvents checks that a resumed stream is complete if it had its last event before the
+// resumption.
+func TestResumptionWithoutFurtherEvents(t *testing.T) {
+	h := firstThen(func(w http.ResponseWriter, r *http.Request) {
+		serveEventsUpTo(w, r, 3)
+		panic(http.ErrAbortHandler)
+	}, serveRaw("Content-Type: text/event-stream\r\n", "", false))
+	r := newFixture(t, h, h)
+	got := r.send("/resume/x", "hello")
+	assert.Equal(t, got.body, events(1, 3))
+	assert.Assert(t, !got.broken)
+}
