gateway: the length of a server's stream is not forwarded

What callers saw: a turn whose server announces a length reached that length before the turn was recorded. If it then couldn't be kept, the caller had a complete answer from which no program can go on. A stream that another server continued ended at the first server's length: events after it were lost and the answer looked complete.

Cause: the answer of a front daemon ends with the record of the turn, or with the last server of a resumed stream, not with the first server's bytes, but it took over that server's framing. Content-Length was removed after the head had been written, which has no effect. It is the same class of fault as the end of a connection inside an event: an end of bytes that passes for the end of the answer.

Evidence: TestTurnNotKeptHasNoEndDespiteLength got a complete 200 with outcome turn-not-kept; TestResumedStreamIgnoresFirstLength lost events 7 and 8, TestResumedStreamHasNoLengthOfFirstServer and TestStreamWithWholeFramingIsResumedInsideEvent broke off. All four failed before this commit and pass now.

Change: writeResponseHead leaves the length of streams out, so that net/http writes chunks, or ends the connection for a caller of HTTP/1.0.

--- a/internal/front/gateway/plain.go
+++ b/internal/front/gateway/plain.go
@@ -321,7 +321,8 @@
 }
 
 // writeResponseHead forwards a response's status and headers. length is that of the buffered body; more is set if the
-// body continues after it.
+// body continues after it. The length of a stream is not forwarded: the last event is not its end, since the turn must be
+// recorded first, and another server may continue it.
 func (x *exchange) writeResponseHead(response *upstream.Response, length int, more bool) {
 	h := x.w.Header()
 	for name, values := range response.Header {
@@ -337,7 +338,7 @@
 	switch {
 	case !more:
 		h["Content-Length"] = []string{strconv.Itoa(length)}
-	case response.Length >= 0:
+	case response.Length >= 0 && !x.streams():
 		h["Content-Length"] = []string{strconv.FormatInt(response.Length, 10)}
 	}
 	x.headSent = true
--- a/internal/front/gateway/stream.go
+++ b/internal/front/gateway/stream.go
@@ -173,7 +173,6 @@
 	}
 	if !s.x.headSent {
 		s.x.writeResponseHead(s.attempt.response, 0, true)
-		s.x.w.Header().Del("Content-Length")
 	}
 	err := s.copyEvents()
 	if err == nil {
