gateway: a turn whose error answer breaks off keeps its tokens reserved

What callers saw: a turn whose server answered with an error and broke that answer off got a 502, and its reservation in the program's token budget was released as if it had not run. A server may have generated tokens, so that a program could be handed more tokens than its budget.

Cause: forwardFailure recorded the failed attempt for the log and the balancer only; the stream's own note that a server may have run the request was left out, and serveStream takes that note for its decision.

Change: the failure is recorded the way of every other failed attempt.

--- a/internal/front/gateway/stream.go
+++ b/internal/front/gateway/stream.go
@@ -210,7 +210,7 @@
 	t := &attemptResult{choice: s.attempt.choice, began: s.attempt.began, memory: s.memory}
 	if err := s.x.buffer(t, response); err != nil {
 		failure := upstream.NewFailure(verdict.MayHaveRun, upstream.ReasonMalformed, err)
-		s.x.recordFailure(s.attempt.choice, s.attempt.began, failure)
+		s.recordFailure(s.attempt, failure)
 		return false, s.x.failureResponse(true, failure)
 	}
 	return true, s.x.forwardResponse(t)
