upstream: a reset that the write of the request met breaks the response off

What callers would see: a response without a length or chunks whose connection is reset while a long request is still being written passes for complete at any byte.

Cause: a request above 8 KiB is written beside the reading of its response. A socket tells of a reset once, to whichever call comes first. If that is the write, the read then gets io.EOF, as after an orderly close, and io.EOF is the end of a response that is framed by its connection.

Change: at the end of a response that is framed by its connection, the write of the request is ended and its error looked at. An error other than our own deadline and EPIPE, which is what a write after an orderly close gets, is a reset.

--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -63,11 +63,12 @@
 	Framing Framing
 	Body    io.Reader
 
-	ctx    context.Context
-	conn   *conn
-	resp   *http.Response
-	ending Ending
-	close  func(reusable bool)
+	ctx     context.Context
+	conn    *conn
+	resp    *http.Response
+	writing *requestWrite
+	ending  Ending
+	close   func(reusable bool)
 }
 
 // Framing is how the end of a response's body is marked.
@@ -179,21 +180,9 @@
 		stop()
 		return fail(verdict.NotRun, ReasonCanceled, context.Cause(ctx))
 	}
-	written := make(chan error, 1)
-	head := appendHead(nil, r)
-	if r.bodyLength() <= inlineBodyBytes {
-		written <- writeAll(c, head, r.Body)
-	} else {
-		go func() { written <- writeAll(c, head, r.Body) }()
-	}
+	writing := startWrite(c, r)
 	resp, reply, err := readHead(c, r, codec)
-	var writeErr error
-	writeDone := true
-	select {
-	case writeErr = <-written:
-	default:
-		writeDone = false
-	}
+	writeDone, writeErr := writing.poll()
 	if err != nil {
 		stop()
 		reason := ReasonMalformed
@@ -207,7 +196,7 @@
 		return fail(verdict.MayHaveRun, reason, err)
 	}
 	response := &Response{Status: resp.StatusCode, Header: resp.Header, Info: reply, Length: resp.ContentLength,
-		Framing: framingOf(r.Method, resp), ctx: ctx, conn: c, resp: resp}
+		Framing: framingOf(r.Method, resp), ctx: ctx, conn: c, resp: resp, writing: writing}
 	response.Body = &eofTracker{response: response}
 	keep := response.Framing != FramingConnection && !resp.Close && writeDone && writeErr == nil
 	response.close = func(complete bool) {
@@ -263,6 +252,9 @@
 
 func (w *eofTracker) Read(p []byte) (int, error) {
 	n, err := w.response.resp.Body.Read(p)
+	if errors.Is(err, io.EOF) && w.response.Framing == FramingConnection && w.response.writing.wasReset() {
+		err = errReset
+	}
 	switch {
 	case errors.Is(err, io.EOF):
 		w.response.ending = EndingComplete
@@ -272,44 +264,6 @@
 	return n, err
 }
 
-func writeAll(c net.Conn, head []byte, body [][]byte) error {
-	buffers := make(net.Buffers, 0, len(body)+1)
-	buffers = append(buffers, head)
-	for _, part := range body {
-		if len(part) > 0 {
-			buffers = append(buffers, part)
-		}
-	}
-	_, err := buffers.WriteTo(c)
-	return err
-}
-
-// appendHead appends the request line and headers. Header names and values come from a parsed request, so they contain
-// no line breaks.
-func appendHead(b []byte, r *Request) []byte {
-	b = append(b, r.Method...)
-	b = append(b, ' ')
-	b = append(b, r.URI...)
-	b = append(b, " HTTP/1.1\r\nHost: "...)
-	b = append(b, r.Host...)
-	b = append(b, "\r\n"...)
-	for name, values := range r.Header {
-		for _, value := range values {
-			b = append(b, name...)
-			b = append(b, ": "...)
-			b = append(b, value...)
-			b = append(b, "\r\n"...)
-		}
-	}
-	n := r.bodyLength()
-	if n > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
-		b = append(b, "Content-Length: "...)
-		b = appendInt(b, n)
-		b = append(b, "\r\n"...)
-	}
-	return append(b, "\r\n"...)
-}
-
 // NewFailure returns a failure found while reading a response.
 func NewFailure(v verdict.Verdict, reason string, err error) *Failure {
 	return &Failure{Verdict: v, Reason: reason, err: err}
