gateway: a broken-off answer to a caller of HTTP/1.0 ends in a reset

What callers would see: an answer that the front daemon breaks off looks complete to a caller of HTTP/1.0: a stream whose server failed, a turn that could not be kept, a large plain answer cut in the middle, a request past its deadline.

Such a caller knows no chunks, so that an answer without a length ends with its connection, and net/http closes the connection of an aborted handler in order.

Callers of HTTP/1.1 are unchanged: their answers lack the last chunk.

Change: refuse takes the connection of a caller below HTTP/1.1 over, sets it to be reset on close and closes it.

--- a/internal/front/gateway/gateway.go
+++ b/internal/front/gateway/gateway.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -221,7 +222,7 @@
 	}
 	x.recordOutcome(status, refused.reason, refused.err)
 	if x.headSent {
-		panic(http.ErrAbortHandler)
+		x.abort()
 	}
 	h := x.w.Header()
 	x.g.headerCodec.SetRequestID(h, x.requestInfo.ID)
@@ -235,6 +236,29 @@
 	_, _ = x.w.Write([]byte(text)) // the caller may have disconnected
 }
 
+// abort ends a response of which a part has been sent without its end. It does not return. A caller of HTTP/1.0 has no
+// chunks: an orderly close would be the end of the response, so that its connection is reset instead.
+func (x *exchange) abort() {
+	if !x.r.ProtoAtLeast(1, 1) {
+		x.resetConnection()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetConnection resets the caller's connection.
+func (x *exchange) resetConnection() {
+	conn, _, err := http.NewResponseController(x.w).Hijack()
+	if err == nil {
+		if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+			err = tcp.SetLinger(0)
+		}
+		err = errors.Join(err, conn.Close())
+	}
+	if err != nil {
+		x.g.log.WithFields(logrus.Fields{"event": "reset-failed", "id": x.requestInfo.ID, "error": err}).Warn("failed to reset the caller's connection; its response may look complete")
+	}
+}
+
 // recordOutcome counts and logs the request.
 func (x *exchange) recordOutcome(status int, reason string, err error) {
 	took := time.Since(x.arrived)
