gateway: an answer to HEAD keeps the server's length

What callers saw: an answer to HEAD said Content-Length: 0 in place of the length that its server announced, so that a body of 42 bytes looked like an empty one.

Cause: the length of the buffered body was written, and an answer to HEAD has none. The framing of an answer was taken from what had been read instead of from what the server said.

Answers to HEAD and 204 in each framing and with each end held before and after (TestHeadAnswerIsWhole, TestNoContentAnswerIsWhole).

--- a/internal/front/gateway/plain.go
+++ b/internal/front/gateway/plain.go
@@ -322,7 +322,7 @@
 
 // writeResponseHead forwards a response's status and headers. length is that of the buffered body; more is set if the
 // body continues after it. The length of a stream is not forwarded: the last event is not its end, since the turn must be
-// recorded first, and another server may continue it.
+// recorded first, and another server may continue it. A response to HEAD has the length of the body that it lacks.
 func (x *exchange) writeResponseHead(response *upstream.Response, length int, more bool) {
 	h := x.w.Header()
 	for name, values := range response.Header {
@@ -335,10 +335,11 @@
 	if _, named := h["Content-Type"]; !named {
 		h["Content-Type"] = nil // keeps net/http from guessing one
 	}
+	head := x.r.Method == http.MethodHead
 	switch {
-	case !more:
+	case !more && !head:
 		h["Content-Length"] = []string{strconv.Itoa(length)}
-	case response.Length >= 0 && !x.streams():
+	case response.Length >= 0 && (head || !x.streams()):
 		h["Content-Length"] = []string{strconv.FormatInt(response.Length, 10)}
 	}
 	x.headSent = true
