gateway: a stream is not continued after an event without an id

What callers would see: on a route that allows resumption, a stream whose events carry no ids and whose server breaks off has its first events twice and looks complete.

Cause: another server is asked to continue after the id of the last event. Without one it starts over, and inOrder can't tell, since it compares ids.

Evidence: TestResumptionNeedsEventIDs got events 1, 2, 1, 2, 3, 4 as a complete answer before; now it gets 1 and 2 and the answer breaks off, after which the caller may ask again.

Change: the events sent note whether the last one can be continued after; if not, a break ends the answer.

--- a/internal/front/gateway/stream.go
+++ b/internal/front/gateway/stream.go
@@ -62,8 +62,10 @@
 type sentEvents struct {
 	count  int
 	output []byte
-	// lastID is the id of the last event.
+	// lastID is the id of the last event that had one.
 	lastID string
+	// continuable is set unless the last event has no id: a server that is asked to continue would send it again.
+	continuable bool
 }
 
 // stream sends a request to servers until one responds, and forwards its events. On routes that allow it, another
@@ -99,7 +101,7 @@
 }
 
 func (x *exchange) newStream(p turnContext) *stream {
-	s := &stream{x: x, body: x.promptBody(p.history), events: sentEvents{lastID: x.requestInfo.LastEvent}}
+	s := &stream{x: x, body: x.promptBody(p.history), events: sentEvents{lastID: x.requestInfo.LastEvent, continuable: true}}
 	s.balancerRequest = balance.Request{Route: x.route.Name, Tried: map[incarnation.ID]bool{}, PromptTokens: max(1, x.requestInfo.PromptTokens), Parts: x.requestInfo.Parts,
 		LikelyTokens: x.requestInfo.LikelyOutputTokens, Connected: x.hasIdleConnection, Lookup: x.lookupServer}
 	s.lastFailure = upstream.NewFailure(verdict.NotRun, "no-server", Error.New("no usable server for the route's service"))
@@ -192,7 +194,7 @@
 		return false, &refusal{status: http.StatusBadGateway, reason: "no-memory-for-answer", err: err}
 	}
 	failure := upstream.NewFailure(verdict.MayHaveRun, failureReason(s.attempt.ctx, s.attempt.pace.failureReason(upstream.ReasonRead)), err)
-	if !s.recordFailure(s.attempt, failure) || s.x.ctx.Err() != nil {
+	if !s.recordFailure(s.attempt, failure) || s.x.ctx.Err() != nil || !s.events.continuable {
 		return false, s.x.failureResponse(true, failure)
 	}
 	return false, nil
@@ -347,6 +349,7 @@
 		return
 	}
 	s.events.count++
+	s.events.continuable = e.id != ""
 	if s.x.route.RetainTurns {
 		s.events.output = append(s.events.output, e.data...)
 		s.events.output = append(s.events.output, '\n')
