gateway: an event stream without a length on a plain route is checked at its end too

What callers would see: a server's event stream on a route that does not forward events one by one, without a length or chunks and closed inside an event, is a complete 200.

Cause: the same as on stream routes: the end of a connection is taken for the end of the answer at any byte.

Change: a response that is typed text/event-stream and framed by its connection must end after a blank line and have an event, buffered or not; then it takes the way of every other break. A length or chunks are believed as for any plain answer. The stand-in of the tests of plain answers typed them as event streams, which they are not; they are typed text/plain now, and their checks are unchanged.

--- a/internal/front/gateway/endings_test.go
+++ b/internal/front/gateway/endings_test.go
@@ -34,6 +34,8 @@
 	body    string
 	// chunk is the size of chunks; 7 if it is 0.
 	chunk int
+	// plain is set for answers that are no event streams.
+	plain bool
 	// bodiless is set for answers that have no body by their method or status. Their head announces one.
 	bodiless bool
 	// framed is the result of rest if it is already known.
@@ -80,7 +82,11 @@
 }
 
 func (a *rawAnswer) head(id string) string {
-	head := "HTTP/1.1 " + a.status + "\r\nId: " + id + "\r\nSeal: s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n"
+	mediaType := "text/event-stream"
+	if a.plain {
+		mediaType = "text/plain"
+	}
+	head := "HTTP/1.1 " + a.status + "\r\nId: " + id + "\r\nSeal: s\r\nContent-Type: " + mediaType + "\r\nConnection: close\r\n"
 	switch a.framing {
 	case byLength:
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(a.body))
@@ -538,11 +544,11 @@
 )
 
 func smallAnswer(by framing) rawAnswer {
-	return rawAnswer{status: "200 OK", framing: by, body: text(24)}
+	return rawAnswer{status: "200 OK", framing: by, body: text(24), plain: true}
 }
 
 func largeAnswer(by framing) rawAnswer {
-	a := rawAnswer{status: "200 OK", framing: by, body: text(largeBody), chunk: 5000}
+	a := rawAnswer{status: "200 OK", framing: by, body: text(largeBody), chunk: 5000, plain: true}
 	a.framed = a.rest()
 	return a
 }
@@ -636,7 +642,7 @@
 }
 
 func errorAnswer(by framing) rawAnswer {
-	return rawAnswer{status: "500 Internal Server Error", framing: by, body: text(24)}
+	return rawAnswer{status: "500 Internal Server Error", framing: by, body: text(24), plain: true}
 }
 
 // Guards against an error answer that is broken off and looks complete.
@@ -687,7 +693,7 @@
 			f := newEndingFixture(t, nil)
 			var found faults
 			for _, by := range framings {
-				a := rawAnswer{status: status, framing: by, bodiless: true}
+				a := rawAnswer{status: status, framing: by, bodiless: true, plain: true}
 				if method == http.MethodHead {
 					a.body = text(24)
 				}
--- a/internal/front/gateway/plain.go
+++ b/internal/front/gateway/plain.go
@@ -84,7 +84,9 @@
 	response  *upstream.Response
 	buffered  []byte
 	truncated bool
-	failure   *upstream.Failure
+	// end checks where the response ends.
+	end     *streamEnd
+	failure *upstream.Failure
 	// memory is that of the response.
 	memory *allocation
 }
@@ -215,6 +217,7 @@
 		memoryErr = t.memory.growTo(wanted)
 	}
 	buffered := make([]byte, 0, min(t.memory.bytes, maxBufferedBytes))
+	t.end = newStreamEnd(response)
 	for {
 		if len(buffered) == cap(buffered) {
 			wanted := min(2*cap(buffered), maxBufferedBytes)
@@ -228,11 +231,15 @@
 			buffered = append(make([]byte, 0, wanted), buffered...)
 		}
 		n, err := response.Body.Read(buffered[len(buffered):cap(buffered)])
+		t.end.add(buffered[len(buffered) : len(buffered)+n])
 		buffered = buffered[:len(buffered)+n]
 		if err != nil {
 			x.countResponse(response.Framing, response.Ending())
 		}
 		if errors.Is(err, io.EOF) {
+			if endErr := t.end.check(); endErr != nil {
+				return endErr
+			}
 			break
 		}
 		if err != nil {
@@ -275,6 +282,7 @@
 	body := &pacedReader{t.response.Body, &pace}
 	for piece := t.buffered[:min(cap(t.buffered), copyBytes)]; ; {
 		n, err := body.Read(piece)
+		t.end.add(piece[:n])
 		if err != nil {
 			x.countResponse(t.response.Framing, t.response.Ending())
 		}
@@ -283,7 +291,10 @@
 			return x.unwritten(writeErr)
 		}
 		if errors.Is(err, io.EOF) {
-			break
+			err = t.end.check()
+			if err == nil {
+				break
+			}
 		}
 		if err != nil {
 			failure := upstream.NewFailure(verdict.MayHaveRun, pace.failureReason(upstream.ReasonRead), err)
