--- a/internal/front/gateway/plain.go
+++ b/internal/front/gateway/plain.go
@@ -84,7 +84,9 @@
 	response  *upstream.Response
 	buffered  []byte
 	truncated bool
-	failure   *upstream.Failure
+	// end checks where the response ends.
+	end     *streamEnd
+	failure *upstream.Failure
 	// memory is that of the response.
 	memory *allocation
 }
@@ -215,6 +217,7 @@
 		memoryErr = t.memory.growTo(wanted)
 	}
 	buffered := make([]byte, 0, min(t.memory.bytes, maxBufferedBytes))
+	t.end = newStreamEnd(response)
 	for {
 		if len(buffered) == cap(buffered) {
 			wanted := min(2*cap(buffered), maxBufferedBytes)
@@ -228,11 +231,15 @@
 			buffered = append(make([]byte, 0, wanted), buffered...)
 		}
 		n, err := response.Body.Read(buffered[len(buffered):cap(buffered)])
+		t.end.add(buffered[len(buffered) : len(buffered)+n])
 		buffered = buffered[:len(buffered)+n]
 		if err != nil {
 			x.countResponse(response.Framing, response.Ending())
 		}
 		if errors.Is(err, io.EOF) {
+			if endErr := t.end.check(); endErr != nil {
+				return endErr
+			}
 			break
 		}
 		if err != nil {
@@ -275,6 +282,7 @@
 	body := &pacedReader{t.response.Body, &pace}
 	for piece := t.buffered[:min(cap(t.buffered), copyBytes)]; ; {
 		n, err := body.Read(piece)
+		t.end.add(piece[:n])
 		if err != nil {
 			x.countResponse(t.response.Framing, t.response.Ending())
 		}
@@ -283,7 +291,10 @@
 			return x.unwritten(writeErr)
 		}
 		if errors.Is(err, io.EOF) {
-			break
+			err = t.end.check()
+			if err == nil {
+				break
+			}
 		}
 		if err != nil {
 			failure := upstream.NewFailure(verdict.MayHaveRun, pace.failureReason(upstream.ReasonRead), err)
@@ -322,7 +333,7 @@
 
 // writeResponseHead forwards a response's status and headers. length is that of the buffered body; more is set if the
 // body continues after it. The length of a stream is not forwarded: the last event is not its end, since the turn must be
-// recorded first, and another server may continue it.
+// recorded first, and another server may continue it. A response to HEAD has the length of the body that it lacks.
 func (x *exchange) writeResponseHead(response *upstream.Response, length int, more bool) {
 	h := x.w.Header()
 	for name, values := range response.Header {
@@ -335,10 +346,11 @@
 	if _, named := h["Content-Type"]; !named {
 		h["Content-Type"] = nil // keeps net/http from guessing one
 	}
+	head := x.r.Method == http.MethodHead
 	switch {
-	case !more:
+	case !more && !head:
 		h["Content-Length"] = []string{strconv.Itoa(length)}
-	case response.Length >= 0 && !x.streams():
+	case response.Length >= 0 && (head || !x.streams()):
 		h["Content-Length"] = []string{strconv.FormatInt(response.Length, 10)}
 	}
 	x.headSent = true
