--- a/internal/front/gateway/received_test.go
+++ b/internal/front/gateway/received_test.go
@@ -174,6 +174,15 @@
 	assert.Equal(t, len(responseCounts(t, r)), 0)
 }
 
+// TestResumedByCallerWithoutFurtherEvents guards against counting a response as broken off that had nothing to add to
+// the events that the caller already had.
+func TestResumedByCallerWithoutFurtherEvents(t *testing.T) {
+	r := newFixture(t, respondRaw("", ""))
+	r.send("/resume/x", "hello", "After", "4")
+	<-r.outcomes
+	assert.DeepEqual(t, responseCounts(t, r), map[string]int{"connection-complete": 1})
+}
+
 // TestUnfinishedBytesOfSpilledEvent checks that the beginning of an event that was forwarded for want of memory counts
 // among the unfinished bytes.
 func TestUnfinishedBytesOfSpilledEvent(t *testing.T) {
