--- a/internal/objects/objectapi/httpapi/cut_test.go
+++ b/internal/objects/objectapi/httpapi/cut_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -23,7 +22,6 @@
 			return
 		}
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n%s", answer)
-		_ = conn.(*net.TCPConn).CloseWrite()
 		_ = conn.Close()
 	}))
 	t.Cleanup(server.Close)
@@ -57,7 +55,11 @@
 	for _, answer := range []string{"{}", "null"} {
 		t.Run(answer, func(t *testing.T) {
 			client := clientOf(t, answer)
-			_, err := client.Get(t.Context(), "a/1")
+			_, err := client.List(t.Context(), "a/")
+			assert.ErrorIs(t, err, objectapi.ErrUnavailable)
+			_, err = client.Wait(t.Context(), []string{"a/"}, 1, time.Millisecond)
+			assert.ErrorIs(t, err, objectapi.ErrUnavailable)
+			_, err = client.Get(t.Context(), "a/1")
 			assert.ErrorIs(t, err, objectapi.ErrUnavailable)
 			_, err = client.Put(t.Context(), "a/1", []byte("x"), 2)
 			assert.ErrorIs(t, err, objectapi.ErrUnknownOutcome)
