--- a/internal/transport/peerlink/cut_test.go
+++ b/internal/transport/peerlink/cut_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,15 +33,16 @@
 // cutConn ends after some bytes have been read.
 type cutConn struct {
 	net.Conn
-	left int
+	left atomic.Int64
 }
 
 func (c *cutConn) Read(p []byte) (int, error) {
-	if c.left == 0 {
+	left := c.left.Load()
+	if left == 0 {
 		return 0, io.EOF
 	}
-	n, err := c.Conn.Read(p[:min(len(p), c.left)])
-	c.left -= n
+	n, err := c.Conn.Read(p[:min(int64(len(p)), left)])
+	c.left.Add(-int64(n))
 	return n, err
 }
 
@@ -50,8 +52,9 @@
 	assert.NilError(t, err)
 	defer func() { _ = listener.Close() }()
 	go func() { _ = peerlink.Serve(listener, map[string]any{"Listing": Listing{}}) }()
-	list := func(limit int) (page *Page, left int, err error) {
-		conn := &cutConn{left: limit}
+	list := func(limit int64) (page *Page, left int64, err error) {
+		conn := &cutConn{}
+		conn.left.Store(limit)
 		link := peerlink.NewPool(func(ctx context.Context, kind, address string) (net.Conn, error) {
 			var dialer net.Dialer
 			raw, err := dialer.DialContext(ctx, kind, address)
@@ -65,9 +68,9 @@
 		if conn.Conn != nil {
 			_ = conn.Close()
 		}
-		return page, conn.left, err
+		return page, conn.left.Load(), err
 	}
-	const plenty = 1 << 20
+	const plenty = int64(1 << 20)
 	_, left, err := list(plenty)
 	assert.NilError(t, err)
 	for limit := range plenty - left {
