--- a/internal/objects/objectapi/httpapi/client.go
+++ b/internal/objects/objectapi/httpapi/client.go
@@ -52,21 +52,60 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.client.Close() }
 
+// Answers of the API. Version replaces that of the embedded type, so that an answer without one is recognised: its
+// content is not that of the API.
+type (
+	objectAnswer struct {
+		objectapi.Object
+		Version *uint64 `json:"version"`
+	}
+	listAnswer struct {
+		objectapi.Snapshot
+		Version *uint64 `json:"version"`
+	}
+	watchAnswer struct {
+		objectapi.Batch
+		Version *uint64 `json:"version"`
+	}
+)
+
+// version returns the version of an answer. If there is none, the error wraps ambiguous.
+func version(answered *uint64, ambiguous error) (uint64, error) {
+	if answered == nil {
+		return 0, fmt.Errorf("%w: the answer has no version", ambiguous)
+	}
+	return *answered, nil
+}
+
 // Get implements objectapi.API.
 func (c *Client) Get(ctx context.Context, key string) (objectapi.Object, error) {
 	c.stats.Reads.Add(1)
-	var object objectapi.Object
-	err := c.do(ctx, requestTimeout, httpclient.Request{Method: http.MethodGet, Path: objectPath(key)}, &object)
-	return object, err
+	r := httpclient.Request{Method: http.MethodGet, Path: objectPath(key)}
+	return c.object(ctx, r, objectapi.ErrUnavailable)
+}
+
+// object sends a request that is answered with an object. An answer without a version is the given error.
+func (c *Client) object(ctx context.Context, r httpclient.Request, ambiguous error) (objectapi.Object, error) {
+	var answer objectAnswer
+	if err := c.do(ctx, requestTimeout, r, &answer); err != nil {
+		return objectapi.Object{}, err
+	}
+	var err error
+	answer.Object.Version, err = version(answer.Version, ambiguous)
+	return answer.Object, err
 }
 
 // List implements objectapi.API.
 func (c *Client) List(ctx context.Context, prefix string) (objectapi.Snapshot, error) {
 	c.stats.Reads.Add(1)
-	var snapshot objectapi.Snapshot
+	var answer listAnswer
 	path := "/v1/objects?prefix=" + url.QueryEscape(prefix)
-	err := c.do(ctx, requestTimeout, httpclient.Request{Method: http.MethodGet, Path: path}, &snapshot)
-	return snapshot, err
+	if err := c.do(ctx, requestTimeout, httpclient.Request{Method: http.MethodGet, Path: path}, &answer); err != nil {
+		return objectapi.Snapshot{}, err
+	}
+	var err error
+	answer.Snapshot.Version, err = version(answer.Version, objectapi.ErrUnavailable)
+	return answer.Snapshot, err
 }
 
 // Put implements objectapi.API.
@@ -75,10 +114,8 @@
 		return objectapi.Object{}, objectapi.ErrTooLarge
 	}
 	c.stats.Writes.Add(1)
-	var object objectapi.Object
 	r := httpclient.Request{Method: http.MethodPut, Path: conditionalPath(key, ifVersion), Body: value}
-	err := c.do(ctx, requestTimeout, r, &object)
-	return object, err
+	return c.object(ctx, r, objectapi.ErrUnknownOutcome)
 }
 
 // Delete implements objectapi.API.
@@ -98,10 +135,14 @@
 		"after":   {strconv.FormatUint(after, 10)},
 		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
-	var batch objectapi.Batch
+	var answer watchAnswer
 	r := httpclient.Request{Method: http.MethodGet, Path: "/v1/watch?" + query.Encode()}
-	err := c.do(ctx, wait+watchMargin, r, &batch)
-	return batch, err
+	if err := c.do(ctx, wait+watchMargin, r, &answer); err != nil {
+		return objectapi.Batch{}, err
+	}
+	var err error
+	answer.Batch.Version, err = version(answer.Version, objectapi.ErrUnavailable)
+	return answer.Batch, err
 }
 
 func objectPath(key string) string { return "/v1/objects/" + key }
