holder: a call whose output exceeds the limit doesn't end as complete

A caller of a model call whose output exceeds 512 KiB got the first 512 KiB with the verdict RAN and a length that matched, and no sign that the rest was missing. The cut output was stored, replayed to retries and put into the prompts of the program's later calls. Nothing was logged.

Cause: run.write dropped what exceeded maxOutputBytes without recording it.

Evidence: go test -race ./internal/rookpassd/holder, before the change: TestOutputAboveTheLimitIsNotCompleteWhenCut/above_the_limit: 524288 (length int) != 589824 (row.pieces * pieceBytes int): verdict VERDICT_RAN

write now counts the dropped bytes. After an attempt that dropped any, generate ends the call like callService after an error: a Finished record with the verdict MAY_HAVE_RUN, the cost (as counted by the engine, or the maximum if the generation also failed), a failure text and no output, without another attempt. A caller that follows the call sees a final event with a failure and a length that doesn't match; a retry gets the failure. The record keeps the engine that may hold the program's cache, so that it is released. The holder logs the event call.output_too_large. The test passes.

--- a/internal/rookpassd/daemon/incarnation.go
+++ b/internal/rookpassd/daemon/incarnation.go
@@ -67,6 +67,7 @@
 		Runner:      d.runner,
 		Spending:    in.spending,
 		Tracer:      d.tracer,
+		Log:         d.log,
 		Reporter:    in,
 		Partitions:  s.Partitions,
 		Incarnation: in.name,
--- a/internal/rookpassd/holder/generate.go
+++ b/internal/rookpassd/holder/generate.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/sirupsen/logrus"
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
@@ -17,7 +19,7 @@
 
 // generate runs a model call. If an engine fails during the generation, the next attempt continues after the
 // text already sent, so that the caller sees one continuous output. A failed attempt that may have run is
-// charged its maximum cost.
+// charged its maximum cost. A call whose output exceeds maxOutputBytes ends as "may have run" and is not retried.
 func (h *Holder) generate(ctx context.Context, s *shard, l *programState, r *run, worst int64) (*peerv1.Record, error) {
 	var avoid []string
 	var used int64
@@ -32,6 +34,11 @@
 			return abandonedRecord(l.ID(), r.call, 0), err
 		}
 		result, err := h.generateOnce(ctx, s, l, r, attempt, avoid, used)
+		if r.droppedBytes() > 0 {
+			finished := h.truncated(l, r, result, worst, err)
+			settleBudget(finished.CostTokens)
+			return finishedRecord(l.ID(), finished), nil
+		}
 		if err == nil {
 			finished := h.generated(s, l, r, result, used)
 			settleBudget(finished.CostTokens)
@@ -101,6 +108,28 @@
 	return finished
 }
 
+// truncated returns the record of a generation whose output was cut at maxOutputBytes. The cut output is not stored, so
+// that neither a replay nor the prompt of a later call contains it as a complete answer. err is the error of the
+// generation, nil if it ended normally; its cost is then known.
+func (h *Holder) truncated(l *programState, r *run, result ModelResult, worst int64, err error) *peerv1.Finished {
+	dropped := r.droppedBytes()
+	h.Log.WithFields(logrus.Fields{
+		"event": "call.output_too_large", "program": l.ID(), "request": r.call.RequestId, "backend": result.Backend,
+		"limit_bytes": maxOutputBytes, "dropped_bytes": dropped, "error": err,
+	}).Warn()
+	cost := worst
+	if err == nil {
+		cost = result.PromptTokens + result.CompletionTokens
+	}
+	return &peerv1.Finished{
+		Call:       r.call,
+		Verdict:    rookpassv1.Verdict_VERDICT_MAY_HAVE_RUN,
+		CostTokens: cost,
+		Failure:    fmt.Sprintf("the output exceeds the limit of %d bytes by %d bytes", maxOutputBytes, dropped),
+		HeldBy:     result.Backend,
+	}
+}
+
 // reserve ensures that the durable reservation of the program covers a call before the call is sent.
 func (h *Holder) reserve(ctx context.Context, s *shard, l *programState, call *rookpassv1.CallRequest, worst int64) error {
 	s.mu.Lock()
--- a/internal/rookpassd/holder/holder.go
+++ b/internal/rookpassd/holder/holder.go
@@ -8,10 +8,12 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"go.opentelemetry.io/otel/trace"
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
@@ -121,6 +123,8 @@
 	// Spending enforces the budgets of organisations.
 	Spending Spending
 	Tracer   trace.Tracer
+	// Log is optional; without it nothing is logged.
+	Log logrus.FieldLogger
 	// Reporter sends outcomes to the new owner of a partition that was handed over.
 	Reporter Reporter
 	// Partitions is the cluster's number of partitions.
@@ -151,6 +155,11 @@
 
 // New returns a holder without shards. lifetime must be cancelled when the incarnation ends.
 func New(lifetime context.Context, deps Dependencies) *Holder {
+	if deps.Log == nil {
+		silent := logrus.New()
+		silent.SetOutput(io.Discard)
+		deps.Log = silent
+	}
 	return &Holder{Dependencies: deps, lifetime: lifetime, shards: make([]atomic.Pointer[shard], deps.Partitions)}
 }
 
--- a/internal/rookpassd/holder/run.go
+++ b/internal/rookpassd/holder/run.go
@@ -24,7 +24,9 @@
 
 	mu     sync.Mutex
 	output []byte
-	final  *rookpassv1.CallFinal
+	// dropped is the number of bytes that exceeded maxOutputBytes.
+	dropped int
+	final   *rookpassv1.CallFinal
 	// finished is the stored record of the call; nil if there is none.
 	finished *peerv1.Finished
 	err      error
@@ -36,12 +38,13 @@
 	return &run{call: call, cancel: cancel, changed: make(chan struct{})}
 }
 
-// write appends text to the output, up to maxOutputBytes, and wakes the followers.
+// write appends text to the output, up to maxOutputBytes, and wakes the followers. It counts the bytes that it drops.
 func (r *run) write(text []byte) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	room := maxOutputBytes - len(r.output)
-	r.output = append(r.output, text[:min(room, len(text))]...)
+	kept := min(maxOutputBytes-len(r.output), len(text))
+	r.output = append(r.output, text[:kept]...)
+	r.dropped += len(text) - kept
 	r.notify()
 }
 
@@ -52,6 +55,13 @@
 	return r.output[:len(r.output):len(r.output)]
 }
 
+// droppedBytes returns the number of bytes dropped so far.
+func (r *run) droppedBytes() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.dropped
+}
+
 // complete ends the run with its record and final event, or with an error.
 func (r *run) complete(finished *peerv1.Finished, final *rookpassv1.CallFinal, err error) {
 	r.mu.Lock()
