rookpassd/backend: a usage event behind missing events isn't the end

A caller of a model call got an answer that lacked text as complete, with the verdict RAN, when the engine's stream lacked events before its usage event.

Cause: Engine.stream returned at the usage event before it compared the event's index with the next one expected.

Evidence: go test -race ./internal/rookpassd/backend, before the change: TestUsageEventBehindAGapIsIncomplete: err is nil: complete with "abcd"

The test passes.

--- a/internal/rookpassd/backend/engine.go
+++ b/internal/rookpassd/backend/engine.go
@@ -143,14 +143,14 @@
 			if event.Error != "" {
 				return Usage{}, verdict.Unknown(verdict.Unavailable, failureRetry, "engine: %s", event.Error)
 			}
-			if event.Usage != nil {
-				return *event.Usage, nil
-			}
 			if event.Index < *next {
 				continue // Received before the stream was resumed.
 			}
 			if event.Index > *next {
-				return Usage{}, errStreamEnd
+				return Usage{}, errStreamEnd // Events before this one are missing, so that the answer is not complete.
+			}
+			if event.Usage != nil {
+				return *event.Usage, nil
 			}
 			*next++
 			text([]byte(event.Text))
