rookpassd/backend: a stream that ends inside its usage event is incomplete

A caller of a model call got a stream as complete that its engine had broken off inside the last event.

Cause: readEvents delivered an event at its data line; the empty line that ends it didn't have to follow.

Evidence: go test -race ./internal/rookpassd/backend, before the change: TestUsageEventNeedsItsEmptyLine: err is nil: complete with "abcd"

Several data lines of an event are joined by line feeds, as the event stream format has it; before, each counted as an event. The test passes.

--- a/internal/rookpassd/backend/engine.go
+++ b/internal/rookpassd/backend/engine.go
@@ -185,20 +185,17 @@
 	return verdict.Unknown(verdict.Unavailable, failureRetry, "%s answered %d", addr, resp.Status)
 }
 
-// readEvents reads server-sent events until the stream ends.
+// readEvents reads server-sent events until the stream ends. An event ends with an empty line; one that the end of the
+// stream cuts is dropped, also if its data is complete.
 func readEvents(resp *httpclient.Response, events chan<- CompletionEvent, stop <-chan struct{}) {
 	defer resp.Close()
 	defer close(events)
 	reader := bufio.NewReader(resp.Body)
 	for {
-		line, err := reader.ReadBytes('\n')
+		data, err := readEvent(reader)
 		if err != nil {
 			return
 		}
-		data, found := bytes.CutPrefix(bytes.TrimSpace(line), []byte("data: "))
-		if !found {
-			continue
-		}
 		var event CompletionEvent
 		if json.Unmarshal(data, &event) != nil {
 			return
@@ -211,6 +208,24 @@
 	}
 }
 
+// readEvent returns the data of the next event that has any. Several data lines are joined by line feeds.
+func readEvent(reader *bufio.Reader) ([]byte, error) {
+	var lines [][]byte
+	for {
+		line, err := reader.ReadBytes('\n')
+		if err != nil {
+			return nil, err
+		}
+		line = bytes.TrimSpace(line)
+		if data, found := bytes.CutPrefix(line, []byte("data: ")); found {
+			lines = append(lines, data)
+		}
+		if len(line) == 0 && len(lines) > 0 {
+			return bytes.Join(lines, []byte("\n")), nil
+		}
+	}
+}
+
 // cancel tells the engine to stop a completion. Errors are ignored.
 func (e *Engine) cancel(requestID string) {
 	ctx, done := context.WithTimeout(context.Background(), cancelTimeout)
