--- a/internal/rookpassd/journal/checkpoint.go
+++ b/internal/rookpassd/journal/checkpoint.go
@@ -62,7 +62,8 @@
 	return chunks, flush(0)
 }
 
-// ReadCheckpoint calls visit with each snapshot of a checkpoint. A checkpoint with 0 chunks is empty.
+// ReadCheckpoint calls visit with each snapshot of a checkpoint. A checkpoint with 0 chunks is empty; one without
+// programs has a chunk too, which is not empty.
 func ReadCheckpoint(ctx context.Context, api objectapi.API, prefix string, chunks uint32, visit func(*peerv1.ProgramSnapshot)) error {
 	if chunks == 0 {
 		return nil
@@ -73,6 +74,9 @@
 		if err != nil {
 			return Error.New("checkpoint %s: %w", prefix, err)
 		}
+		if len(object.Value) == 0 {
+			return Error.New("checkpoint %s is damaged: object %d of %d is empty", prefix, chunk+1, chunks)
+		}
 		compressed.Write(object.Value)
 	}
 	return decodeCheckpoint(&compressed, visit)
--- a/internal/rookpassd/journal/segment.go
+++ b/internal/rookpassd/journal/segment.go
@@ -35,12 +35,16 @@
 	return encoder.EncodeAll(raw, nil), nil
 }
 
-// DecodeSegment decodes the stored form of a segment.
+// DecodeSegment decodes the stored form of a segment. A segment without content is damaged: each one names the
+// incarnation that wrote the log.
 func DecodeSegment(stored []byte) (*peerv1.Segment, error) {
 	raw, err := decoder.DecodeAll(stored, nil)
 	if err != nil {
 		return nil, Error.New("segment is damaged: %v", err)
 	}
+	if len(raw) == 0 {
+		return nil, Error.New("segment is damaged: it has no content")
+	}
 	segment := &peerv1.Segment{}
 	if err := proto.Unmarshal(raw, segment); err != nil {
 		return nil, Error.New("segment is damaged: %v", err)
--- a/internal/rookpassd/journal/truncated_test.go
+++ b/internal/rookpassd/journal/truncated_test.go
@@ -64,3 +64,25 @@
 		})
 	}
 }
+
+// TestCheckpointWithoutPrograms guards against a checkpoint of a partition without programs that is refused as damaged,
+// and against one that was cut and is taken for it.
+func TestCheckpointWithoutPrograms(t *testing.T) {
+	var key string
+	var stored []byte
+	chunks, err := journal.WriteCheckpoint(t.Context(), "p", nil, func(_ context.Context, k string, value []byte) error {
+		key, stored = k, value
+		return nil
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, chunks, uint32(1))
+	for length := range len(stored) + 1 {
+		t.Run(fmt.Sprint(length), func(t *testing.T) {
+			api := memapi.New()
+			_, err := api.Put(t.Context(), key, stored[:length], objectapi.MustNotExist)
+			assert.NilError(t, err)
+			err = journal.ReadCheckpoint(t.Context(), api, "p", chunks, func(*peerv1.ProgramSnapshot) { t.Error("a program") })
+			assert.Equal(t, err == nil, length == len(stored), "%d of %d bytes: %v", length, len(stored), err)
+		})
+	}
+}
