--- a/deploy/days/draw/main.go
+++ b/deploy/days/draw/main.go
@@ -19,6 +19,7 @@
 	Grown   bool    `long:"grown" description:"also generate the faults that only grown sites support"`
 	Plans   int     `long:"plans" default:"3" description:"number of planned operations"`
 	Outages bool    `long:"outages" description:"generate a day of outages of the platform's store instead: changes queue up until its return, daemons are killed meanwhile, and servers are removed right after"`
+	Answers bool    `long:"answers" description:"generate a day on which backend servers' answers are broken off in every way: garbled with and without framing, reset, cut, lost, and ended by crashes, releases and removals"`
 }
 
 // template is a kind of event with the ranges of its random parameters. A parameter with a zero range is left out.
@@ -111,6 +112,10 @@
 		fmt.Print(generateOutageDay(opts))
 		return
 	}
+	if opts.Answers {
+		fmt.Print(generateAnswerDay(opts))
+		return
+	}
 	fmt.Print(generateDay(opts))
 }
 
