workload: answers that end in every way that their framing allows

Servers frame answers by their connection, a length or chunks and end them whole, inside an event or between two, with a close or a reset. The in-memory network can reset a connection. The checker reports an answer that is complete for its caller although every server that ran it broke it off. Soak plans get the new faults from a random sequence of their own: the faults of existing seeds stay as they were.

--- a/internal/testing/soak/plan.go
+++ b/internal/testing/soak/plan.go
@@ -47,6 +47,16 @@
 	// EntryCorrupt overwrites a server's registry entry with an invalid one.
 	ServerRestart Kind = "server-restart"
 	EntryCorrupt  Kind = "entry-spoil"
+	// The kinds from ServerUnframed to ServerChunksReset change how the answers of one backend server are framed and
+	// broken off, if it has no other fault: see the faults of the same names in package workload.
+	ServerUnframed             Kind = "server-unframed"
+	ServerUnframedClose        Kind = "server-unframed-close"
+	ServerUnframedReset        Kind = "server-unframed-reset"
+	ServerUnframedResetBetween Kind = "server-unframed-reset-between"
+	ServerLengthClose          Kind = "server-length-close"
+	ServerLengthReset          Kind = "server-length-reset"
+	ServerChunksClose          Kind = "server-chunks-close"
+	ServerChunksReset          Kind = "server-chunks-reset"
 	// LinkDelay, LinkReset, LinkOneWay and LinkBlackhole disturb the connections of one process to the store and from
 	// callers, and those to one server.
 	LinkDelay     Kind = "link-delay"
@@ -122,6 +132,7 @@
 	}
 	p.Faults = append(p.Faults, generateEntryFaults(seed, size)...)
 	p.Faults = append(p.Faults, generateKeyFault(seed))
+	p.Faults = append(p.Faults, generateAnswerFaults(seed, size)...)
 	slices.SortStableFunc(p.Faults, compareByTime)
 	return p
 }
@@ -147,6 +158,20 @@
 		For: revocationTime + time.Duration(500+r.IntN(1500))*time.Millisecond}
 }
 
+// generateAnswerFaults returns the faults of a seed that change how answers are framed and broken off. It has its own
+// random sequence, so that the other faults of a seed do not depend on it.
+func generateAnswerFaults(seed uint64, size Size) []Fault {
+	r := rand.New(rand.NewPCG(seed, 4))
+	kinds := []Kind{ServerUnframed, ServerUnframedClose, ServerUnframedReset, ServerUnframedResetBetween, ServerLengthClose, ServerLengthReset,
+		ServerChunksClose, ServerChunksReset}
+	var faults []Fault
+	for at := time.Second; at < size.Length; at += time.Duration(200+r.IntN(1200)) * time.Millisecond {
+		faults = append(faults, Fault{Kind: kinds[r.IntN(len(kinds))], At: at, For: time.Duration(200+r.IntN(2500)) * time.Millisecond,
+			Target: r.IntN(size.Servers)})
+	}
+	return faults
+}
+
 // ParsePlan parses and validates a plan in the format of String.
 func ParsePlan(data []byte) (Plan, error) {
 	var p Plan
--- a/internal/testing/soak/run.go
+++ b/internal/testing/soak/run.go
@@ -112,11 +112,18 @@
 		c.setLimitedPresent(false)
 		time.Sleep(f.For)
 		c.setLimitedPresent(true)
-	default:
+	case ServerHang, ServerTruncate, ServerDuplicate, ServerShed:
 		s := c.servers[f.Target%len(c.servers)]
 		s.SetFault(serverFaults[f.Kind])
 		time.Sleep(f.For)
 		s.SetFault("")
+	default:
+		s := c.servers[f.Target%len(c.servers)]
+		if !s.TryFault(answerFaults[f.Kind]) {
+			return // faults of other kinds take their full time
+		}
+		time.Sleep(f.For)
+		s.EndFault(answerFaults[f.Kind])
 	}
 }
 
@@ -124,6 +131,13 @@
 	ServerHang: workload.Hang, ServerTruncate: workload.Truncate, ServerDuplicate: workload.Duplicate, ServerShed: workload.Shed,
 }
 
+var answerFaults = map[Kind]workload.Fault{
+	ServerUnframed: workload.Unframed, ServerUnframedClose: workload.UnframedClose,
+	ServerUnframedReset: workload.UnframedReset, ServerUnframedResetBetween: workload.UnframedResetBetween,
+	ServerLengthClose: workload.LengthClose, ServerLengthReset: workload.LengthReset,
+	ServerChunksClose: workload.ChunksClose, ServerChunksReset: workload.ChunksReset,
+}
+
 func (c *Cluster) injectProcessFault(f Fault) {
 	p := c.processes[f.Target%len(c.processes)]
 	disk := c.processes[c.plan.Fronts+f.Target%c.plan.Stores]
--- a/internal/testing/soak/soak_test.go
+++ b/internal/testing/soak/soak_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"fmt"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -67,3 +69,20 @@
 		}
 	}
 }
+
+// TestAnswerFaultsHaveTheirOwnSequence: the faults of a seed that once failed must not change when answer faults do.
+func TestAnswerFaultsHaveTheirOwnSequence(t *testing.T) {
+	injected := map[Kind]bool{}
+	digest := sha256.New()
+	for seed := range uint64(1000) {
+		for _, f := range GeneratePlan(seed, SmallSize).Faults {
+			if answerFaults[f.Kind] != "" {
+				injected[f.Kind] = true
+				continue
+			}
+			_, _ = fmt.Fprintln(digest, f)
+		}
+	}
+	assert.Equal(t, fmt.Sprintf("%x", digest.Sum(nil)[:8]), "6ae4507501492191")
+	assert.Equal(t, len(injected), len(answerFaults))
+}
--- a/internal/testing/workload/caller.go
+++ b/internal/testing/workload/caller.go
@@ -306,5 +306,8 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode == http.StatusOK {
+		c.checker.RecordComplete(call.ID)
+	}
 	return resp.StatusCode, resp.Header, data, err
 }
--- a/internal/testing/workload/checker.go
+++ b/internal/testing/workload/checker.go
@@ -12,7 +12,9 @@
 	mu             sync.Mutex
 	expectedBodies map[string]string
 	runCounts      map[string]int
-	idempotent     map[string]bool
+	// answered holds the requests that a server has answered completely.
+	answered   map[string]bool
+	idempotent map[string]bool
 	// organisations and sentAt hold the caller's organisation and the time of sending of each request.
 	organisations map[string]string
 	sentAt        map[string]time.Time
@@ -32,7 +34,7 @@
 
 // NewChecker returns a Checker without records.
 func NewChecker() *Checker {
-	return &Checker{expectedBodies: map[string]string{}, runCounts: map[string]int{}, idempotent: map[string]bool{}, organisations: map[string]string{}, sentAt: map[string]time.Time{}, revokedFrom: map[string]time.Time{}, runsByOrganisation: map[string][]run{}, refusals: map[string]int{},
+	return &Checker{expectedBodies: map[string]string{}, runCounts: map[string]int{}, answered: map[string]bool{}, idempotent: map[string]bool{}, organisations: map[string]string{}, sentAt: map[string]time.Time{}, revokedFrom: map[string]time.Time{}, runsByOrganisation: map[string][]run{}, refusals: map[string]int{},
 		tokens: map[string]int64{}, drainingSince: map[string]time.Time{}, arrivals: map[string]int{}, newestVersions: map[string]int64{}, outcomes: map[string]int{}}
 }
 
@@ -140,6 +142,24 @@
 	}
 }
 
+// RecordAnswered records that a server completes the answer to a request. It must be called before the caller can have
+// the complete answer.
+func (c *Checker) RecordAnswered(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answered[id] = true
+}
+
+// RecordComplete records that a caller has received an answer that looks complete. A server must have completed it:
+// the content alone does not show that an answer was broken off after its last byte or between two events.
+func (c *Checker) RecordComplete(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.answered[id] {
+		c.addViolation("the answer of %s is complete for its caller but was broken off by each of the %d servers that ran it", id, c.runCounts[id])
+	}
+}
+
 // RecordRefusal records a status which guarantees that the request has not run and will not run.
 func (c *Checker) RecordRefusal(id string, status int) {
 	c.mu.Lock()
--- a/internal/testing/workload/checker_test.go
+++ b/internal/testing/workload/checker_test.go
@@ -35,7 +35,21 @@
 		"soon at a leaving server": {func(c *Checker) { c.RecordDraining("s"); time.Sleep(time.Second); c.RecordArrival("s", "a") }, ""},
 		"went back":                {func(c *Checker) { c.RecordConfigVersion("f", 4, true); c.RecordConfigVersion("f", 3, false) }, "reverted its configuration"},
 		"not yet there":            {func(c *Checker) { c.RecordConfigVersion("f", 4, true); c.RecordConfigVersion("f", 5, false) }, ""},
-		"ended by itself":          {func(c *Checker) { c.AddViolation("%s ended by itself", "front-1") }, "ended by itself"},
+		"answered": {func(c *Checker) {
+			c.RecordSent("a", "x", false)
+			c.RecordRun("a", "x")
+			c.RecordAnswered("a")
+			c.RecordComplete("a")
+		}, ""},
+		"answered by another server": {func(c *Checker) {
+			c.RecordSent("a", "x", true)
+			c.RecordRun("a", "x")
+			c.RecordRun("a", "x")
+			c.RecordAnswered("a")
+			c.RecordComplete("a")
+		}, ""},
+		"broken off but complete": {func(c *Checker) { c.RecordSent("a", "x", false); c.RecordRun("a", "x"); c.RecordComplete("a") }, "was broken off"},
+		"ended by itself":         {func(c *Checker) { c.AddViolation("%s ended by itself", "front-1") }, "ended by itself"},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			checker := NewChecker()
--- a/internal/testing/workload/server.go
+++ b/internal/testing/workload/server.go
@@ -81,6 +81,12 @@
 // SetFault sets the fault of the server's answers.
 func (s *Server) SetFault(f Fault) { s.fault.Store(f) }
 
+// TryFault sets the fault of the server's answers if they have none, and reports whether it did.
+func (s *Server) TryFault(f Fault) bool { return s.fault.CompareAndSwap(Fault(""), f) }
+
+// EndFault ends a fault of the server's answers unless another one has replaced it.
+func (s *Server) EndFault(f Fault) { s.fault.CompareAndSwap(f, Fault("")) }
+
 // Replace replaces the server by a new one with a new name at the same address, and returns its registry entry.
 func (s *Server) Replace() catalog.Server {
 	s.mu.Lock()
@@ -114,12 +120,20 @@
 
 // blockIfEnded blocks a request for good, without an answer, if its connection was accepted by a start that has ended.
 func blockIfEnded(r *http.Request) {
+	if hasEnded(r) {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// hasEnded reports whether the start that accepted a request's connection has ended.
+func hasEnded(r *http.Request) bool {
 	ended, _ := r.Context().Value(startKey{}).(chan struct{}) // nil if ConnContext is not used
 	select {
 	case <-ended:
-		<-r.Context().Done()
-		panic(http.ErrAbortHandler)
+		return true
 	default:
+		return false
 	}
 }
 
@@ -173,12 +187,16 @@
 	}
 	platformtest.Sign(w.Header(), id)
 	if entry.Service == modelService {
-		s.writeStream(w, r, answerKey(r, id, string(body)), fault)
+		s.writeStream(w, r, id, answerKey(r, id, string(body)), fault)
 		return
 	}
 	time.Sleep(toolDelay)
 	blockIfEnded(r)
-	writeToolAnswer(w, id, fault)
+	if e, ok := endings[fault]; ok {
+		s.writeEnding(w, r, id, []string{toolAnswer(id)}, e.forPlain())
+		return
+	}
+	s.writeToolAnswer(w, id, fault)
 }
 
 // containsKey reports whether any header contains a caller's key.
@@ -212,9 +230,18 @@
 	return text.String()
 }
 
-func (s *Server) writeStream(w http.ResponseWriter, r *http.Request, key string, fault Fault) {
+func (s *Server) writeStream(w http.ResponseWriter, r *http.Request, id, key string, fault Fault) {
 	w.Header().Set("Content-Type", "text/event-stream")
-	for n := platformtest.LastEvent(r.Header) + 1; n <= eventsPerTurn; n++ {
+	first := platformtest.LastEvent(r.Header) + 1
+	if e, ok := endings[fault]; ok {
+		var events []string
+		for n := first; n <= eventsPerTurn; n++ {
+			events = append(events, eventText(key, n, n))
+		}
+		s.writeEnding(w, r, id, events, e)
+		return
+	}
+	for n := first; n <= eventsPerTurn; n++ {
 		blockIfEnded(r)
 		_, _ = io.WriteString(w, eventText(key, n, n)) // the caller may have disconnected
 		w.(http.Flusher).Flush()
@@ -229,6 +256,7 @@
 			panic(http.ErrAbortHandler) // a return would end the answer as if it were complete
 		}
 	}
+	s.checker.RecordAnswered(id)
 }
 
 // toolAnswer returns the body of a tool's answer.
@@ -239,7 +267,7 @@
 	return "done " + id + strings.Repeat(".", 200)
 }
 
-func writeToolAnswer(w http.ResponseWriter, id string, fault Fault) {
+func (s *Server) writeToolAnswer(w http.ResponseWriter, id string, fault Fault) {
 	body := toolAnswer(id)
 	if len(body) > largeAnswerBytes {
 		control := http.NewResponseController(w)
@@ -257,6 +285,7 @@
 			return
 		}
 		defer func() { _ = conn.Close() }()
+		s.checker.RecordAnswered(id)
 		for range 2 {
 			_, _ = fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\n")
 			_ = w.Header().Write(buffered)
@@ -264,6 +293,8 @@
 		}
 		_ = buffered.Flush()
 	default:
-		_, _ = io.WriteString(w, body)
+		if _, err := io.WriteString(w, body); err == nil {
+			s.checker.RecordAnswered(id)
+		}
 	}
 }
--- a/internal/testing/workload/stall.go
+++ b/internal/testing/workload/stall.go
@@ -81,6 +81,7 @@
 		c.recordStatus(id, response.StatusCode, err)
 		return
 	}
+	c.checker.RecordComplete(id)
 	if string(got) != toolAnswer(id) {
 		c.checker.AddViolation("call %s has a complete but wrong answer of %d bytes", id, len(got))
 	}
--- a/internal/transport/network/memnet/memnet.go
+++ b/internal/transport/network/memnet/memnet.go
@@ -5,8 +5,11 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"google.golang.org/grpc/test/bufconn"
@@ -40,20 +43,24 @@
 	}
 }
 
+// listener accepts the connections of one address.
 type listener struct {
-	*bufconn.Listener
 	host    string
 	address string
 	fabric  *Fabric
+	dialed  chan net.Conn
+	close   sync.Once
+	closed  chan struct{}
 }
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	select {
+	case <-l.closed:
+		return nil, net.ErrClosed
+	case conn := <-l.dialed:
+		return conn, nil
 	}
-	return &deadlineConn{Conn: conn}, nil
 }
 
 // Close implements net.Listener.
@@ -63,7 +70,77 @@
 		delete(l.fabric.listeners, l.address)
 	}
 	l.fabric.mu.Unlock()
-	return l.Listener.Close()
+	l.close.Do(func() { close(l.closed) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *listener) Addr() net.Addr { return listenerAddr(l.address) }
+
+// listenerAddr is the address of a listener.
+type listenerAddr string
+
+// Network implements net.Addr.
+func (a listenerAddr) Network() string { return "memnet" }
+
+// String implements net.Addr.
+func (a listenerAddr) String() string { return string(a) }
+
+// dial hands one end of a new connection to Accept and returns the other one, and the marker that the accepted end sets
+// when it resets the connection.
+func (l *listener) dial(ctx context.Context) (net.Conn, *atomic.Bool, error) {
+	dialed, accepted, err := newPipe()
+	if err != nil {
+		return nil, nil, err
+	}
+	reset := new(atomic.Bool)
+	select {
+	case <-ctx.Done():
+		err = ctx.Err()
+	case <-l.closed:
+		err = net.ErrClosed
+	case l.dialed <- &acceptedConn{deadlineConn: &deadlineConn{Conn: accepted}, reset: reset}:
+		return dialed, reset, nil
+	}
+	_ = dialed.Close()
+	_ = accepted.Close()
+	return nil, nil, err
+}
+
+// newPipe returns the two ends of a new connection.
+func newPipe() (dialed, accepted net.Conn, err error) {
+	l := bufconn.Listen(bufferBytes)
+	defer func() { _ = l.Close() }()
+	result := make(chan net.Conn, 1)
+	go func() {
+		conn, _ := l.Accept() // can't fail: the listener is closed only after the result has been received
+		result <- conn
+	}()
+	if dialed, err = l.Dial(); err != nil {
+		return nil, nil, err
+	}
+	return dialed, <-result, nil
+}
+
+// acceptedConn is the listener's end of a connection. It can reset the connection as a TCP connection can.
+type acceptedConn struct {
+	*deadlineConn
+	resetOnClose atomic.Bool
+	reset        *atomic.Bool
+}
+
+// SetLinger determines, as that of net.TCPConn, whether Close resets the connection: it does if sec is 0.
+func (c *acceptedConn) SetLinger(sec int) error {
+	c.resetOnClose.Store(sec == 0)
+	return nil
+}
+
+// Close implements net.Conn. After a reset, the dialer's end reads what was written before and then gets ECONNRESET.
+func (c *acceptedConn) Close() error {
+	if c.resetOnClose.Load() {
+		c.reset.Store(true)
+	}
+	return c.deadlineConn.Close()
 }
 
 // conn is the dialer's end of a connection. While either host is frozen, reads block and writes are buffered. Writes
@@ -72,6 +149,8 @@
 	net.Conn
 	fabric   *Fabric
 	from, to string
+	// reset is set when the listener's end resets the connection.
+	reset *atomic.Bool
 
 	mu      sync.Mutex
 	pending []byte
@@ -80,6 +159,9 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) && c.reset.Load() {
+		err = &net.OpError{Op: "read", Net: "memnet", Err: syscall.ECONNRESET}
+	}
 	for {
 		frozen := c.fabric.thawChan(c.from, c.to)
 		if frozen == nil {
@@ -146,7 +228,7 @@
 	if f.listeners[address] != nil {
 		return nil, errors.New("address in use: " + address)
 	}
-	l := &listener{Listener: bufconn.Listen(bufferBytes), host: host, address: address, fabric: f}
+	l := &listener{host: host, address: address, fabric: f, dialed: make(chan net.Conn), closed: make(chan struct{})}
 	f.listeners[address] = l
 	return l, nil
 }
@@ -160,11 +242,11 @@
 	if cut {
 		return nil, errRefused
 	}
-	raw, err := l.DialContext(ctx)
+	raw, reset, err := l.dial(ctx)
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: &deadlineConn{Conn: raw}, fabric: f, from: host, to: l.host}
+	c := &conn{Conn: &deadlineConn{Conn: raw}, fabric: f, from: host, to: l.host, reset: reset}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.listeners[address] != l || f.dead[host] || f.partitions[hostPair(host, l.host)] {
