--- a/internal/front/gateway/abort_test.go
+++ b/internal/front/gateway/abort_test.go
@@ -136,6 +136,20 @@
 	}
 }
 
+// TestResumedStreamBrokenOffBehindFirstLength guards against a broken-off response that looks complete, since the first
+// server's length was reached before the second server broke off.
+func TestResumedStreamBrokenOffBehindFirstLength(t *testing.T) {
+	h := firstThen(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", fmt.Sprint(len(events(1, 6))))
+		serveThenBreak(w, r)
+	}, func(w http.ResponseWriter, r *http.Request) {
+		serveEvents(w, r)
+		panic(http.ErrAbortHandler)
+	})
+	got := newFixture(t, h, h).send("/resume/x", "hello")
+	assert.Assert(t, got.broken, "a broken-off response looks complete: %q", got.body)
+}
+
 // TestStreamBrokenBeforeFirstEvent guards against a connection that ends without a status where nothing of the response
 // had been sent.
 func TestStreamBrokenBeforeFirstEvent(t *testing.T) {
