gateway: a stream that breaks off before its first event ends with a status

What callers saw: a stream whose server failed after its head and before its first event ended with the caller's connection and without a status, although nothing had been sent yet.

Cause: the head of the response was taken for sent as soon as the server's head had come; it is sent with the first event.

Evidence: TestStreamBrokenBeforeFirstEvent (stream, turn, resume) got no status before, 502 now. In the tests of broken-off streams a 502 was always allowed there.

Change: the head is written with the first event, with the first part of one that is forwarded in pieces, or with the end of a stream without events. Whether a turn's tokens stay reserved no longer depends on the head: any response of a server means that the request may have run.

--- a/internal/front/gateway/stream.go
+++ b/internal/front/gateway/stream.go
@@ -46,7 +46,7 @@
 	s.initialBytes = s.memory.bytes
 	defer s.memory.release()
 	if refused := s.run(); refused != nil {
-		if !s.mayHaveRun && !x.headSent {
+		if !s.mayHaveRun {
 			x.releaseReservation(p.reservation)
 		}
 		return refused
@@ -170,14 +170,13 @@
 	defer s.attempt.cancel()
 	defer s.attempt.response.Close()
 	s.x.received.begin(s.attempt.response.Framing)
+	s.mayHaveRun = true
 	if !isSuccess(s.attempt.response.Status) {
 		return s.forwardFailure()
 	}
-	if !s.x.headSent {
-		s.x.writeResponseHead(s.attempt.response, 0, true)
-	}
 	err := s.copyEvents()
 	if err == nil {
+		s.sendHead()
 		s.complete = true
 		s.attempt.choice.Generated = s.x.countTokens(s.attempt.choice.Server, s.events)
 		s.x.recordAttempt(s.attempt.choice, s.attempt.began, strconv.Itoa(s.attempt.response.Status), s.attempt.pace.outcome(balance.Answered))
@@ -200,6 +199,13 @@
 	return false, nil
 }
 
+// sendHead sends the head of the response with its first event, or with its end. Until then another status can be sent.
+func (s *stream) sendHead() {
+	if !s.x.headSent {
+		s.x.writeResponseHead(s.attempt.response, 0, true)
+	}
+}
+
 // forwardFailure forwards a server's error response, unless another server may be asked instead.
 func (s *stream) forwardFailure() (done bool, refused *refusal) {
 	response := s.attempt.response
@@ -254,6 +260,7 @@
 		if memoryErr := s.reserveRecorded(len(event.raw)); memoryErr != nil {
 			return memoryErr
 		}
+		s.sendHead()
 		if writeErr := s.x.write(event.raw, pace); writeErr != nil {
 			return errCallerLeft
 		}
@@ -320,6 +327,7 @@
 		s.spilled = true
 		s.x.logMemoryExceeded(memoryErr, memoryUnbuffered)
 	}
+	s.sendHead()
 	if err := s.x.write(raw, &s.attempt.pace); err != nil {
 		return errCallerLeft
 	}
