gateway: events of every form, and event streams of every framing on plain routes

What callers would see, found by the review of the fix: - On a plain route, an event stream whose length or chunks end inside an event was a whole 200 still. The rule is that it was broken off whatever its framing says, as on stream routes. - A whole stream of `data` without a colon, behind a byte order mark, or of events without data counted as one without events and broke off when it ended with its connection; on a route that allows resumption another server then started over, and the caller got an event twice in a complete answer.

Cause: "an event" meant a line that begins with `data:`, and the check of plain routes asked for the framing first.

Change: a line is a field name up to its colon, a byte order mark before the first is dropped, and an event is whatever has a field; comments are none. Plain routes check event streams of all framings and don't forward their length. The head of a stream without events is sent once its turn is recorded. rookpass_responses_total counts by the outcome of these checks. At the client, an answer to HEAD without a length closes its connection as it did before, and a closed in-memory pipe counts as an orderly close.

--- a/internal/front/gateway/abort_test.go
+++ b/internal/front/gateway/abort_test.go
@@ -188,19 +188,69 @@
 	assert.Assert(t, got.broken)
 }
 
-// TestEventStreamOnPlainRoute guards against an event stream that ends inside an event and is forwarded as complete by a
-// route that does not forward events one by one.
+// TestEventStreamOnPlainRoute guards against an event stream of any framing that ends inside an event and is forwarded as
+// complete by a route that does not forward events one by one.
 func TestEventStreamOnPlainRoute(t *testing.T) {
-	h := serveRaw("Content-Type: text/event-stream\r\n", events(1, 3)+"id: 4\nda", false)
-	for _, path := range []string{"/twice/x", "/once/x"} {
+	for name, c := range endsInsideEvent(events(1, 3) + "id: 4\nda") {
+		for _, path := range []string{"/twice/x", "/once/x"} {
+			t.Run(name+path, func(t *testing.T) {
+				h := serveRaw("Content-Type: text/event-stream\r\n"+c.fields, c.body, false)
+				r := newFixture(t, h, h, h)
+				got := r.send(path, "hello")
+				assert.Equal(t, got.status, http.StatusBadGateway, "%q", got.body)
+				assert.Assert(t, responseCounts(t, r)[name+"-truncated"] > 0)
+			})
+		}
+	}
+}
+
+// TestLargeEventStreamOnPlainRoute guards against the same where the stream is too large to be buffered whole.
+func TestLargeEventStreamOnPlainRoute(t *testing.T) {
+	large := "data: " + strings.Repeat("e", 400<<10)
+	for name, c := range endsInsideEvent(large) {
+		t.Run(name, func(t *testing.T) {
+			h := serveRaw("Content-Type: text/event-stream\r\n"+c.fields, c.body, false)
+			got := newFixture(t, h).send("/once/x", "hello")
+			assert.Assert(t, got.broken, "%d bytes", len(got.body))
+		})
+	}
+	whole := serveRaw("Content-Type: text/event-stream\r\n", large+"\n\n", false)
+	got := newFixture(t, whole).send("/once/x", "hello")
+	assert.Assert(t, !got.broken)
+	assert.Equal(t, got.body, large+"\n\n")
+}
+
+// framedBody is the header fields that frame a body, and the body with its framing.
+type framedBody struct{ fields, body string }
+
+// endsInsideEvent returns a body in each framing.
+func endsInsideEvent(body string) map[string]framedBody {
+	return map[string]framedBody{
+		"connection": {"", body},
+		"length":     {fmt.Sprintf("Content-Length: %d\r\n", len(body)), body},
+		"chunked":    {"Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)},
+	}
+}
+
+// TestEmptyStreamOfResumingCaller guards against a response that is refused on a plain route though it had nothing to add
+// to the events that the caller has.
+func TestEmptyStreamOfResumingCaller(t *testing.T) {
+	for _, path := range []string{"/twice/x", "/resume/x", "/stream/x"} {
 		t.Run(path, func(t *testing.T) {
-			r := newFixture(t, h, h, h)
-			got := r.send(path, "hello")
-			assert.Equal(t, got.status, http.StatusBadGateway, "%q", got.body)
+			h := serveRaw("Content-Type: text/event-stream\r\n", "", false)
+			got := newFixture(t, h, h, h).send(path, "hello", "After", "3")
+			assert.Assert(t, got.status == http.StatusOK && !got.broken, "status %d", got.status)
 		})
 	}
 }
 
+// TestEmptyTurnNotKeptHasStatus guards against an end without a status where nothing of the response was sent.
+func TestEmptyTurnNotKeptHasStatus(t *testing.T) {
+	r := newFixture(t, serveRaw("Content-Type: text/event-stream\r\nContent-Length: 0\r\n", "", false))
+	r.ledger.fail["finish"] = errors.New("no quorum")
+	assert.Equal(t, r.send("/turn/x", "hello").status, http.StatusBadGateway)
+}
+
 // TestHeadKeepsLength guards against a HEAD response that announces an empty body in place of the server's length.
 func TestHeadKeepsLength(t *testing.T) {
 	r := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/front/gateway/attempt.go
+++ b/internal/front/gateway/attempt.go
@@ -75,7 +75,7 @@
 	switch {
 	case response.Info.NotRun:
 		_, _ = io.Copy(io.Discard, response.Body) // so that the connection can be reused
-		x.countResponse(response.Framing, response.Ending())
+		x.countResponse(response, nil)
 		response.Close()
 		reason := reasonShed
 		if response.Status == http.StatusMisdirectedRequest {
--- a/internal/front/gateway/eventforms_test.go
+++ b/internal/front/gateway/eventforms_test.go
@@ -164,3 +164,38 @@
 		}
 	}
 }
+
+// Guards against whole streams that are refused for the form of their events.
+func TestUnusualFormsOfEventsAreWhole(t *testing.T) {
+	for _, body := range []string{"data: 1\n\r\n", "data: 1\r\n\n", "\ufeffdata: 1\n\n", "data\n\n", "data: 1\n\n: bye\n\n", "data: 1\n\n\n\n",
+		"event: done\n\n", "id: 7\n\n", "retry: 7\n\n"} {
+		for _, path := range []string{"/stream/x", "/turn/x", "/resume/x", "/once/x"} {
+			t.Run(fmt.Sprintf("%q%s", body, path), func(t *testing.T) {
+				h := serveRaw("Content-Type: text/event-stream\r\n", body, false)
+				got := newFixture(t, h, h, h).send(path, "hello")
+				assert.Assert(t, got.status == http.StatusOK && !got.broken, "status %d, broken off %t", got.status, got.broken)
+				assert.Equal(t, got.body, body)
+			})
+		}
+	}
+}
+
+// Guards against a stream that is taken for whole although its connection ended before any event.
+func TestCommentsAreNoEvents(t *testing.T) {
+	for _, body := range []string{": hi\n\n", "\n"} {
+		got := newFixture(t, serveRaw("Content-Type: text/event-stream\r\n", body, false)).send("/stream/x", "hello")
+		assert.Assert(t, got.broken, "status %d", got.status)
+	}
+}
+
+// Guards against an event that is sent twice in a whole answer, since it counts as none and another server starts over.
+func TestEventsOfUnusualFormAreNotRepeated(t *testing.T) {
+	for _, first := range []string{"data\n\n", "\ufeffid: 1\ndata\n\n", "\ufeffdata: 1\n\n"} {
+		for _, reset := range []bool{false, true} {
+			h := firstThen(serveRaw("Content-Type: text/event-stream\r\n", first, reset), serveEvents)
+			got := newFixture(t, h, h).send("/resume/x", "hello")
+			count := strings.Count(got.body, "data")
+			assert.Check(t, got.broken || got.body == first || count == 6, "complete: %q", got.body)
+		}
+	}
+}
--- a/internal/front/gateway/events.go
+++ b/internal/front/gateway/events.go
@@ -16,7 +16,9 @@
 	raw     []byte
 	data    []byte
 	hasData bool
-	id      string
+	// hasField is set unless the event has only comments.
+	hasField bool
+	id       string
 }
 
 // eventReader splits a text/event-stream into events.
@@ -31,6 +33,8 @@
 	spill func(raw []byte, memoryErr error) error
 	// unfinished counts the bytes read after the last blank line, spilled ones included.
 	unfinished int64
+	// started is set once the first line was read.
+	started bool
 	// ended is set once the stream has ended or a read has failed.
 	ended bool
 }
@@ -46,7 +50,7 @@
 // framing is complete.
 var errTruncatedEvent = Error.New("response ended inside an event")
 
-// readEvent returns the next event, or io.EOF if the response ended after a blank line or is empty. Any other error
+// readEvent returns the next event, or io.EOF if the response ended after a blank line or had no bytes. Any other error
 // means that the stream was truncated.
 func (e *eventReader) readEvent() (event, error) {
 	var ev event
@@ -67,7 +71,7 @@
 					return ev, memoryErr
 				}
 				if !spilled {
-					ev.addLine(ev.raw[start:], false)
+					e.addLine(&ev, ev.raw[start:], false)
 				}
 				if spillErr := e.spill(ev.raw, memoryErr); spillErr != nil {
 					return ev, spillErr
@@ -94,7 +98,7 @@
 			e.unfinished = 0
 			return ev, nil
 		}
-		ev.addLine(line, e.keepData)
+		e.addLine(&ev, line, e.keepData)
 	}
 }
 
@@ -106,17 +110,33 @@
 	return e.reserve(size)
 }
 
-// addLine adds a line to an event. Several data lines are joined by line feeds.
-func (ev *event) addLine(line []byte, keepData bool) {
-	if id, isID := bytes.CutPrefix(line, []byte("id:")); isID {
-		ev.id = string(bytes.TrimSpace(id))
-		return
-	}
-	value, isData := bytes.CutPrefix(line, []byte("data:"))
-	if !isData {
-		return
+// byteOrderMark may precede the first line of a stream.
+var byteOrderMark = []byte("\ufeff")
+
+// addLine adds the next line of the stream to an event.
+func (e *eventReader) addLine(ev *event, line []byte, keepData bool) {
+	if !e.started {
+		line = bytes.TrimPrefix(line, byteOrderMark)
+		e.started = true
 	}
+	ev.addLine(line, keepData)
+}
+
+// addLine adds a line to an event. Several data lines are joined by line feeds. A line without a colon is a field
+// without a value, one that starts with a colon a comment.
+func (ev *event) addLine(line []byte, keepData bool) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	ev.hasField = ev.hasField || len(name) > 0
 	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(name) {
+	case "id":
+		ev.id = string(bytes.TrimSpace(value))
+	case "data":
+		ev.addData(value, keepData)
+	}
+}
+
+func (ev *event) addData(value []byte, keepData bool) {
 	switch {
 	case !keepData:
 	case ev.hasData:
--- a/internal/front/gateway/gateway.go
+++ b/internal/front/gateway/gateway.go
@@ -249,8 +249,11 @@
 func (x *exchange) resetConnection() {
 	conn, _, err := http.NewResponseController(x.w).Hijack()
 	if err == nil {
-		if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		tcp, ok := conn.(interface{ SetLinger(seconds int) error })
+		if ok {
 			err = tcp.SetLinger(0)
+		} else {
+			err = Error.New("a connection of type %T can't be reset", conn)
 		}
 		err = errors.Join(err, conn.Close())
 	}
--- a/internal/front/gateway/plain.go
+++ b/internal/front/gateway/plain.go
@@ -217,7 +217,7 @@
 		memoryErr = t.memory.growTo(wanted)
 	}
 	buffered := make([]byte, 0, min(t.memory.bytes, maxBufferedBytes))
-	t.end = newStreamEnd(response)
+	t.end = newStreamEnd(response, x.requestInfo.LastEvent != "")
 	for {
 		if len(buffered) == cap(buffered) {
 			wanted := min(2*cap(buffered), maxBufferedBytes)
@@ -233,13 +233,13 @@
 		n, err := response.Body.Read(buffered[len(buffered):cap(buffered)])
 		t.end.add(buffered[len(buffered) : len(buffered)+n])
 		buffered = buffered[:len(buffered)+n]
+		if errors.Is(err, io.EOF) {
+			err = t.end.check()
+		}
 		if err != nil {
-			x.countResponse(response.Framing, response.Ending())
+			x.countResponse(response, err)
 		}
 		if errors.Is(err, io.EOF) {
-			if endErr := t.end.check(); endErr != nil {
-				return endErr
-			}
 			break
 		}
 		if err != nil {
@@ -283,18 +283,18 @@
 	for piece := t.buffered[:min(cap(t.buffered), copyBytes)]; ; {
 		n, err := body.Read(piece)
 		t.end.add(piece[:n])
+		if errors.Is(err, io.EOF) {
+			err = t.end.check()
+		}
 		if err != nil {
-			x.countResponse(t.response.Framing, t.response.Ending())
+			x.countResponse(t.response, err)
 		}
 		if writeErr := x.write(piece[:n], &pace); writeErr != nil {
 			x.recordAttempt(t.choice, t.began, reasonCallerLeft, balance.Abandoned)
 			return x.unwritten(writeErr)
 		}
 		if errors.Is(err, io.EOF) {
-			err = t.end.check()
-			if err == nil {
-				break
-			}
+			break
 		}
 		if err != nil {
 			failure := upstream.NewFailure(verdict.MayHaveRun, pace.failureReason(upstream.ReasonRead), err)
@@ -350,7 +350,7 @@
 	switch {
 	case !more && !head:
 		h["Content-Length"] = []string{strconv.Itoa(length)}
-	case response.Length >= 0 && (head || !x.streams()):
+	case response.Length >= 0 && (head || !x.streams() && !isEventStream(response)):
 		h["Content-Length"] = []string{strconv.FormatInt(response.Length, 10)}
 	}
 	x.headSent = true
--- a/internal/front/gateway/received.go
+++ b/internal/front/gateway/received.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"errors"
+
 	"github.com/sirupsen/logrus"
 
 	"github.com/rookpass/rookpass/internal/transport/upstream"
@@ -31,9 +33,14 @@
 	}
 }
 
-// countResponse counts a response unless it was given up before its end.
-func (x *exchange) countResponse(framing upstream.Framing, ending upstream.Ending) {
+// countResponse counts a response that has ended with an error or, if err is nil or io.EOF, without. It does not count one
+// that was given up before its end.
+func (x *exchange) countResponse(response *upstream.Response, err error) {
+	ending := response.Ending()
+	if errors.Is(err, errTruncatedEvent) || errors.Is(err, errNoEvents) {
+		ending = upstream.EndingTruncated
+	}
 	if ending != upstream.EndingUnknown {
-		x.g.stats.response(framing, ending)
+		x.g.stats.response(response.Framing, ending)
 	}
 }
--- a/internal/front/gateway/stream.go
+++ b/internal/front/gateway/stream.go
@@ -55,7 +55,11 @@
 		return nil // a server's error was forwarded; it may have generated tokens
 	}
 	x.g.scheduler.ObserveCompletion(admission)
-	return x.recordTurn(p, s.attempt.choice.Server, s.events)
+	if refused := x.recordTurn(p, s.attempt.choice.Server, s.events); refused != nil {
+		return refused
+	}
+	s.sendHead() // not yet sent if the stream had no events
+	return nil
 }
 
 // sentEvents are the events of a stream that were sent to the caller.
@@ -64,6 +68,8 @@
 	output []byte
 	// lastID is the id of the last event that had one.
 	lastID string
+	// begun is set once an event with a field was sent: comments do not count.
+	begun bool
 	// continuable is set unless the last event has no id: a server that is asked to continue would send it again.
 	continuable bool
 }
@@ -176,7 +182,6 @@
 	}
 	err := s.copyEvents()
 	if err == nil {
-		s.sendHead()
 		s.complete = true
 		s.attempt.choice.Generated = s.x.countTokens(s.attempt.choice.Server, s.events)
 		s.x.recordAttempt(s.attempt.choice, s.attempt.began, strconv.Itoa(s.attempt.response.Status), s.attempt.pace.outcome(balance.Answered))
@@ -199,7 +204,8 @@
 	return false, nil
 }
 
-// sendHead sends the head of the response with its first event, or with its end. Until then another status can be sent.
+// sendHead sends the head of the response, with its first event or once it is complete. Until then another status can be
+// sent.
 func (s *stream) sendHead() {
 	if !s.x.headSent {
 		s.x.writeResponseHead(s.attempt.response, 0, true)
@@ -275,8 +281,7 @@
 // checkEnd returns an error if a response that ended between two events can't be complete: the end of a connection
 // before any event says nothing about the response.
 func (s *stream) checkEnd() error {
-	hasEvents := s.events.count > 0 || s.events.lastID != ""
-	if s.attempt.response.Framing == upstream.FramingConnection && !hasEvents {
+	if s.attempt.response.Framing == upstream.FramingConnection && !s.events.begun && s.events.lastID == "" {
 		return errNoEvents
 	}
 	return nil
@@ -285,14 +290,9 @@
 // recordEnd records for the log where a response ended, and counts it unless it was given up before its end.
 func (s *stream) recordEnd(reader *eventReader, err error) {
 	s.x.received.events, s.x.received.unfinished = s.events.count, reader.unfinished
-	if !reader.ended {
-		return
-	}
-	ending := s.attempt.response.Ending()
-	if errors.Is(err, errTruncatedEvent) || errors.Is(err, errNoEvents) {
-		ending = upstream.EndingTruncated
+	if reader.ended {
+		s.x.countResponse(s.attempt.response, err)
 	}
-	s.x.countResponse(s.attempt.response.Framing, ending)
 }
 
 // outputMemory returns the memory of an output of n bytes: its bytes, the spare capacity of their buffer, and the copies
@@ -350,6 +350,7 @@
 
 // recordEvent counts an event that was sent, and stores its data if the route retains turns.
 func (s *stream) recordEvent(e *event) {
+	s.events.begun = s.events.begun || e.hasField
 	if e.id != "" {
 		s.events.lastID = e.id
 	}
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -198,7 +198,8 @@
 	response := &Response{Status: resp.StatusCode, Header: resp.Header, Info: reply, Length: resp.ContentLength,
 		Framing: framingOf(r.Method, resp), ctx: ctx, conn: c, resp: resp, writing: writing}
 	response.Body = &eofTracker{response: response}
-	keep := response.Framing != FramingConnection && !resp.Close && writeDone && writeErr == nil
+	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	keep := framed && !resp.Close && writeDone && writeErr == nil
 	response.close = func(complete bool) {
 		ended := stop()
 		if !complete || !keep || !ended || c.reader.Buffered() > 0 {
--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -361,7 +361,7 @@
 		{"connection", "POST", "200 OK", "", "whole", upstream.FramingConnection, upstream.EndingComplete, false},
 		{"HEAD, length", "HEAD", "200 OK", "Content-Length: 5\r\n", "", upstream.FramingNone, upstream.EndingComplete, true},
 		{"HEAD, chunks", "HEAD", "200 OK", chunked, "", upstream.FramingNone, upstream.EndingComplete, true},
-		{"HEAD, neither", "HEAD", "200 OK", "", "", upstream.FramingNone, upstream.EndingComplete, true},
+		{"HEAD, neither", "HEAD", "200 OK", "", "", upstream.FramingNone, upstream.EndingComplete, false},
 		{"no content", "POST", "204 No Content", "", "", upstream.FramingNone, upstream.EndingComplete, true},
 		{"not modified", "GET", "304 Not Modified", "Content-Length: 5\r\n", "", upstream.FramingNone, upstream.EndingComplete, true},
 	} {
--- a/internal/transport/upstream/write.go
+++ b/internal/transport/upstream/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -46,14 +47,19 @@
 }
 
 // wasReset ends the write and reports whether it met a reset of the connection. A socket tells of a reset only once:
-// if the write has taken it, a read gets io.EOF, as after an orderly close. EPIPE is the error of a write after an orderly
-// close.
+// if the write has taken it, a read gets io.EOF, as after an orderly close. EPIPE, or io.ErrClosedPipe in memory, is the
+// error of a write after an orderly close.
 func (w *requestWrite) wasReset() bool {
 	if done, _ := w.poll(); !done {
 		_ = w.conn.SetWriteDeadline(time.Unix(0, 0)) // fails only if the connection was closed, which ends the write too
 		<-w.done
 	}
-	return w.err != nil && !errors.Is(w.err, os.ErrDeadlineExceeded) && !errors.Is(w.err, syscall.EPIPE)
+	for _, orderly := range []error{os.ErrDeadlineExceeded, syscall.EPIPE, io.ErrClosedPipe} {
+		if errors.Is(w.err, orderly) {
+			return false
+		}
+	}
+	return w.err != nil
 }
 
 func writeAll(c net.Conn, head []byte, body [][]byte) error {
