--- a/internal/testing/programreport/analysis.go
+++ b/internal/testing/programreport/analysis.go
@@ -389,19 +389,6 @@
 	return problem
 }
 
-// responseText describes the last server's response to a request that failed, or whose response ended inside an event.
-func responseText(r *request, l *line) string {
-	framing, unfinished := l.fields["framing"], l.integer("unfinished_bytes")
-	if framing == "" || !r.failed() && unfinished == 0 {
-		return ""
-	}
-	text := "response framed by " + clean(framing, 20)
-	if l.fields["events"] != "" {
-		text += fmt.Sprintf(" after %d events and %d unfinished bytes", l.integer("events"), unfinished)
-	}
-	return text
-}
-
 // pendingRequest returns the request without an end of a VM and ID. If there is none it begins one, and keeps it if
 // further lines are to follow.
 func (a *Analysis) pendingRequest(key requestKey, arrived time.Duration, keep bool) *request {
--- a/internal/testing/programreport/report.go
+++ b/internal/testing/programreport/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -410,3 +411,16 @@
 		row.Refused++
 	}
 }
+
+// responseText describes the last server's response to a request that failed, or whose response ended inside an event.
+func responseText(r *request, l *line) string {
+	framing, unfinished := l.fields["framing"], l.integer("unfinished_bytes")
+	if framing == "" || !r.failed() && unfinished == 0 {
+		return ""
+	}
+	text := "response framed by " + clean(framing, 20)
+	if l.fields["events"] != "" {
+		text += fmt.Sprintf(" after %d events and %d unfinished bytes", l.integer("events"), unfinished)
+	}
+	return text
+}
