--- a/internal/front/gateway/abort_test.go
+++ b/internal/front/gateway/abort_test.go
@@ -298,6 +298,11 @@
 // serveRaw is a server that sends a response without the framing of net/http and ends its connection by a reset or a
 // close.
 func serveRaw(fields, body string, reset bool) http.HandlerFunc {
+	return serveRawAs("HTTP/1.1", fields, body, reset)
+}
+
+// serveRawAs is serveRaw with another protocol version.
+func serveRawAs(version, fields, body string, reset bool) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body) // unread bytes would make a close a reset
 		conn, out, err := http.NewResponseController(w).Hijack()
@@ -305,7 +310,7 @@
 			return
 		}
 		defer func() { _ = conn.Close() }()
-		_, _ = fmt.Fprintf(out, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\n%s\r\n%s", r.Header.Get("Id"), fields, body) // the gateway may have left
+		_, _ = fmt.Fprintf(out, "%s 200 OK\r\nId: %s\r\nSeal: s\r\n%s\r\n%s", version, r.Header.Get("Id"), fields, body) // the gateway may have left
 		_ = out.Flush()
 		if reset {
 			_ = conn.(*net.TCPConn).SetLinger(0)
@@ -343,6 +348,26 @@
 	}
 }
 
+// TestChunksOfHTTP10ServerReachNoCaller guards against chunk sizes in a caller's body, and against a broken-off response
+// that its caller takes for complete.
+func TestChunksOfHTTP10ServerReachNoCaller(t *testing.T) {
+	for name, body := range map[string]string{"whole": "4\r\nfour\r\n0\r\n\r\n", "broken off": "4\r\nfou"} {
+		h := serveRawAs("HTTP/1.0", "Transfer-Encoding: chunked\r\n", body, false)
+		for _, path := range []string{"/once/x", "/twice/x", "/stream/x", "/turn/x", "/resume/x"} {
+			t.Run(name+path, func(t *testing.T) {
+				got := newFixture(t, h, h, h).send(path, "hello")
+				assert.Equal(t, got.status, http.StatusBadGateway, "%q", got.body)
+			})
+		}
+		t.Run(name+", another server", func(t *testing.T) {
+			h := firstThen(h, echo)
+			got := newFixture(t, h, h).send("/twice/x", "hello")
+			assert.Equal(t, got.status, http.StatusOK)
+			assert.Assert(t, !strings.Contains(got.body, "fou"), "%q", got.body)
+		})
+	}
+}
+
 // TestSpilledEventCutOff guards against a stream that ends inside an event of which the beginning was forwarded, since it
 // did not fit into the memory limit, being taken for complete.
 func TestSpilledEventCutOff(t *testing.T) {
--- a/internal/transport/upstream/framing_test.go
+++ b/internal/transport/upstream/framing_test.go
@@ -6,10 +6,12 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/rookpass/rookpass/internal/base/verdict"
 	"github.com/rookpass/rookpass/internal/transport/upstream"
 )
 
@@ -182,3 +184,104 @@
 	body, failure := send(background(t), newPool(), address, "1")
 	assert.Assert(t, failure != nil, "%q", body)
 }
+
+// TestFaultyFramingIsRefused guards against framing being forwarded as the body of a complete response: the end of a
+// response with a faulty framing is not known.
+func TestFaultyFramingIsRefused(t *testing.T) {
+	const chunks = "4\r\nfour\r\n0\r\n\r\n"
+	long := strings.Repeat("Pad: "+strings.Repeat("p", 1000)+"\r\n", 10) // more than the connection's buffer
+	for _, c := range []struct{ name, version, fields, body string }{
+		{"chunks in HTTP/1.0", "HTTP/1.0", "Transfer-Encoding: chunked\r\n", chunks},
+		{"chunks in HTTP/1.0, with a length", "HTTP/1.0", "Content-Length: 14\r\nTransfer-Encoding: chunked\r\n", chunks},
+		{"chunks in HTTP/1.0, kept open", "HTTP/1.0", "Connection: keep-alive\r\nContent-Length: 14\r\nTransfer-Encoding: chunked\r\n", chunks},
+		{"chunks in HTTP/1.0, behind many fields", "HTTP/1.0", long + "Transfer-Encoding: chunked\r\n", chunks},
+		{"chunks in HTTP/1.0, behind a long name", "HTTP/1.0", strings.Repeat("n", 70) + ": 1\r\nTransfer-Encoding: chunked\r\n", chunks},
+		{"chunks in HTTP/1.0, on a continued line", "HTTP/1.0", "Transfer-Encoding:\r\n chunked\r\n", chunks},
+		{"chunks in HTTP/0.9", "HTTP/0.9", "transfer-encoding:chunked\r\n", chunks},
+		{"another coding in HTTP/1.0", "HTTP/1.0", "Transfer-Encoding: gzip\r\n", "four"},
+		{"no coding in HTTP/1.0", "HTTP/1.0", "Transfer-Encoding: identity\r\nContent-Length: 4\r\n", "four"},
+		{"another coding", "HTTP/1.1", "Transfer-Encoding: gzip\r\n", "four"},
+		{"two codings", "HTTP/1.1", "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n", chunks},
+		{"two lengths", "HTTP/1.1", "Content-Length: 4\r\nContent-Length: 14\r\n", "four"},
+		{"list of two lengths", "HTTP/1.1", "Content-Length: 4, 14\r\n", "four"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			address := server(t, func(conn net.Conn, r *bufio.Reader) {
+				_, _, _ = read(r)
+				_, _ = fmt.Fprintf(conn, "%s 200 OK\r\nId: 1\r\nSeal: s\r\n%s\r\n%s", c.version, c.fields, c.body)
+			})
+			body, failure := send(background(t), newPool(), address, "1")
+			assert.Assert(t, failure != nil, "%q", body)
+			assert.Equal(t, failure.Verdict, verdict.MayHaveRun)
+		})
+	}
+}
+
+// TestSoundHTTP10Responses guards against responses of HTTP/1.0 that are refused although their end is known.
+func TestSoundHTTP10Responses(t *testing.T) {
+	long := strings.Repeat("Pad: "+strings.Repeat("p", 1000)+"\r\n", 10)
+	for _, c := range []struct{ name, method, sent, body string }{
+		{"length", "POST", "HTTP/1.0 200 OK\r\nId: 1\r\nSeal: s\r\nContent-Length: 4\r\n\r\nfour", "four"},
+		{"long head", "POST", "HTTP/1.0 200 OK\r\nId: 1\r\nSeal: s\r\n" + long + "Content-Length: 4\r\n\r\nfour", "four"},
+		{"connection", "POST", "HTTP/1.0 200 OK\r\nId: 1\r\nSeal: s\r\n\r\nfour", "four"},
+		{"interim response with chunks", "POST", "HTTP/1.0 102 Processing\r\nTransfer-Encoding: chunked\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\n\r\nfour", "four"},
+		{"no body", "HEAD", "HTTP/1.0 200 OK\r\nId: 1\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n", ""},
+		{"no content", "POST", "HTTP/1.0 204 No Content\r\nId: 1\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n", ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			address := server(t, func(conn net.Conn, r *bufio.Reader) {
+				_, _, _ = read(r)
+				_, _ = io.WriteString(conn, c.sent)
+			})
+			r := request("1")
+			if r.Method = c.method; c.method == "HEAD" {
+				r.Body, r.Header = nil, http.Header{"Id": {"1"}}
+			}
+			response, failure := newPool().Do(background(t), upstream.Endpoint{Address: address}, 0, r)
+			assert.Assert(t, failure == nil, "%v", failure)
+			defer response.Close()
+			body, err := io.ReadAll(response.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, string(body), c.body)
+		})
+	}
+}
+
+// TestMalformedHeadFailsAtOnce guards against waiting for the rest of a head that can't be one.
+func TestMalformedHeadFailsAtOnce(t *testing.T) {
+	for _, sent := range []string{"nonsense\r\n", "HTTP/1.1 200 OK\r\nno colon\r\n"} {
+		done := make(chan struct{})
+		address := server(t, func(conn net.Conn, r *bufio.Reader) {
+			_, _, _ = read(r)
+			_, _ = io.WriteString(conn, sent)
+			<-done
+		})
+		_, failure := send(background(t), newPool(), address, "1")
+		close(done)
+		assert.Assert(t, failure != nil)
+		assert.Equal(t, failure.Reason, upstream.ReasonMalformed, "%q", sent)
+	}
+}
+
+// TestKeptHTTP10ConnectionEndsAfterFaultyFraming guards against a connection that is used again although nobody can tell
+// where its next response begins.
+func TestKeptHTTP10ConnectionEndsAfterFaultyFraming(t *testing.T) {
+	address := server(t, func(conn net.Conn, r *bufio.Reader) {
+		for {
+			id, _, err := read(r)
+			if err != nil {
+				return
+			}
+			_, _ = fmt.Fprintf(conn, "HTTP/1.0 204 No Content\r\nConnection: keep-alive\r\nId: %s\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n", id)
+		}
+	})
+	p := newPool()
+	for i := range 2 {
+		response, failure := p.Do(background(t), upstream.Endpoint{Address: address}, 0, request(fmt.Sprint(i)))
+		assert.Assert(t, failure == nil, "%v", failure)
+		_, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		response.Close()
+	}
+	assert.Equal(t, p.Reused(), int64(0))
+}
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -16,6 +17,7 @@
 
 	"github.com/rookpass/rookpass/internal/base/verdict"
 	"github.com/rookpass/rookpass/internal/transport/call"
+	"github.com/rookpass/rookpass/internal/transport/framing"
 )
 
 // Error is the class of this package's errors.
@@ -27,6 +29,8 @@
 	inlineBodyBytes = 8 << 10
 	// maxStrayResponses limits the late responses to earlier requests that are skipped on a connection.
 	maxStrayResponses = 4
+	// maxHeadBytes limits the head of a response, as net/http limits that of a request.
+	maxHeadBytes = 1 << 20
 )
 
 // Request is a request to a server.
@@ -160,6 +164,34 @@
 
 func newConn(c net.Conn) *conn { return &conn{Conn: c, reader: bufio.NewReaderSize(c, 4<<10)} }
 
+// peekHead returns what the head of the next response says of its framing. The head stays unread.
+func (c *conn) peekHead() (framing.Head, error) {
+	head := framing.NewHead(framing.Response)
+	for seen := 0; !head.Complete(); {
+		if seen == c.reader.Size() {
+			if seen >= maxHeadBytes {
+				return head, errMalformed
+			}
+			c.growReader()
+		}
+		if _, err := c.reader.Peek(seen + 1); err != nil {
+			return head, err
+		}
+		received, _ := c.reader.Peek(c.reader.Buffered()) // can't fail
+		head.Add(received[seen:])
+		seen = len(received)
+	}
+	return head, nil
+}
+
+// growReader doubles the buffer of the reader, which is full.
+func (c *conn) growReader() {
+	received, _ := c.reader.Peek(c.reader.Buffered()) // can't fail
+	source := io.MultiReader(bytes.NewReader(received), c.Conn)
+	c.reader = bufio.NewReaderSize(source, 2*c.reader.Size())
+	_, _ = c.reader.Peek(len(received)) // can't fail
+}
+
 // roundTrip sends a request on a connection and reads the head of its response. The connection is closed when ctx ends,
 // which tells the server that the request was cancelled.
 func roundTrip(ctx context.Context, c *conn, r *Request, codec call.HeaderCodec) (*Response, *Failure) {
@@ -224,10 +256,20 @@
 func readHead(c *conn, r *Request, codec call.HeaderCodec) (*http.Response, call.ResponseInfo, error) {
 	request := &http.Request{Method: r.Method}
 	for range maxStrayResponses {
+		head, err := c.peekHead()
+		if err != nil {
+			return nil, call.ResponseInfo{}, err
+		}
 		resp, err := http.ReadResponse(c.reader, request)
 		if err != nil {
 			return nil, call.ResponseInfo{}, err
 		}
+		if head.Faulty() {
+			if framingOf(r.Method, resp) != FramingNone {
+				return nil, call.ResponseInfo{}, framing.ErrFaulty
+			}
+			resp.Close = true
+		}
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
 		}
