--- a/internal/transport/httpclient/framing_test.go
+++ b/internal/transport/httpclient/framing_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -143,3 +144,67 @@
 	body, err := resp.ReadAll(t.Context(), 1<<20)
 	assert.Assert(t, err != nil, "complete with %q", body)
 }
+
+// TestChunksOfHTTP10ResponseAreNoBody guards against chunk sizes taken for a part of the body, and against a response that
+// is complete although it broke off inside a chunk.
+func TestChunksOfHTTP10ResponseAreNoBody(t *testing.T) {
+	for _, answer := range []string{
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwho",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwh",
+		"HTTP/1.0 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: gzip\r\n\r\nwhole",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwho",
+	} {
+		for _, once := range []bool{false, true} {
+			client := httpclient.New(serveRaw(t, answer, false), httpclient.DialTCP, time.Minute)
+			defer client.Close()
+			resp, err := client.Do(t.Context(), httpclient.Request{Method: http.MethodPost, Path: "/", AtMostOnce: once})
+			if err == nil {
+				body, _ := resp.ReadAll(t.Context(), 1<<20)
+				t.Errorf("once=%t: complete with %q of %q", once, body, answer)
+				continue
+			}
+			assert.ErrorIs(t, err, httpclient.ErrNoResponse)
+		}
+	}
+}
+
+// TestSecondResponseOfConnectionIsChecked guards against a check of the first response on a kept connection only.
+func TestSecondResponseOfConnectionIsChecked(t *testing.T) {
+	var dials atomic.Int64
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			dials.Add(1)
+			go func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for _, answer := range []string{"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwho"} {
+					if _, err := http.ReadRequest(reader); err != nil {
+						return
+					}
+					_, _ = conn.Write([]byte(answer))
+				}
+			}()
+		}
+	}()
+	client := httpclient.New(listener.Addr().String(), httpclient.DialTCP, time.Minute)
+	defer client.Close()
+	for i := range 2 {
+		resp, err := client.Do(t.Context(), httpclient.Request{Method: http.MethodGet, Path: "/"})
+		if i == 1 {
+			assert.ErrorIs(t, err, httpclient.ErrNoResponse)
+			continue
+		}
+		assert.NilError(t, err)
+		_, err = resp.ReadAll(t.Context(), 1<<20)
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, dials.Load(), int64(1))
+}
--- a/internal/transport/httpclient/httpclient.go
+++ b/internal/transport/httpclient/httpclient.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/rookpass/rookpass/internal/base/guard"
+	"github.com/rookpass/rookpass/internal/transport/framing"
 	"github.com/valyala/fasthttp"
 	"go.opentelemetry.io/otel/propagation"
 )
@@ -88,7 +89,7 @@
 		if err != nil {
 			return nil, &dialError{err: err}
 		}
-		withTimeout := &idleConn{Conn: conn, limit: idle}
+		withTimeout := &idleConn{Conn: framing.NewClientConn(conn), limit: idle}
 		withTimeout.timer = time.AfterFunc(idle, func() { _ = conn.Close() })
 		return withTimeout, nil
 	}
