--- a/internal/transport/framing/conn.go
+++ b/internal/transport/framing/conn.go
@@ -1,8 +1,11 @@
 package framing
 
 import (
+	"context"
 	"net"
 	"sync"
+
+	"github.com/rookpass/rookpass/internal/transport/network"
 )
 
 // clientConn fails when it receives a response with faulty framing.
@@ -19,6 +22,17 @@
 	return &clientConn{Conn: conn, head: NewHead(Response)}
 }
 
+// CheckResponses returns a DialContext whose connections are those of NewClientConn.
+func CheckResponses(dial network.DialContext) network.DialContext {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return NewClientConn(conn), nil
+	}
+}
+
 // Write implements net.Conn. A request makes the connection expect a response.
 func (c *clientConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
