--- a/internal/transport/framing/framing.go
+++ b/internal/transport/framing/framing.go
@@ -1,6 +1,6 @@
 // Package framing finds HTTP/1 messages whose framing is faulty and that the HTTP libraries accept all the same. They drop
 // the Transfer-Encoding of an HTTP/1.0 message, so that its chunks become its body and a broken-off message looks complete
-// (RFC 9112, section 6.1).
+// (RFC 9112, section 6.1); net/http also ignores a framing field whose name is followed by a space (section 5.1).
 package framing
 
 import (
@@ -11,7 +11,7 @@
 )
 
 // ErrFaulty means that nobody can tell where the body of a message ends.
-var ErrFaulty = errs.New("faulty framing: Transfer-Encoding in an HTTP/1.0 message")
+var ErrFaulty = errs.New("faulty framing: Transfer-Encoding in an HTTP/1.0 message, or a space behind the name of a framing field")
 
 // Kind is the kind of a message.
 type Kind int
@@ -39,6 +39,7 @@
 	interim          bool
 	transferEncoding bool
 	contentLength    bool
+	spaced           bool
 }
 
 // NewHead returns the empty head of a message.
@@ -48,7 +49,7 @@
 func (h *Head) Complete() bool { return h.complete }
 
 // Faulty reports whether the framing is faulty. It is false until the head is complete.
-func (h *Head) Faulty() bool { return h.complete && h.transferEncoding && h.version10 }
+func (h *Head) Faulty() bool { return h.complete && (h.transferEncoding && h.version10 || h.spaced) }
 
 // Contradictory reports whether the message has two framings, which may differ. It is false until the head is complete.
 func (h *Head) Contradictory() bool { return h.complete && h.transferEncoding && h.contentLength }
@@ -127,4 +128,5 @@
 	length := bytes.EqualFold(trimmed, []byte("Content-Length"))
 	h.transferEncoding = h.transferEncoding || encoding
 	h.contentLength = h.contentLength || length
+	h.spaced = h.spaced || (encoding || length) && len(trimmed) < len(name)
 }
--- a/internal/transport/httpclient/framing_test.go
+++ b/internal/transport/httpclient/framing_test.go
@@ -208,3 +208,21 @@
 	}
 	assert.Equal(t, dials.Load(), int64(1))
 }
+
+// TestSpaceBehindFramingField guards against a length or a coding that is not seen, so that the response ends with its
+// connection and is complete wherever it breaks off. fasthttp reads such fields, so that either a failure or the complete
+// body is right.
+func TestSpaceBehindFramingField(t *testing.T) {
+	for _, answer := range []string{
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n5\r\nwho",
+		"HTTP/1.1 200 OK\r\nContent-Length : 5\r\n\r\nwho",
+	} {
+		client := httpclient.New(serveRaw(t, answer, false), httpclient.DialTCP, time.Minute)
+		defer client.Close()
+		resp, err := client.Do(t.Context(), httpclient.Request{Method: http.MethodGet, Path: "/"})
+		if err == nil {
+			_, err = resp.ReadAll(t.Context(), 1<<20)
+		}
+		assert.Assert(t, err != nil, "complete: %q", answer)
+	}
+}
--- a/internal/transport/upstream/framing_test.go
+++ b/internal/transport/upstream/framing_test.go
@@ -200,6 +200,8 @@
 		{"chunks in HTTP/0.9", "HTTP/0.9", "transfer-encoding:chunked\r\n", chunks},
 		{"another coding in HTTP/1.0", "HTTP/1.0", "Transfer-Encoding: gzip\r\n", "four"},
 		{"no coding in HTTP/1.0", "HTTP/1.0", "Transfer-Encoding: identity\r\nContent-Length: 4\r\n", "four"},
+		{"space behind the coding's name", "HTTP/1.1", "Transfer-Encoding : chunked\r\n", "4\r\nfou"},
+		{"space behind the length's name", "HTTP/1.1", "Content-Length : 5\r\n", "four"},
 		{"another coding", "HTTP/1.1", "Transfer-Encoding: gzip\r\n", "four"},
 		{"two codings", "HTTP/1.1", "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n", chunks},
 		{"two lengths", "HTTP/1.1", "Content-Length: 4\r\nContent-Length: 14\r\n", "four"},
