--- a/internal/front/gateway/fixture_test.go
+++ b/internal/front/gateway/fixture_test.go
@@ -29,6 +29,7 @@
 	"github.com/rookpass/rookpass/internal/front/gateway"
 	"github.com/rookpass/rookpass/internal/objects/objectapi"
 	"github.com/rookpass/rookpass/internal/transport/call"
+	httpframing "github.com/rookpass/rookpass/internal/transport/framing"
 	"github.com/rookpass/rookpass/internal/transport/upstream"
 	"github.com/rookpass/rookpass/internal/turns/ledger"
 	"github.com/rookpass/rookpass/internal/turns/turn"
@@ -199,8 +200,12 @@
 // loopback is the network of the machine.
 type loopback struct{}
 
-func (loopback) serve(t *testing.T, _ string, h http.Handler) string {
-	s := httptest.NewServer(h)
+func (loopback) serve(t *testing.T, name string, h http.Handler) string {
+	s := httptest.NewUnstartedServer(h)
+	if name == "front" {
+		s.Listener = httpframing.Observe(s.Config, s.Listener)
+	}
+	s.Start()
 	t.Cleanup(s.Close)
 	return s.Listener.Addr().String()
 }
--- a/internal/front/gateway/gateway.go
+++ b/internal/front/gateway/gateway.go
@@ -96,7 +96,7 @@
 func New(o Options) *Gateway {
 	g := &Gateway{catalog: o.Catalog, balancer: o.Balancer, sender: o.Sender, ledger: o.Ledger, headerCodec: o.HeaderCodec,
 		log: o.Log, stats: o.Stats, scheduler: o.Scheduler, configAgeLimits: o.ConfigAgeLimits, quotas: o.Quotas, memory: o.Memory}
-	g.steps = []step{withRequestInfo, withConfig, withRoute, withOrganisation, withDeadline, withBody, withinRateLimit}
+	g.steps = []step{withRequestInfo, withSoundFraming, withConfig, withRoute, withOrganisation, withDeadline, withBody, withinRateLimit}
 	return g
 }
 
--- a/internal/front/gateway/steps.go
+++ b/internal/front/gateway/steps.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rookpass/rookpass/internal/base/membudget"
+	"github.com/rookpass/rookpass/internal/transport/framing"
 )
 
 // step processes a request and may refuse it.
@@ -36,6 +37,18 @@
 	return nil
 }
 
+// withSoundFraming refuses requests whose body is not certain, and closes the connection where its next request is not.
+func withSoundFraming(x *exchange) *refusal {
+	verdict := framing.OfRequest(x.r)
+	if verdict != framing.Sound {
+		x.w.Header().Set("Connection", "close")
+	}
+	if verdict == framing.Faulty {
+		return &refusal{status: http.StatusBadRequest, reason: "faulty-framing", err: framing.ErrFaulty}
+	}
+	return nil
+}
+
 // withConfig loads the configuration, and refuses requests before there is one.
 func withConfig(x *exchange) *refusal {
 	x.table, x.tableAge = x.g.catalog.TableWithAge()
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -28,6 +28,7 @@
 	"github.com/rookpass/rookpass/internal/objects/mirror"
 	"github.com/rookpass/rookpass/internal/objects/objectapi"
 	"github.com/rookpass/rookpass/internal/objects/watch"
+	"github.com/rookpass/rookpass/internal/transport/framing"
 	"github.com/rookpass/rookpass/internal/transport/peerlink"
 	"github.com/rookpass/rookpass/internal/transport/tunnel"
 	"github.com/rookpass/rookpass/internal/transport/upstream"
@@ -166,7 +167,8 @@
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 	group, work := errgroup.WithContext(work)
-	group.Go(func() error { return serve(server, callers) })
+	observed := framing.Observe(server, callers)
+	group.Go(func() error { return serve(server, observed) })
 	group.Go(func() error { return serve(ready, readiness) })
 	group.Go(func() error {
 		<-work.Done()
--- a/internal/rookpassd/daemon/servers.go
+++ b/internal/rookpassd/daemon/servers.go
@@ -42,6 +42,18 @@
 	l.log.WithFields(logrus.Fields{"event": "http.connection", "error": fmt.Sprintf(format, args...)}).Debug()
 }
 
+// newHTTPServer returns the server of HTTP callers.
+func newHTTPServer(handler fasthttp.RequestHandler, log logrus.FieldLogger) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:               handler,
+		Name:                  "rookpassd",
+		NoDefaultDate:         true,
+		MaxRequestBodySize:    maxCallerMessageBytes,
+		NoDefaultServerHeader: true,
+		Logger:                debugLog{log},
+	}
+}
+
 // listen opens all listeners, so that an address that is in use fails the start.
 func (d *Daemon) listen() (*servers, error) {
 	s := &servers{daemon: d}
@@ -55,14 +67,7 @@
 	peerv1.RegisterHolderServer(s.forward, &entry.ForwardServer{
 		Executor: func() entry.Executor { return d.current.Load().holder },
 	})
-	s.http = &fasthttp.Server{
-		Handler:               entry.NewHTTP(chain, d.Ready).Handler(),
-		Name:                  "rookpassd",
-		NoDefaultDate:         true,
-		MaxRequestBodySize:    maxCallerMessageBytes,
-		NoDefaultServerHeader: true,
-		Logger:                debugLog{d.log},
-	}
+	s.http = newHTTPServer(entry.NewHTTP(chain, d.Ready).Handler(), d.log)
 	for _, open := range []struct {
 		listener *net.Listener
 		listen   func(string) (net.Listener, error)
