--- a/internal/front/gateway/requestframing_test.go
+++ b/internal/front/gateway/requestframing_test.go
@@ -114,3 +114,18 @@
 		})
 	}
 }
+
+// TestConnectionEndsAfterTwoFramings guards against bytes behind a request with chunks and a length being taken for a
+// further request: a proxy before the gateway may have gone by the length.
+func TestConnectionEndsAfterTwoFramings(t *testing.T) {
+	var requests atomic.Int64
+	r := newFixture(t, countRequests(&requests, echo))
+	const inner = "POST /once/inner HTTP/1.1\r\nHost: 127.0.0.1\r\nId: id-inner\r\nContent-Length: 0\r\n\r\n"
+	for _, fields := range []string{"Content-Length: 6\r\nTransfer-Encoding: chunked\r\n", "Transfer-Encoding: chunked\r\nContent-Length: 6\r\n"} {
+		requests.Store(0)
+		got := r.sendBytes("POST /once/x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: id-x\r\n" + fields + "\r\n1\r\nx\r\n0\r\n\r\n" + inner)
+		assert.Equal(t, strings.Count(got, "HTTP/1.1 200"), 1, "%q", got)
+		assert.Assert(t, strings.Contains(got, "Connection: close"), "%q", got)
+		assert.Equal(t, requests.Load(), int64(1))
+	}
+}
--- a/internal/transport/framing/framing.go
+++ b/internal/transport/framing/framing.go
@@ -38,6 +38,7 @@
 	version10        bool
 	interim          bool
 	transferEncoding bool
+	contentLength    bool
 	spaced           bool
 }
 
@@ -50,6 +51,9 @@
 // Faulty reports whether the framing is faulty. It is false until the head is complete.
 func (h *Head) Faulty() bool { return h.complete && (h.transferEncoding && h.version10 || h.spaced) }
 
+// Contradictory reports whether the message has two framings, which may differ. It is false until the head is complete.
+func (h *Head) Contradictory() bool { return h.complete && h.transferEncoding && h.contentLength }
+
 // Add reads bytes of the message. What follows the head is ignored.
 func (h *Head) Add(p []byte) {
 	for len(p) > 0 && !h.complete {
@@ -123,5 +127,6 @@
 	encoding := bytes.EqualFold(trimmed, []byte("Transfer-Encoding"))
 	length := bytes.EqualFold(trimmed, []byte("Content-Length"))
 	h.transferEncoding = h.transferEncoding || encoding
+	h.contentLength = h.contentLength || length
 	h.spaced = h.spaced || (encoding || length) && len(trimmed) < len(name)
 }
--- a/internal/transport/framing/server.go
+++ b/internal/transport/framing/server.go
@@ -113,7 +113,7 @@
 	switch {
 	case head.Faulty(), unknown && mayHaveBody:
 		return Faulty
-	case unknown:
+	case head.Contradictory(), unknown:
 		return LastRequest
 	default:
 		return Sound
