--- a/internal/front/balance/subset_test.go
+++ b/internal/front/balance/subset_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,6 +28,8 @@
 	// dead servers don't answer.
 	dead map[incarnation.ID]bool
 
+	// mu guards the following fields: turns that wake at the same time run in parallel.
+	mu                         sync.Mutex
 	turns, failed, sharedReads int
 	// readBy holds the servers that have read the shared part.
 	readBy map[incarnation.ID]bool
@@ -95,6 +98,7 @@
 		time.Sleep(lightStep)
 	}
 	time.Sleep(10 * time.Second)
+	synctest.Wait()
 }
 
 func (f *lightFleet) swap(t *testing.T, i int) {
@@ -131,23 +135,44 @@
 	}
 }
 
+// beginTurn counts a turn and returns its number.
+func (f *lightFleet) beginTurn() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.turns++
+	return f.turns
+}
+
+// endFailed counts a turn that failed.
+func (f *lightFleet) endFailed() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failed++
+}
+
+// readShared records that a server reads the shared part.
+func (f *lightFleet) readShared(server incarnation.ID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.readBy[server] {
+		f.readBy[server] = true
+		f.sharedReads++
+	}
+}
+
 // turn runs a program's first turn.
 func (f *lightFleet) turn(t *testing.T, d *lightDaemon) {
 	req := balance.Request{Route: "r", Servers: d.servers, DataCentres: lightDataCentres, PromptTokens: 3590,
-		Parts: []call.PromptPart{{ID: "shared", Tokens: lightSharedTokens}, {ID: fmt.Sprint("own", f.turns), Tokens: 1030}}}
+		Parts: []call.PromptPart{{ID: "shared", Tokens: lightSharedTokens}, {ID: fmt.Sprint("own", f.beginTurn()), Tokens: 1030}}}
 	choice := pick(t, d.balancer, req)
-	f.turns++
 	server := choice.Server.ID
 	if f.dead[server] {
 		time.Sleep(2 * time.Second)
-		f.failed++
+		f.endFailed()
 		choice.Done(balance.Failed)
 		return
 	}
-	if !f.readBy[server] {
-		f.readBy[server] = true
-		f.sharedReads++
-	}
+	f.readShared(server)
 	time.Sleep(lightTurnTime)
 	choice.HeadReceived()
 	choice.Generated = 24
--- a/internal/objects/feed/feed_test.go
+++ b/internal/objects/feed/feed_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,6 +20,8 @@
 
 // fakeSource answers with a fixed version or error.
 type fakeSource struct {
+	// mu guards the following fields while a source is in use.
+	mu      sync.Mutex
 	version uint64
 	err     error
 	asked   int
@@ -35,24 +38,39 @@
 	return objectapi.Snapshot{Version: s.old}, nil
 }
 
-func (s *fakeSource) List(ctx context.Context, _ string) (objectapi.Snapshot, error) {
+// answer counts a request and returns what a source that is not silent answers.
+func (s *fakeSource) answer() (version uint64, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.asked++
+	return s.version, s.err
+}
+
+// recover ends the source's errors.
+func (s *fakeSource) recover() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.err = nil
+}
+
+func (s *fakeSource) List(ctx context.Context, _ string) (objectapi.Snapshot, error) {
+	version, err := s.answer()
 	if s.silent {
 		<-ctx.Done()
 		return objectapi.Snapshot{}, ctx.Err()
 	}
-	return objectapi.Snapshot{Version: s.version}, s.err
+	return objectapi.Snapshot{Version: version}, err
 }
 
 func (s *fakeSource) Wait(ctx context.Context, _ string, _ uint64, wait time.Duration) (objectapi.Batch, error) {
-	s.asked++
+	version, err := s.answer()
 	if s.silent {
 		ctx, cancel := context.WithTimeout(ctx, wait+500*time.Millisecond) // as mirror.Client
 		defer cancel()
 		<-ctx.Done()
 		return objectapi.Batch{}, errors.Join(objectapi.ErrUnavailable, fmt.Errorf("%w: %w", peerlink.ErrUnreachable, ctx.Err()))
 	}
-	return objectapi.Batch{Version: s.version}, s.err
+	return objectapi.Batch{Version: version}, err
 }
 
 func newFeed(store *fakeSource, mirrors ...*fakeSource) *feed.FailoverSource {
@@ -339,7 +357,7 @@
 		began := time.Now()
 		go func() {
 			time.Sleep(100 * time.Millisecond)
-			store.err = nil
+			store.recover()
 		}()
 		snapshot, err := f.List(t.Context(), "k/")
 		assert.NilError(t, err)
--- a/internal/objects/watch/watch_test.go
+++ b/internal/objects/watch/watch_test.go
@@ -24,7 +24,7 @@
 	objects map[string]uint64
 	version uint64
 	at      time.Time
-	lost    int
+	lost    atomic.Int64
 }
 
 func (c *recordingHandler) Prefix() string { return cmp.Or(c.prefix, "a/") }
@@ -45,7 +45,10 @@
 }
 
 func (c *recordingHandler) Confirm(version uint64, at time.Time) { c.version, c.at = version, at }
-func (c *recordingHandler) SourceUnavailable()                   { c.lost++ }
+func (c *recordingHandler) SourceUnavailable()                   { c.lost.Add(1) }
+
+// timesLost returns how often the source was reported as unavailable.
+func (c *recordingHandler) timesLost() int { return int(c.lost.Load()) }
 
 func TestWatchCatchesUp(t *testing.T) {
 	for _, row := range []struct {
@@ -100,9 +103,9 @@
 		assert.Assert(t, w.Age() > 10*time.Second, "%v", w.Age())
 		api.SetFault(apitest.None)
 		<-time.After(10 * time.Second)
-		lost := c.lost
+		lost := c.timesLost()
 		stop()
-		assert.Equal(t, c.lost, lost)
+		assert.Equal(t, c.timesLost(), lost)
 		var events []any
 		for _, line := range lines.AllEntries() {
 			events = append(events, line.Data["event"])
@@ -297,7 +300,7 @@
 		<-time.After(3 * time.Second)
 		assert.Equal(t, len(c.objects), 1)
 		assert.Equal(t, c.version, uint64(0))
-		assert.Equal(t, c.lost, 1)
+		assert.Equal(t, c.timesLost(), 1)
 		assert.Assert(t, w.Age() < 0)
 		api.SetFault(apitest.None)
 		<-time.After(400 * time.Millisecond)
@@ -347,13 +350,13 @@
 		stop := run(t, watch.New(watch.NewSharedSource(source), 100*time.Millisecond, c, other).WithPollTimeout(time.Second))
 		defer stop()
 		time.Sleep(3500 * time.Millisecond)
-		assert.Equal(t, c.lost, 0, "the outage ended before the watch began")
+		assert.Equal(t, c.timesLost(), 0, "the outage ended before the watch began")
 		source.sinceOutage.Store(int64(100 * time.Millisecond))
 		time.Sleep(time.Second)
-		assert.Equal(t, c.lost, 1)
-		assert.Equal(t, other.lost, 1)
+		assert.Equal(t, c.timesLost(), 1)
+		assert.Equal(t, other.timesLost(), 1)
 		source.sinceOutage.Store(int64(1100 * time.Millisecond))
 		time.Sleep(time.Second)
-		assert.Equal(t, c.lost, 1, "the same outage is reported once")
+		assert.Equal(t, c.timesLost(), 1, "the same outage is reported once")
 	})
 }
