--- a/internal/turns/turnlog/turnlog.go
+++ b/internal/turns/turnlog/turnlog.go
@@ -6,6 +6,7 @@
 package turnlog
 
 import (
+	"cmp"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -159,16 +160,16 @@
 	}
 	l := &Log{dir: dir, disk: o.Files, onChange: o.OnChange, closing: make(chan struct{}), files: map[uint32]filesystem.File{}, sizes: map[uint32]int64{},
 		unreleased: map[uint32]int{}, wake: make(chan struct{}, 1), done: make(chan struct{})}
-	numbers, err := l.listSegments()
+	stored, err := l.listSegments()
 	if err != nil {
 		return nil, err
 	}
 	newest := uint32(0)
-	for _, number := range numbers {
-		if err := l.loadSegment(number, replay); err != nil {
+	for _, s := range stored {
+		if err := l.loadSegment(s, replay); err != nil {
 			return nil, errors.Join(err, l.closeFiles())
 		}
-		newest = number
+		newest = s.number
 	}
 	l.RemoveAbandoned()
 	l.pending = &batch{segment: newest + 1, synced: make(chan struct{})}
@@ -176,13 +177,19 @@
 	return l, nil
 }
 
-// listSegments returns the numbers of the segments in order, and removes temporary files.
-func (l *Log) listSegments() ([]uint32, error) {
+// storedSegment is a segment that is found on the disk.
+type storedSegment struct {
+	number uint32
+	size   int64
+}
+
+// listSegments returns the segments in order, and removes temporary files.
+func (l *Log) listSegments() ([]storedSegment, error) {
 	entries, err := l.disk.ReadDir(l.dir)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	var numbers []uint32
+	var stored []storedSegment
 	for _, entry := range entries {
 		name := entry.Name()
 		if name == probeFile || strings.HasSuffix(name, atomicfile.TemporarySuffix) {
@@ -196,17 +203,24 @@
 		if _, err := fmt.Sscanf(name, "%08x", &number); err != nil {
 			return nil, Error.New("%s: not a segment file name", name)
 		}
-		numbers = append(numbers, number)
+		info, err := entry.Info()
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		stored = append(stored, storedSegment{number: number, size: info.Size()})
 	}
-	slices.Sort(numbers)
-	return numbers, nil
+	slices.SortFunc(stored, func(a, b storedSegment) int { return cmp.Compare(a.number, b.number) })
+	return stored, nil
 }
 
 func (l *Log) segmentPath(segment uint32) string {
 	return filepath.Join(l.dir, fmt.Sprintf("%08x%s", segment, segmentSuffix))
 }
 
-func (l *Log) loadSegment(segment uint32, replay func(turn.Record, Position)) error {
+// loadSegment replays a segment. One without a record at its start was cut off before its first sync, and is abandoned,
+// but only if the disk has given all of it.
+func (l *Log) loadSegment(stored storedSegment, replay func(turn.Record, Position)) error {
+	segment := stored.number
 	file, err := l.disk.OpenFile(l.segmentPath(segment), os.O_RDONLY, 0)
 	if err != nil {
 		return Error.Wrap(err)
@@ -215,6 +229,9 @@
 	if err != nil {
 		return Error.Wrap(errors.Join(err, file.Close()))
 	}
+	if int64(len(data)) < stored.size {
+		return errors.Join(Error.New("%s: read only %d of %d bytes", l.segmentPath(segment), len(data), stored.size), file.Close())
+	}
 	if _, _, ok := decodeFrame(data); !ok {
 		l.abandoned = append(l.abandoned, segment)
 		return Error.Wrap(file.Close())
--- a/internal/turns/turnlog/turnlog_test.go
+++ b/internal/turns/turnlog/turnlog_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"sync"
@@ -10,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/rookpass/rookpass/internal/base/filesystem"
 	"github.com/rookpass/rookpass/internal/base/incarnation"
 	"github.com/rookpass/rookpass/internal/turns/turn"
 	"github.com/rookpass/rookpass/internal/turns/turnlog"
@@ -170,3 +173,44 @@
 	r := newRecord("late")
 	assert.ErrorIs(t, l.Append(&r).Wait(), turnlog.ErrClosed)
 }
+
+// shortReads is a disk whose files end early when they are read from the start.
+type shortReads struct {
+	filesystem.OS
+	bytes int64
+}
+
+func (d shortReads) OpenFile(path string, flag int, mode fs.FileMode) (filesystem.File, error) {
+	file, err := d.OS.OpenFile(path, flag, mode)
+	if err != nil {
+		return nil, err
+	}
+	return shortFile{file, io.LimitReader(file, d.bytes)}, nil
+}
+
+type shortFile struct {
+	filesystem.File
+	content io.Reader
+}
+
+func (f shortFile) Read(p []byte) (int, error) { return f.content.Read(p) }
+
+// TestShortReadAtStartLosesNothing guards against records that are dropped, or removed with their segment, since the disk
+// gave only a part of the file.
+func TestShortReadAtStartLosesNothing(t *testing.T) {
+	for _, length := range []int64{0, 3, 20, 150} {
+		t.Run(fmt.Sprint(length), func(t *testing.T) {
+			dir := t.TempDir()
+			l, _ := openLog(t, dir)
+			for i := range 5 {
+				assert.NilError(t, appendRecord(l, fmt.Sprint(i)))
+			}
+			assert.NilError(t, l.Close())
+			_, err := turnlog.OpenWith(dir, turnlog.Options{Files: shortReads{bytes: length}}, func(turn.Record, turnlog.Position) {})
+			assert.ErrorContains(t, err, fmt.Sprintf("read only %d of ", length))
+			l, found := openLog(t, dir)
+			defer func() { _ = l.Close() }()
+			assert.Equal(t, len(found), 5)
+		})
+	}
+}
