--- a/cmd/rookpass-soak/main.go
+++ b/cmd/rookpass-soak/main.go
@@ -23,7 +23,7 @@
 	Servers int    `long:"servers" default:"6" description:"number of backend servers"`
 	Callers int    `long:"callers" default:"8" description:"number of concurrent callers"`
 	Seconds int    `long:"seconds" default:"10" description:"time during which faults are injected, in seconds"`
-	Network int    `long:"network" default:"11" description:"second byte of the daemons' loopback addresses"`
+	Network int    `long:"network" default:"11" description:"least second byte of the daemons' loopback addresses; a run that finds it in use takes the next"`
 	Keep    string `long:"keep" description:"folder to move the logs of failed runs to"`
 }
 
--- a/internal/testing/soak/cluster.go
+++ b/internal/testing/soak/cluster.go
@@ -68,9 +68,11 @@
 	checker   *workload.Checker
 	store     *platformtest.Store
 	storeHTTP *http.Server
-	processes []*process
-	servers   []*server
-	wg        sync.WaitGroup
+	// reservation holds the network of the daemons' addresses.
+	reservation net.Listener
+	processes   []*process
+	servers     []*server
+	wg          sync.WaitGroup
 
 	mu      sync.Mutex
 	version int64
@@ -78,23 +80,27 @@
 	revoked bool
 }
 
-// NewCluster starts the stand-ins and the daemons of a plan. network is the second byte of the daemons' loopback
-// addresses, which must differ between concurrent runs. Settings, data and logs are written to dir. The caller must
+// NewCluster starts the stand-ins and the daemons of a plan. firstNetwork is the least second byte of the daemons' loopback
+// addresses; a run that finds it in use takes the next one. Settings, data and logs are written to dir. The caller must
 // close the cluster if it is not nil, also on an error.
-func NewCluster(plan Plan, binary, dir string, network int) (*Cluster, error) {
-	c := &Cluster{plan: plan, binary: binary, dir: dir, checker: workload.NewChecker(), store: platformtest.NewStore()}
+func NewCluster(plan Plan, binary, dir string, firstNetwork int) (*Cluster, error) {
+	network, reservation, err := reserveNetwork(firstNetwork)
+	if err != nil {
+		return nil, err
+	}
+	c := &Cluster{plan: plan, binary: binary, dir: dir, checker: workload.NewChecker(), store: platformtest.NewStore(), reservation: reservation}
 	// Faults overlap: a paused daemon, or one that can't reach the store, does not learn which servers are draining.
 	c.checker.AllowLateArrivals(time.Now().Add(24 * time.Hour))
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, err
+		return c, err
 	}
 	c.storeHTTP = &http.Server{Handler: c.store}
 	go func() { _ = c.storeHTTP.Serve(listener) }()
 	for i := range plan.Servers {
 		s, err := startServer(i, c.checker)
 		if err != nil {
-			return nil, err
+			return c, err
 		}
 		c.servers = append(c.servers, s)
 		c.store.SetServer(s.Entry())
@@ -106,12 +112,12 @@
 	}
 	for i := range plan.Fronts + plan.Stores {
 		if err := c.addProcess(i, network, listener.Addr().String(), seeds); err != nil {
-			return nil, err
+			return c, err
 		}
 	}
 	for _, p := range c.processes {
 		if err := c.start(p); err != nil {
-			return nil, err
+			return c, err
 		}
 	}
 	return c, c.awaitReady()
@@ -285,5 +291,8 @@
 		_ = s.http.Close()
 		s.link.close()
 	}
-	_ = c.storeHTTP.Close()
+	if c.storeHTTP != nil {
+		_ = c.storeHTTP.Close()
+	}
+	_ = c.reservation.Close()
 }
--- a/internal/testing/soak/soak_test.go
+++ b/internal/testing/soak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"errors"
 	"fmt"
 	"os/exec"
 	"path/filepath"
@@ -42,6 +43,22 @@
 	assert.Assert(t, result.Counts["turn whole"] > 0 && result.Counts["call whole"] > 0)
 }
 
+// TestConcurrentRunsHaveTheirOwnAddresses guards against daemons of two runs that meet one another's servers and callers.
+func TestConcurrentRunsHaveTheirOwnAddresses(t *testing.T) {
+	first, held, err := reserveNetwork(40)
+	assert.NilError(t, err)
+	second, other, err := reserveNetwork(first)
+	assert.NilError(t, err)
+	assert.Assert(t, second > first)
+	assert.NilError(t, held.Close())
+	again, third, err := reserveNetwork(first)
+	assert.NilError(t, err)
+	assert.Equal(t, again, first)
+	assert.NilError(t, errors.Join(third.Close(), other.Close()))
+	_, _, err = reserveNetwork(lastNetwork + 1)
+	assert.ErrorContains(t, err, "no free network")
+}
+
 func TestPlansAreDeterministic(t *testing.T) {
 	assert.Equal(t, GeneratePlan(5, SmallSize).String(), GeneratePlan(5, SmallSize).String())
 	assert.Assert(t, GeneratePlan(5, SmallSize).String() != GeneratePlan(6, SmallSize).String())
