--- a/internal/front/balance/balance.go
+++ b/internal/front/balance/balance.go
@@ -90,7 +90,9 @@
 	// startedAt is when the balancer was made; the windows for cold servers are relative to it.
 	startedAt time.Time
 	mu        sync.Mutex
-	states    map[incarnation.ID]*serverState
+	// random returns a number from 0 up to 1, for choices between equal servers.
+	random func() float64
+	states map[incarnation.ID]*serverState
 	// latencies are the moving averages of the duration of complete responses, by route, in seconds.
 	latencies map[string]float64
 	// peerSuspects is how many other daemons suspect a server.
@@ -121,10 +123,14 @@
 
 // New returns the balancer of a daemon, given its unique name and its location.
 func New(name string, at place.Topology) *Balancer {
-	return &Balancer{name: name, topology: at, startedAt: time.Now(), states: map[incarnation.ID]*serverState{}, latencies: map[string]float64{}, headLatencies: map[string]float64{},
+	return &Balancer{name: name, topology: at, startedAt: time.Now(), random: rand.Float64, states: map[incarnation.ID]*serverState{}, latencies: map[string]float64{}, headLatencies: map[string]float64{},
 		connectTimes: map[string]float64{}, models: map[string]*policy.CostModel{}, calls: map[string]int{}, demand: map[string]*policy.DecayingMax{}}
 }
 
+// SetRandom replaces the source of random choices, so that they can be repeated. It must be called before the first
+// request.
+func (b *Balancer) SetRandom(random *rand.Rand) { b.random = random.Float64 }
+
 // Request is what the choice of a server depends on.
 type Request struct {
 	// Route names requests of one kind, which take similar times.
@@ -253,7 +259,7 @@
 			return
 		}
 		candidates++
-		rank, cost := b.loadRank(req, server, s, now), b.cost(req, server, s, now)*(1+0.02*rand.Float64())
+		rank, cost := b.loadRank(req, server, s, now), b.cost(req, server, s, now)*(1+0.02*b.random())
 		if best == nil || rank < bestRank || rank == bestRank && cost < bestCost {
 			best, bestRank, bestCost = server, rank, cost
 		}
--- a/internal/front/balance/cost.go
+++ b/internal/front/balance/cost.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/rookpass/rookpass/internal/base/place"
@@ -25,7 +24,7 @@
 	costFactor, loadFactor := speed.CostFactor(v), speed.LoadFactor(v)
 	if req.PromptTokens == 0 {
 		requests := float64(s.inFlight)*loadFactor + 1
-		if s.inFlight == 0 && req.fair.PassOver(v, rand.Float64()) {
+		if s.inFlight == 0 && req.fair.PassOver(v, b.random()) {
 			requests++
 		}
 		if remote {
--- a/internal/front/balance/speed.go
+++ b/internal/front/balance/speed.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"time"
 
 	"github.com/rookpass/rookpass/internal/base/incarnation"
@@ -185,7 +184,7 @@
 	switch {
 	case req.PromptTokens == 0 && req.fair.Exceeded(load, speed.Capacity(server.Slots, v)):
 		return overShare
-	case speed.CostFactor(v) > 1 && req.fair.Probe(v, load, rand.Float64()):
+	case speed.CostFactor(v) > 1 && req.fair.Probe(v, load, b.random()):
 		return probed
 	default:
 		return withinShare
