--- a/internal/decide/speed/fair.go
+++ b/internal/decide/speed/fair.go
@@ -6,6 +6,9 @@
 	// alwaysAllowed is the load, as a fraction of its slots times its speed, up to which a server gets requests however
 	// idle the others are: it has room, and what it has cached counts more.
 	alwaysAllowed = 0.5
+	// fullAtShare is how many times its fair load a server has when it has no more room. A quarter to a third of the load
+	// that is known is still there when a request arrives, so that a smaller share would overcorrect.
+	fullAtShare = 4
 	// maxCountedSpeed bounds the speed that counts as capacity.
 	maxCountedSpeed = 1.5
 	// normalSlowdown is the slowdown up to which a server's slowness only shifts load in proportion. Permanent
@@ -60,6 +63,16 @@
 	return load > alwaysAllowed*capacity && f.Share(load, capacity) > maxOverFair
 }
 
+// Room returns how much more load a server may get: what it lacks to fullAtShare times its fair load. A slow server has less,
+// a fast one no more than a normal one: all daemons would follow a speed that is overestimated.
+func (f *Fair) Room(load float64, slots int, speed float64) float64 {
+	if f.servers < 2 || f.capacity <= 0 {
+		return 0
+	}
+	capacity := Capacity(slots, min(speed, 1)) / CostFactor(speed)
+	return max(0, fullAtShare*capacity*f.load/f.capacity-load)
+}
+
 // Probe reports whether a clearly slow server without requests is offered one, for a random number in [0, 1) that is
 // drawn for each request and server.
 func (f *Fair) Probe(speed, load, random float64) bool {
--- a/internal/decide/speed/speed_test.go
+++ b/internal/decide/speed/speed_test.go
@@ -207,3 +207,24 @@
 	assert.Equal(t, speed.HedgeFactor(0.2), 1.5)
 	assert.Equal(t, speed.HedgeFactor(2), 1/1.5)
 }
+
+// TestRoom guards against all daemons choosing the server that was the least loaded, against load on clearly slow servers,
+// and against more than a normal server's share for one that seems fast.
+func TestRoom(t *testing.T) {
+	var f speed.Fair
+	assert.Equal(t, f.Room(0, 8, 1), 0.0, "nothing to compare with")
+	for _, load := range []float64{0, 4, 8} {
+		f.Add(load, 8, 1)
+	}
+	idle, usual, busy := f.Room(0, 8, 1), f.Room(4, 8, 1), f.Room(8, 8, 1)
+	assert.Assert(t, idle > usual && usual > busy && busy > 0)
+	assert.Assert(t, idle <= 2*busy, "%v and %v: loads known late must not decide alone", idle, busy)
+	assert.Equal(t, f.Room(1000, 8, 1), 0.0)
+	assert.Assert(t, f.Room(4, 8, 0.6) < usual)
+	assert.Assert(t, f.Room(0, 8, 0.2) < idle/10)
+	assert.Equal(t, f.Room(4, 8, 2), usual)
+	var without speed.Fair
+	without.Add(0, 8, 1)
+	without.Add(0, 8, 1)
+	assert.Equal(t, without.Room(0, 8, 1), 0.0, "no load is known")
+}
--- a/internal/front/balance/balance.go
+++ b/internal/front/balance/balance.go
@@ -54,10 +54,7 @@
 // serverState is what was observed of one start of a server. It is guarded by Balancer.mu.
 type serverState struct {
 	inFlight int
-	// callSeconds is the integral of the calls in flight over time since the last report, up to updatedAt.
-	callSeconds float64
-	updatedAt   time.Time
-	// peerCalls is how many calls other daemons have there, smoothed over their reports.
+	// peerCalls is how many calls other daemons have there, by their last reports.
 	peerCalls float64
 	failures  int
 	// failedAt is the time of the last failure; zero if the server has answered since.
@@ -115,10 +112,9 @@
 	daemonCount policy.RecentMax
 	// peerDemandKnown is set once other daemons have reported their demand.
 	peerDemandKnown bool
-	// meanPeerCalls is the mean of the servers' peerCalls; loadsReportedAt is when this daemon last reported its own.
-	meanPeerCalls   float64
-	loadsReportedAt time.Time
-	speeds          speedState
+	// meanPeerCalls is the mean of the servers' peerCalls.
+	meanPeerCalls float64
+	speeds        speedState
 }
 
 // New returns the balancer of a daemon, given its unique name and its location.
@@ -218,7 +214,7 @@
 		c.Uncached = c.observed.Uncached
 	}
 	b.requestSent(req, c)
-	s.addInFlight(now, 1)
+	s.inFlight++
 	b.calls[best.Service]++
 	if req.Constraints.Restriction(best) == catalog.RestrictedCold {
 		s.lastColdSend = now
@@ -250,15 +246,14 @@
 	ignoreReports := trust > unsuspected || b.tooManySuspected(req.Servers)
 	var bestCost float64
 	var bestRank loadRank
+	var mostCached int64
 	consider := func(server *catalog.Server) {
-		if req.Tried[server.ID] || !b.admissible(req, server, now, trust) {
-			return
-		}
 		s := b.peekState(server.ID)
-		if trust < anyServer && b.avoided(req.Route, s, now) || !ignoreReports && b.suspected(server.ID) {
+		if !b.eligible(req, server, s, now, trust, ignoreReports) {
 			return
 		}
 		candidates++
+		mostCached = max(mostCached, s.parts.cachedTokens(req.Parts))
 		rank, cost := b.loadRank(req, server, s, now), b.cost(req, server, s, now)*(1+0.02*b.random())
 		if best == nil || rank < bestRank || rank == bestRank && cost < bestCost {
 			best, bestRank, bestCost = server, rank, cost
@@ -273,9 +268,49 @@
 	if holder := b.cacheHolder(req); holder != nil {
 		consider(holder)
 	}
+	if req.PromptTokens > 0 && mostCached == 0 && candidates > 1 && bestRank == withinShare && b.peerCount > 0 && b.loadsKnown(true, now) {
+		best = b.chooseByRoom(req, now, best, func(server *catalog.Server, s *serverState) bool {
+			return b.eligible(req, server, s, now, trust, ignoreReports)
+		})
+	}
 	return best, candidates
 }
 
+// eligible reports whether a server may be chosen at a level of trust.
+func (b *Balancer) eligible(req *Request, server *catalog.Server, s *serverState, now time.Time, trust trust, ignoreReports bool) bool {
+	if req.Tried[server.ID] || !b.admissible(req, server, now, trust) {
+		return false
+	}
+	return !(trust < anyServer && b.avoided(req.Route, s, now) || !ignoreReports && b.suspected(server.ID))
+}
+
+// chooseByRoom chooses for a turn of whose prompt no server has cached anything, at random among the servers that are as
+// near as the cheapest one, by their room. Only the reported loads tell such servers apart; they are late and the same to
+// all daemons, which would all choose the server that was the least loaded.
+func (b *Balancer) chooseByRoom(req *Request, now time.Time, cheapest *catalog.Server, eligible func(*catalog.Server, *serverState) bool) *catalog.Server {
+	near := b.topology.DistanceTo(cheapest.DataCentre)
+	chosen, total, considered := cheapest, 0.0, 0
+	for _, server := range req.Servers {
+		s := b.peekState(server.ID)
+		if considered >= req.subsetSize {
+			break
+		}
+		if !eligible(server, s) {
+			continue
+		}
+		considered++
+		if b.topology.DistanceTo(server.DataCentre) != near {
+			continue
+		}
+		room := req.fair.Room(s.load(), server.Slots, b.speedOf(s, now))
+		total += room
+		if room > 0 && b.random()*total < room {
+			chosen = server
+		}
+	}
+	return chosen
+}
+
 // admissible reports whether a server's restrictions allow the request. A cold server may get it where no other can,
 // and only in this daemon's window: all daemons together must not exceed the server's rate.
 func (b *Balancer) admissible(req *Request, server *catalog.Server, now time.Time, trust trust) bool {
@@ -337,7 +372,7 @@
 func (b *Balancer) stateOf(id incarnation.ID) *serverState {
 	s := b.states[id]
 	if s == nil {
-		s = &serverState{parts: newPartCache(), updatedAt: time.Now()}
+		s = &serverState{parts: newPartCache()}
 		b.states[id] = s
 	}
 	return s
--- a/internal/front/balance/load.go
+++ b/internal/front/balance/load.go
@@ -8,49 +8,34 @@
 	"github.com/rookpass/rookpass/internal/front/catalog"
 )
 
-// peerLoadWeight is the weight of the newest report in serverState.peerCalls: with a report every 300 ms it averages
-// over about a second.
-const peerLoadWeight = 0.7
-
-// loadUnit is the unit in which daemons report their mean number of calls.
+// loadUnit is the unit in which daemons report their number of calls.
 const loadUnit = 0.1
 
-// addInFlight changes the number of calls in flight, and accounts for those up to now.
-func (s *serverState) addInFlight(now time.Time, by int) {
-	s.callSeconds += float64(s.inFlight) * now.Sub(s.updatedAt).Seconds()
-	s.updatedAt = now
-	s.inFlight += by
-}
-
 // hasPrompts reports whether the server has cached prompt parts, which only model servers do.
 func (s *serverState) hasPrompts() bool { return s.parts.order.Len() > 0 }
 
-// Loads returns the mean number of turns of this daemon on model servers since the last call, in tenths.
+// Loads returns the number of turns of this daemon on model servers now, in tenths. Turns last about as long as loads take
+// to reach the others: a mean over the time since the last report would tell of turns that have ended.
 func (b *Balancer) Loads() map[incarnation.ID]int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := time.Now()
-	span := now.Sub(b.loadsReportedAt).Seconds()
-	b.loadsReportedAt = now
 	loads := map[incarnation.ID]int{}
 	for id, s := range b.states {
-		s.addInFlight(now, 0)
-		if tenths := int(s.callSeconds/span/loadUnit + 0.5); tenths > 0 && s.hasPrompts() {
-			loads[id] = tenths
+		if s.inFlight > 0 && s.hasPrompts() {
+			loads[id] = int(float64(s.inFlight) / loadUnit)
 		}
-		s.callSeconds = 0
 	}
 	return loads
 }
 
-// SetPeerLoads sets the mean number of turns of other daemons on model servers, in tenths.
+// SetPeerLoads sets the number of turns of other daemons on model servers, in tenths.
 func (b *Balancer) SetPeerLoads(loads map[incarnation.ID]int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.speeds.peerLoadsAt = time.Now()
 	sum, servers := 0.0, 0
 	for id, s := range b.states {
-		s.peerCalls += peerLoadWeight * (loadUnit*float64(loads[id]) - s.peerCalls)
+		s.peerCalls = loadUnit * float64(loads[id])
 		if s.hasPrompts() {
 			sum += s.peerCalls
 			servers++
--- a/internal/front/balance/outcome.go
+++ b/internal/front/balance/outcome.go
@@ -56,7 +56,7 @@
 	defer b.mu.Unlock()
 	now := time.Now()
 	s := c.state
-	s.addInFlight(now, -1)
+	s.inFlight--
 	b.callEnded(c.Server.Service)
 	delete(s.calls, c)
 	s.speed.Ended(c.sentAt)
--- a/internal/front/exchange/exchange.go
+++ b/internal/front/exchange/exchange.go
@@ -45,7 +45,7 @@
 	Suspects, Failing []incarnation.ID
 	// Levels is the number of turns running or queued, by service and priority level; Started is the number of those
 	// that run or belong to a started program. Demand is the sum over the levels, for daemons that do not know levels.
-	// Loads is the mean number of turns at each model server since the last report, in tenths.
+	// Loads is the number of turns at each model server now, in tenths.
 	Demand          map[string]int
 	Levels, Started map[ServiceLevel]int
 	Loads           map[incarnation.ID]int
