--- a/internal/transport/peerlink/path.go
+++ b/internal/transport/peerlink/path.go
@@ -72,7 +72,10 @@
 		return fmt.Errorf("%w: %s: %w", ErrUnreachable, p.address, err)
 	}
 	defer p.release(c)
+	// Go returns once the call is written, which a daemon that reads nothing may delay for long.
+	stop := context.AfterFunc(ctx, func() { p.drop(c) })
 	pending := c.client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	stop()
 	select {
 	case <-pending.Done:
 		var serverErr rpc.ServerError
