--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -39,6 +39,10 @@
 // a lost connection to the platform's store is noticed well before the delay is over.
 const evacuationWatchShare = 0.3
 
+// peerRequestShare is the share of a VM's memory for the requests of other daemons that are under way. Each takes its size
+// twice, decoded and as received.
+const peerRequestShare = 0.1
+
 // mirrorAgeMargin is how much older than a watch's wait a mirror's copy may be. It covers the pause between two
 // watches, a slow answer of the platform's store, some 0.3 s, and readerWatchWait where the daemon reads through a
 // reader.
@@ -112,6 +116,10 @@
 		exchange.ServiceName: hub,
 		quota.ServiceName:    quotas,
 	}
+	server, err := peerlink.NewServer(services, int64(peerRequestShare*float64(s.MemoryBytes)))
+	if err != nil {
+		return err
+	}
 	for _, address := range []string{s.PeerAddress(), s.ControlAddress} {
 		if address == "" {
 			continue
@@ -120,7 +128,7 @@
 		if err != nil {
 			return err
 		}
-		group.Go(func() error { return peerlink.Serve(listener, services) })
+		group.Go(func() error { return server.Serve(listener) })
 		group.Go(func() error {
 			<-ctx.Done()
 			_ = listener.Close()
--- a/internal/transport/peerlink/peerlink.go
+++ b/internal/transport/peerlink/peerlink.go
@@ -5,8 +5,6 @@
 import (
 	"context"
 	"errors"
-	"net"
-	"net/rpc"
 	"sync"
 	"time"
 
@@ -162,20 +160,3 @@
 		l.fallbackUntil = time.Time{}
 	}
 }
-
-// Serve serves net/rpc services, by name, on a listener until it is closed.
-func Serve(listener net.Listener, services map[string]any) error {
-	server := rpc.NewServer()
-	for name, service := range services {
-		if err := server.RegisterName(name, service); err != nil {
-			return err
-		}
-	}
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			return err
-		}
-		go server.ServeConn(conn)
-	}
-}
