gateway: logs tell whether a server ended under a request, and which requests have the same content

Hypotheses 1 to 3 could not be told apart: an attempt whose server ended was logged as one whose answer was lost, and repeats of one request had nothing in common but a path.

- upstream.Pool.Probe: after a connection broke, a new one to the same server shows whether it has ended (nobody listens), lives (its connection is kept for later requests) or can't be told (the network may be the cause).
Concurrent probes of a server share one connection. memnet refuses connections where nobody listens, and has an error of its own for partitions.
- event=server-ended with the request's id, the server's start and content, a hash of what the request asks for, without what differs between attempts (headers that the adapter names, and those of tracing).
A failed request's line has it too.
- rookpass_broken_attempts_total counts broken attempts by ended, alive, unknown, leaving.

No decision depends on any of it.

--- a/internal/front/gateway/attempt.go
+++ b/internal/front/gateway/attempt.go
@@ -56,12 +56,8 @@
 		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: header, Body: body, ID: x.requestInfo.ID,
 		Idempotent: x.route.Repeatable(),
 	}
-	limit := 0
-	if service := x.table.Service(choice.Server.Service); service != nil {
-		limit = service.MaxConns
-	}
 	x.possibleRuns.Add(1)
-	response, failure := x.g.sender.Do(ctx, endpoint(&choice.Server), limit, request)
+	response, failure := x.g.sender.Do(ctx, endpoint(&choice.Server), x.connectionLimit(&choice.Server), request)
 	if failure != nil && failure.Verdict == verdict.NotRun || failure == nil && response.Info.NotRun {
 		x.possibleRuns.Add(-1)
 	}
@@ -106,6 +102,15 @@
 	return reason
 }
 
+// connectionLimit returns how many connections to a server are allowed; 0 means no limit.
+func (x *exchange) connectionLimit(s *catalog.Server) int {
+	service := x.table.Service(s.Service)
+	if service == nil {
+		return 0
+	}
+	return service.MaxConns
+}
+
 func endpoint(s *catalog.Server) upstream.Endpoint {
 	return upstream.Endpoint{Address: s.Address, Server: s.ID}
 }
@@ -137,6 +142,9 @@
 	}
 	x.recordAttempt(choice, began, failure.Reason, result)
 	x.attempts[len(x.attempts)-1].reusedConnection = failure.Reused
+	if b := (&brokenAttempt{choice, began, failure.Reason}); failure.Verdict == verdict.MayHaveRun && result == balance.Failed && b.mayHaveEnded() {
+		go x.checkServer(context.WithoutCancel(x.ctx), b)
+	}
 }
 
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
--- a/internal/front/gateway/fixture_test.go
+++ b/internal/front/gateway/fixture_test.go
@@ -66,6 +66,9 @@
 func (testCodec) ForwardedHeaders(h http.Header) http.Header {
 	return platform.HeaderCodec{}.ForwardedHeaders(h)
 }
+func (testCodec) HeaderRoles() call.HeaderRoles {
+	return call.HeaderRoles{OfAttempt: map[string]bool{"Id": true, "Deadline": true, "Finish": true}, OfProgram: map[string]bool{"Program": true}}
+}
 func (testCodec) AddForwardInfo(h http.Header, to call.ForwardInfo) {
 	h.Set("Left", to.Timeout.String())
 	h.Set("Server", to.Server)
--- a/internal/front/gateway/gateway.go
+++ b/internal/front/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/rookpass/rookpass/internal/base/membudget"
 	"github.com/rookpass/rookpass/internal/decide/dispatch"
 	"github.com/rookpass/rookpass/internal/decide/policy"
+	"github.com/rookpass/rookpass/internal/decide/quarantine"
 	"github.com/rookpass/rookpass/internal/decide/quota"
 	"github.com/rookpass/rookpass/internal/front/balance"
 	"github.com/rookpass/rookpass/internal/front/catalog"
@@ -46,6 +47,8 @@
 	// HasIdle reports whether there is an idle connection that a request may use. Requests that are not repeatable
 	// need a connection with more time left before the server closes it.
 	HasIdle(to upstream.Endpoint, repeatable bool) bool
+	// Probe finds out whether a server has ended, after a connection to it broke.
+	Probe(ctx context.Context, to upstream.Endpoint, limit int) upstream.Liveness
 }
 
 // Quotas grants requests within the rate limits of organisations.
@@ -96,7 +99,7 @@
 func New(o Options) *Gateway {
 	g := &Gateway{catalog: o.Catalog, balancer: o.Balancer, sender: o.Sender, ledger: o.Ledger, headerCodec: o.HeaderCodec,
 		log: o.Log, stats: o.Stats, scheduler: o.Scheduler, configAgeLimits: o.ConfigAgeLimits, quotas: o.Quotas, memory: o.Memory}
-	g.steps = []step{withRequestInfo, withSoundFraming, withConfig, withRoute, withOrganisation, withDeadline, withBody, withinRateLimit}
+	g.steps = []step{withRequestInfo, withSoundFraming, withConfig, withRoute, withOrganisation, withDeadline, withBody, withIdentity, withinRateLimit}
 	return g
 }
 
@@ -128,6 +131,8 @@
 	// memory is the request's part of Gateway.memory.
 	memory *membudget.Holding
 	header http.Header
+	// keys identify the request's content; the last one covers the whole request.
+	keys []quarantine.Key
 	// serviceName is the service picked by the route's weights.
 	serviceName string
 
@@ -275,6 +280,9 @@
 	x.g.stats.request(reason, took)
 	fields := logrus.Fields{"event": "request", "id": x.requestInfo.ID, "route": route, "config": config, "outcome": reason,
 		"ms": took.Milliseconds(), "attempts": formatAttempts(x.attempts)}
+	if len(x.attempts) > 1 || len(x.attempts) > 0 && reason != "answered" {
+		fields["content"] = x.identity()
+	}
 	if x.requestInfo.Program != "" {
 		fields["program"] = x.requestInfo.Program
 	}
--- /dev/null
+++ b/internal/front/gateway/serverend.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/rookpass/rookpass/internal/front/balance"
+	"github.com/rookpass/rookpass/internal/transport/upstream"
+)
+
+// leavingServer is the result of a check for servers that were leaving anyway.
+const leavingServer upstream.Liveness = "leaving"
+
+// brokenAttempt is an attempt whose connection broke before the response was complete.
+type brokenAttempt struct {
+	choice *balance.Choice
+	sentAt time.Time
+	reason string
+}
+
+// mayHaveEnded reports whether a failed attempt looks as if its server had ended. A timeout does not: a network failure
+// looks the same.
+func (b *brokenAttempt) mayHaveEnded() bool {
+	switch b.reason {
+	case upstream.ReasonRead, upstream.ReasonWrite, upstream.ReasonMalformed, reasonRestarted:
+		return true
+	default:
+		return false
+	}
+}
+
+// checkServer finds out whether the server of a broken attempt has ended, logs it and counts it.
+func (x *exchange) checkServer(ctx context.Context, b *brokenAttempt) upstream.Liveness {
+	result := x.probeServer(ctx, b)
+	x.g.stats.brokenAttempt(string(result))
+	if result == upstream.Ended {
+		x.g.log.WithFields(logrus.Fields{"event": "server-ended", "id": x.requestInfo.ID, "server": b.choice.Server.ID, "content": x.identity(),
+			"reason": b.reason, "ms": time.Since(b.sentAt).Milliseconds(), "in_flight": b.choice.InFlight}).Warn("server ended while it ran a request")
+	}
+	return result
+}
+
+func (x *exchange) probeServer(ctx context.Context, b *brokenAttempt) upstream.Liveness {
+	if b.reason == reasonRestarted {
+		return upstream.Ended
+	}
+	server := x.lookupServer(b.choice.Server.ID)
+	if server == nil || server.Draining {
+		return leavingServer
+	}
+	return x.g.sender.Probe(ctx, endpoint(server), x.connectionLimit(server))
+}
--- a/internal/front/gateway/stats.go
+++ b/internal/front/gateway/stats.go
@@ -37,6 +37,11 @@
 
 func (s *Stats) attempt(outcome string) { s.observer.Count("rookpass_attempts_total", outcome) }
 
+// brokenAttempt counts an attempt whose connection broke, by whether its server had ended.
+func (s *Stats) brokenAttempt(outcome string) {
+	s.observer.Count("rookpass_broken_attempts_total", outcome)
+}
+
 // response counts a server's response by its framing and how it ended.
 func (s *Stats) response(framing upstream.Framing, ending upstream.Ending) {
 	s.observer.Count("rookpass_responses_total", string(framing)+"-"+string(ending))
--- a/internal/transport/call/call.go
+++ b/internal/transport/call/call.go
@@ -73,6 +73,14 @@
 	KeepAlive time.Duration
 }
 
+// HeaderRoles has the canonical names of headers that say nothing about the content of a request.
+type HeaderRoles struct {
+	// OfAttempt headers differ between the attempts of one request.
+	OfAttempt map[string]bool
+	// OfProgram headers identify the program that the request belongs to, and its limits.
+	OfProgram map[string]bool
+}
+
 // HeaderCodec reads and writes the headers of one wire format.
 type HeaderCodec interface {
 	// DecodeRequest decodes the headers of a caller's request.
@@ -80,6 +88,8 @@
 	// ForwardedHeaders returns the headers that are forwarded to a server: without hop-by-hop headers and those that are
 	// reserved for rookpass.
 	ForwardedHeaders(header http.Header) http.Header
+	// HeaderRoles returns the forwarded headers that are not part of a request's content. The maps must not be modified.
+	HeaderRoles() HeaderRoles
 	// AddForwardInfo adds the headers for the server that a request is sent to.
 	AddForwardInfo(outgoing http.Header, to ForwardInfo)
 	// DecodeResponse decodes the headers of a server's response.
--- a/internal/transport/network/memnet/memnet.go
+++ b/internal/transport/network/memnet/memnet.go
@@ -3,8 +3,10 @@
 package memnet
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -18,8 +20,12 @@
 // bufferBytes is the buffer size of a connection, in each direction.
 const bufferBytes = 64 << 10
 
-// errRefused is returned by Dial if nobody listens or the hosts are partitioned.
-var errRefused = errors.New("connection refused")
+var (
+	// errRefused is returned by Dial if nobody listens.
+	errRefused = fmt.Errorf("memnet: %w", syscall.ECONNREFUSED)
+	// errUnreachable is returned by Dial if the hosts are partitioned.
+	errUnreachable = fmt.Errorf("memnet: %w", syscall.EHOSTUNREACH)
+)
 
 // Fabric connects hosts. Use New.
 type Fabric struct {
@@ -237,10 +243,10 @@
 func (f *Fabric) Dial(ctx context.Context, host, address string) (net.Conn, error) {
 	f.mu.Lock()
 	l := f.listeners[address]
-	cut := l == nil || f.dead[host] || f.partitions[hostPair(host, l.host)]
+	err := f.checkPath(host, l)
 	f.mu.Unlock()
-	if cut {
-		return nil, errRefused
+	if err != nil {
+		return nil, err
 	}
 	raw, reset, err := l.dial(ctx)
 	if err != nil {
@@ -249,14 +255,27 @@
 	c := &conn{Conn: &deadlineConn{Conn: raw}, fabric: f, from: host, to: l.host, reset: reset}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.listeners[address] != l || f.dead[host] || f.partitions[hostPair(host, l.host)] {
+	if err := f.checkPath(host, f.listeners[address]); err != nil || f.listeners[address] != l {
 		_ = raw.Close() // a host was killed or partitioned meanwhile
-		return nil, errRefused
+		return nil, cmp.Or(err, errRefused)
 	}
 	f.conns[c] = struct{}{}
 	return c, nil
 }
 
+// checkPath returns an error if a host can't connect to a listener, which is nil if nobody listens. The caller holds f.mu.
+func (f *Fabric) checkPath(host string, to *listener) error {
+	switch {
+	case f.dead[host]:
+		return errUnreachable
+	case to == nil:
+		return errRefused
+	case f.partitions[hostPair(host, to.host)]:
+		return errUnreachable
+	}
+	return nil
+}
+
 func hostPair(a, b string) [2]string {
 	if a > b {
 		a, b = b, a
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"github.com/rookpass/rookpass/internal/base/incarnation"
 	"github.com/rookpass/rookpass/internal/base/verdict"
 	"github.com/rookpass/rookpass/internal/transport/call"
@@ -50,6 +52,9 @@
 	// onOpenChange is called with the change of the number of open connections; may be nil. It is called with mu held.
 	onOpenChange func(change int)
 
+	// probes are the probes under way, by endpoint.
+	probes singleflight.Group
+
 	opened atomic.Int64
 	reused atomic.Int64
 }
@@ -117,6 +122,11 @@
 		_ = c.Close()
 		p.countClosed(to)
 	}
+	return p.openConn(ctx, to, limit)
+}
+
+// openConn returns a new connection, which is counted.
+func (p *Pool) openConn(ctx context.Context, to Endpoint, limit int) (*conn, *Failure) {
 	if err := p.reserve(to, limit); err != nil {
 		return nil, &Failure{Verdict: verdict.NotRun, Reason: ReasonNoConns, err: err}
 	}
