--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -37,11 +38,11 @@
 }
 
 const (
-	defaultFronts = 3
-	defaultStores = 4
-	serverCount   = 6
-	storeHost     = "platform"
-	storeAddress  = storeHost + ":1"
+	defaultFronts  = 3
+	defaultStores  = 4
+	defaultServers = 6
+	storeHost      = "platform"
+	storeAddress   = storeHost + ":1"
 	// smallestMemory is the memory of the smallest VM.
 	smallestMemory = 112 << 20
 )
@@ -67,9 +68,13 @@
 	maxEvacuationDelay time.Duration
 	// output receives the daemons' log; nil for the default.
 	output io.Writer
+	// serverCount is the number of backend servers; 0 for defaultServers.
+	serverCount int
 
 	mu      sync.Mutex
 	version int64
+	// processes are those of the backend servers.
+	processes []*http.Server
 	// organisations are those of the current configuration.
 	organisations []platformtest.Organisation
 }
@@ -112,11 +117,12 @@
 	w.t, w.fabric, w.platform, w.checker, w.dir = t, memnet.New(), platformtest.NewStore(), workload.NewChecker(), t.TempDir()
 	w.organisations = workload.Organisations()
 	w.serve(storeHost, storeAddress, w.platform)
-	for i := range serverCount {
+	for i := range cmp.Or(w.serverCount, defaultServers) {
 		address := fmt.Sprintf("server-%d:1", i)
 		s := workload.NewServer(i, address, w.checker)
 		w.servers = append(w.servers, s)
-		w.serveWith(fmt.Sprint("server-", i), address, &http.Server{Handler: s, ConnContext: s.ConnContext})
+		w.processes = append(w.processes, nil)
+		w.startServer(i)
 		w.platform.SetServer(s.Entry())
 	}
 	w.publishConfig()
@@ -149,6 +155,16 @@
 	c.t.Cleanup(func() { _ = server.Close() })
 }
 
+// startServer starts the process of a backend server.
+func (c *cluster) startServer(i int) {
+	s := c.servers[i]
+	process := &http.Server{Handler: s, ConnContext: s.ConnContext}
+	c.mu.Lock()
+	c.processes[i] = process
+	c.mu.Unlock()
+	c.serveWith(fmt.Sprint("server-", i), s.Entry().Address, process)
+}
+
 // publishConfig publishes the next version of the configuration and returns it.
 func (c *cluster) publishConfig() int64 {
 	c.mu.Lock()
--- a/internal/testing/workload/caller.go
+++ b/internal/testing/workload/caller.go
@@ -289,9 +289,14 @@
 }
 
 func (c *Caller) sendTo(front, path string, call platformtest.Call, body string) (int, http.Header, []byte, error) {
+	return c.sendPath(front, path+call.ID, call, body)
+}
+
+// sendPath sends a request to a path that does not contain its ID.
+func (c *Caller) sendPath(front, path string, call platformtest.Call, body string) (int, http.Header, []byte, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), call.Deadline)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+front+path+call.ID, bytes.NewReader([]byte(body)))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+front+path, bytes.NewReader([]byte(body)))
 	if err != nil {
 		return 0, nil, nil, err
 	}
--- a/internal/testing/workload/checker.go
+++ b/internal/testing/workload/checker.go
@@ -27,7 +27,9 @@
 	arrivals           map[string]int
 	lateAllowedUntil   time.Time
 	newestVersions     map[string]int64
-	violations         []string
+	// serverEnds holds the servers that each fatal request has ended.
+	serverEnds map[string][]string
+	violations []string
 	// outcomes is the number of requests by outcome, as callers saw it.
 	outcomes map[string]int
 }
@@ -35,7 +37,7 @@
 // NewChecker returns a Checker without records.
 func NewChecker() *Checker {
 	return &Checker{expectedBodies: map[string]string{}, runCounts: map[string]int{}, answered: map[string]bool{}, idempotent: map[string]bool{}, organisations: map[string]string{}, sentAt: map[string]time.Time{}, revokedFrom: map[string]time.Time{}, runsByOrganisation: map[string][]run{}, refusals: map[string]int{},
-		tokens: map[string]int64{}, drainingSince: map[string]time.Time{}, arrivals: map[string]int{}, newestVersions: map[string]int64{}, outcomes: map[string]int{}}
+		tokens: map[string]int64{}, drainingSince: map[string]time.Time{}, arrivals: map[string]int{}, newestVersions: map[string]int64{}, outcomes: map[string]int{}, serverEnds: map[string][]string{}}
 }
 
 // AddViolation records a violated invariant.
@@ -198,6 +200,20 @@
 	delete(c.drainingSince, server)
 }
 
+// RecordServerEnd records that a fatal request has ended a server.
+func (c *Checker) RecordServerEnd(content, server string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.serverEnds[content] = append(c.serverEnds[content], server)
+}
+
+// ServerEnds returns how many servers a fatal request has ended.
+func (c *Checker) ServerEnds(content string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.serverEnds[content])
+}
+
 // AllowLateArrivals permits requests to reach draining servers until a time, because a daemon may send pending requests
 // when it is resumed after a pause.
 func (c *Checker) AllowLateArrivals(until time.Time) {
--- /dev/null
+++ b/internal/testing/workload/fatal.go
@@ -0,0 +1,94 @@
+package workload
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rookpass/rookpass/platform/platformtest"
+)
+
+// fatalMark marks the body of a fatal request: one that ends each server that runs it. The content behind it tells such
+// requests apart.
+const fatalMark = "fatal content: "
+
+// lateMark marks the content of a fatal request that ends a server in the middle of its stream.
+const lateMark = "late-"
+
+// endsLate reports whether a fatal request ends a server in the middle of its stream.
+func endsLate(body string) bool { return strings.HasPrefix(fatalContent(body), lateMark) }
+
+// fatalContent returns what tells a fatal request from others.
+func fatalContent(body string) string {
+	_, content, _ := strings.Cut(body, fatalMark)
+	return content
+}
+
+// NewFatalContent returns the content of a fatal request that was not used before.
+func NewFatalContent() string { return fmt.Sprint("f", lastID.Add(1)) }
+
+// NewLateFatalContent returns the same for one that ends servers in the middle of their stream.
+func NewLateFatalContent() string { return lateMark + NewFatalContent() }
+
+// MaxServerEnds is how many servers may end under one request before it is refused.
+const MaxServerEnds = 3
+
+// FatalRequest is a request that ends each server that runs it, and how often and with which pause its caller repeats it.
+type FatalRequest struct {
+	// Path is the path of a route; the request has the same path below it each time.
+	Path    string
+	Content string
+	// Program is the program of the request; empty for none. NewPrograms starts another one for each attempt.
+	Program     string
+	NewPrograms bool
+	Attempts    int
+	Pause       time.Duration
+}
+
+// FatalResult is what a caller saw of a fatal request: the status of each attempt, 0 for a broken-off answer, and how
+// long each took.
+type FatalResult struct {
+	Statuses []int
+	Took     []time.Duration
+}
+
+// Refused returns how many attempts were refused as not run.
+func (r FatalResult) Refused() int {
+	n := 0
+	for _, status := range r.Statuses {
+		if status == http.StatusServiceUnavailable {
+			n++
+		}
+	}
+	return n
+}
+
+// SendFatal sends a fatal request again and again with the same content, each time with a new ID and to a front daemon
+// that it draws from fronts.
+func (c *Caller) SendFatal(fronts []string, f FatalRequest) FatalResult {
+	var result FatalResult
+	for n := range f.Attempts {
+		if n > 0 {
+			time.Sleep(f.Pause)
+		}
+		id := fmt.Sprintf("x%d", lastID.Add(1))
+		call := platformtest.Call{ID: id, Program: f.Program, Deadline: callDeadline, MaxOutputTokens: maxTurnTokens}
+		if f.NewPrograms {
+			call.Program = fmt.Sprint("p", id)
+		}
+		if call.Program != "" {
+			call.Budget = tokenBudget(false)
+		}
+		body := fatalMark + f.Content
+		c.checker.RecordSent(id, body, f.Path == "/lookup/" || f.Path == resumablePath)
+		c.mu.Lock()
+		front := fronts[c.random.IntN(len(fronts))]
+		c.mu.Unlock()
+		began := time.Now()
+		status, _, _, err := c.sendPath(front, f.Path+f.Content, call, body)
+		result.Took = append(result.Took, time.Since(began))
+		result.Statuses = append(result.Statuses, c.recordStatus(id, status, err))
+	}
+	return result
+}
--- a/internal/testing/workload/server.go
+++ b/internal/testing/workload/server.go
@@ -62,6 +62,8 @@
 	instances int
 	// ended is closed when the current start ends.
 	ended chan struct{}
+	// onFatal ends the server's process; nil for servers that survive fatal requests.
+	onFatal func()
 }
 
 // NewServer returns a server. Its index determines its service and its data centre. address is the address at which
@@ -97,6 +99,26 @@
 	return s.entry
 }
 
+// OnFatalRequest sets the function that ends the server's process when it gets a fatal request.
+func (s *Server) OnFatalRequest(end func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onFatal = end
+}
+
+// endBy ends the server's process if the body is that of a fatal request, and reports whether it did.
+func (s *Server) endBy(body string) bool {
+	s.mu.Lock()
+	end, name := s.onFatal, s.entry.ID.Server
+	s.mu.Unlock()
+	if end == nil || !strings.Contains(body, fatalMark) {
+		return false
+	}
+	s.checker.RecordServerEnd(fatalContent(body), name)
+	end()
+	return true
+}
+
 // Restart simulates a crash that leaves connections open, and a restart with the same name and address. Requests in
 // progress and on existing connections are never answered. It returns the registry entry of the new start.
 func (s *Server) Restart() catalog.Server {
@@ -181,13 +203,16 @@
 	s.checker.RecordArrival(entry.ID.Server, id)
 	s.checker.RecordIdentity(id, platformtest.ForwardedOrganisation(r.Header), containsKey(r.Header))
 	s.checker.RecordRun(id, string(body))
+	if !endsLate(string(body)) && s.endBy(string(body)) {
+		panic(http.ErrAbortHandler)
+	}
 	if fault == Hang {
 		<-r.Context().Done()
 		return
 	}
 	platformtest.Sign(w.Header(), id)
 	if entry.Service == modelService {
-		s.writeStream(w, r, id, answerKey(r, id, string(body)), fault)
+		s.writeStream(w, r, id, string(body), fault)
 		return
 	}
 	time.Sleep(toolDelay)
@@ -230,7 +255,8 @@
 	return text.String()
 }
 
-func (s *Server) writeStream(w http.ResponseWriter, r *http.Request, id, key string, fault Fault) {
+func (s *Server) writeStream(w http.ResponseWriter, r *http.Request, id, body string, fault Fault) {
+	key := answerKey(r, id, body)
 	w.Header().Set("Content-Type", "text/event-stream")
 	first := platformtest.LastEvent(r.Header) + 1
 	if e, ok := endings[fault]; ok {
@@ -243,6 +269,9 @@
 	}
 	for n := first; n <= eventsPerTurn; n++ {
 		blockIfEnded(r)
+		if n > eventsPerTurn/2 && s.endBy(body) {
+			panic(http.ErrAbortHandler)
+		}
 		_, _ = io.WriteString(w, eventText(key, n, n)) // the caller may have disconnected
 		w.(http.Flusher).Flush()
 		if fault == Truncate && n == eventsPerTurn/2 {
