quarantine: a request under which three servers have ended is refused by all daemons

What callers saw: a request that ends its server was sent to further ones each time that its caller repeated it; all else on these servers broke off with them.

Cause: the bound on servers is that of one client attempt. A repeat has a new id, and nothing was remembered beyond the attempt, nor told to the daemons that get the later ones. Class: a bound that is kept by the wrong unit, so that whoever repeats the unit is not bound at all.

Evidence: event=server-ended and content in the log: the same content, another id and front each time, three ends each.

Requests with a body also without their program, for callers that start another one. - After a connection broke, a probe tells whether its server has ended. If so the front reports the end to three store daemons (registrars) before it sends the request again. At the third end the request is quarantined for ten minutes, and all fronts are told through a pending poll: refused with 503 and Retry-After, before any grant, reservation or server. - All in flight at a server that ends are suspects. A good answer clears, known by any front; a server that responds takes its end back. Ends beside one another, of copies of one content, count only if no daemon objects within 60 ms, since servers may end by a common cause. What was answered well before counts ends in sequence only. - A front without registrars goes by what it has seen; a new one asks all registrars before it is ready; a registrar that lost its memory is told by the next report and by fronts that poll it. Memory: 4,096 requests, the organisation with the most gives way first.

Why it works: with the identity each repeat adds to one count, and the count is shared before the next attempt can be sent.

--- a/internal/decide/quarantine/key.go
+++ b/internal/decide/quarantine/key.go
@@ -1,4 +1,3 @@
-// Package quarantine identifies requests by their content, so that ends of servers under one request can be counted.
 package quarantine
 
 import (
--- /dev/null
+++ b/internal/decide/quarantine/tracker_test.go
@@ -0,0 +1,165 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/rookpass/rookpass/internal/base/incarnation"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// end is the end of a server under one of a caller's attempts.
+func end(server, attempt string, sent, ended float64) End {
+	return End{Server: incarnation.ID{Server: server}, Attempt: attempt, SentAt: at(sent), EndedAt: at(ended)}
+}
+
+func keyOf(text string) Key {
+	b := NewKeyBuilder()
+	b.Add(text)
+	return b.Key()
+}
+
+// TestQuarantineAtTheThirdEnd guards against a fourth server that gets a request under which three have ended.
+func TestQuarantineAtTheThirdEnd(t *testing.T) {
+	for name, ends := range map[string][]End{
+		"one after the other":       {end("a", "1", 0, 0.1), end("b", "2", 0.4, 0.5), end("c", "3", 0.8, 0.9)},
+		"all under one attempt":     {end("a", "1", 0, 0.1), end("b", "1", 0, 0.1), end("c", "1", 0.1, 0.2)},
+		"reported in another order": {end("c", "3", 0.8, 0.9), end("a", "1", 0, 0.1), end("b", "2", 0.4, 0.5)},
+	} {
+		tracker := NewTracker()
+		for i, e := range ends {
+			state := tracker.Add(at(1), keyOf("x"), 0, e, e) // a repeated report must not count twice
+			assert.Equal(t, len(state.Ends), i+1, name)
+			assert.Equal(t, state.Quarantined, i == 2, name)
+		}
+		assert.Equal(t, tracker.State(at(1), keyOf("x")).Until.Sub(at(1)).Round(time.Minute), quarantineTime, name)
+		assert.Assert(t, !tracker.State(at(1), keyOf("y")).Quarantined, "another request is quarantined")
+	}
+}
+
+// TestEndsBesideOneAnotherWaitForObjections guards against refusals of a request of which copies were in flight at servers that
+// ended by a common cause, and against a request that ends servers in many copies at once and is never quarantined.
+func TestEndsBesideOneAnotherWaitForObjections(t *testing.T) {
+	ends := []End{end("a", "1", 0, 0.1), end("b", "2", 0, 0.1), end("c", "3", 0, 0.1)}
+	tracker, key := NewTracker(), keyOf("x")
+	state := tracker.Add(at(1), key, 0, ends...)
+	assert.Assert(t, !state.Quarantined && !state.Until.IsZero())
+	assert.Equal(t, len(tracker.Changes(at(1), 0, 10)), 1, "nobody is told who could object")
+	assert.Assert(t, tracker.State(at(1).Add(objectionTime), key).Quarantined)
+
+	objected, now := NewTracker(), at(1)
+	objected.Add(now, key, 0, ends...)
+	objected.Answered(now, key, at(0))
+	assert.Assert(t, !objected.State(now.Add(objectionTime), key).Quarantined)
+}
+
+// TestGoodAnswerClears guards against a refusal of requests that servers survive.
+func TestGoodAnswerClears(t *testing.T) {
+	tracker, key := NewTracker(), keyOf("x")
+	tracker.Add(at(1), key, 0, end("a", "1", 0, 0.1), end("b", "2", 0.4, 0.5))
+	tracker.Answered(at(2), key, at(2))
+	assert.Equal(t, len(tracker.Add(at(3), key, 0, end("a", "1", 0, 0.1)).Ends), 0, "an end before the answer counts again")
+	assert.Assert(t, !tracker.Add(at(3), key, 0, end("c", "3", 2.8, 2.9)).Quarantined)
+
+	tracker.Add(at(4), key, 0, end("d", "4", 3, 3.1), end("e", "5", 3.2, 3.3))
+	assert.Assert(t, tracker.State(at(4), key).Quarantined)
+	tracker.Answered(at(5), key, at(5))
+	assert.Assert(t, !tracker.State(at(5), key).Quarantined, "an answer does not end the quarantine")
+}
+
+// TestServersThatEndTogetherDoNotCondemnWhatIsAnswered guards against a refusal of popular requests, of which copies are in
+// flight at many servers, because several servers end by a common cause.
+func TestServersThatEndTogetherDoNotCondemnWhatIsAnswered(t *testing.T) {
+	tracker, key := NewTracker(), keyOf("popular")
+	tracker.Add(at(1), key, 0, end("z", "0", 0, 0.1))
+	tracker.Answered(at(1), key, at(1))
+	for i := range 5 {
+		state := tracker.Add(at(2), key, 0, end(fmt.Sprint("a", i), fmt.Sprint(i), 1.5, 2))
+		assert.Assert(t, !state.Quarantined)
+	}
+	// Sent again after each end, it ends two further servers: now it is the cause.
+	assert.Assert(t, !tracker.Add(at(3), key, 0, end("b", "8", 2.2, 2.3)).Quarantined)
+	assert.Assert(t, tracker.Add(at(3), key, 0, end("c", "9", 2.4, 2.5)).Quarantined)
+}
+
+// TestResponseTakesEndBack guards against a refusal because servers that live were taken for ended.
+func TestResponseTakesEndBack(t *testing.T) {
+	tracker, key := NewTracker(), keyOf("x")
+	tracker.Add(at(1), key, 0, end("a", "1", 0, 0.1), end("b", "2", 0.4, 0.5), end("c", "3", 0.8, 0.9))
+	tracker.Responded(at(2), incarnation.ID{Server: "b"}, at(0.4))
+	assert.Assert(t, tracker.State(at(2), key).Quarantined, "a response before the end counts")
+	tracker.Responded(at(2), incarnation.ID{Server: "b", Born: 7}, at(1.5))
+	assert.Assert(t, tracker.State(at(2), key).Quarantined, "a response of the next start counts")
+	tracker.Responded(at(2), incarnation.ID{Server: "b"}, at(1.5))
+	assert.Assert(t, !tracker.State(at(2), key).Quarantined)
+	assert.DeepEqual(t, tracker.EndedServers(), map[incarnation.ID]bool{{Server: "a"}: true, {Server: "c"}: true})
+}
+
+// TestEndsFarApartDoNotAddUp guards against a refusal of a request that is sent for days because servers end now and then.
+func TestEndsFarApartDoNotAddUp(t *testing.T) {
+	tracker, key := NewTracker(), keyOf("x")
+	for i := range 10 {
+		seconds := float64(i) * (endLifetime.Seconds()/2 + 1)
+		state := tracker.Add(at(seconds), key, 0, end(fmt.Sprint(i), fmt.Sprint(i), seconds-0.1, seconds))
+		assert.Assert(t, !state.Quarantined, "quarantined at the end %d", i)
+	}
+}
+
+// TestQuarantineReturnsWithOneEnd guards against three further ends after each quarantine.
+func TestQuarantineReturnsWithOneEnd(t *testing.T) {
+	tracker, key := NewTracker(), keyOf("x")
+	tracker.Add(at(1), key, 0, end("a", "1", 0, 0.1), end("b", "2", 0.4, 0.5), end("c", "3", 0.8, 0.9))
+	over := 1 + quarantineTime.Seconds()
+	assert.Assert(t, !tracker.State(at(over), key).Quarantined)
+	tracker.Expire(at(over))
+	assert.Assert(t, tracker.Add(at(over), key, 0, end("d", "4", over-0.1, over)).Quarantined)
+	tracker.Expire(at(3 * over))
+	assert.Assert(t, !tracker.HasEnds(key), "an entry stays for good")
+}
+
+// TestMemoryIsBoundedAndShared guards against an organisation that displaces what is known of another's requests.
+func TestMemoryIsBoundedAndShared(t *testing.T) {
+	tracker := NewTracker()
+	small, large := OwnerOf("small"), OwnerOf("large")
+	tracker.Add(at(0), keyOf("small's"), small, end("a", "1", 0, 0.1), end("b", "2", 0.4, 0.5))
+	tracker.Add(at(0), keyOf("large's"), large, end("a", "1", 0, 0.1), end("b", "2", 0.4, 0.5), end("c", "3", 0.8, 0.9))
+	for i := range 3 * maxEntries {
+		tracker.Add(at(1+float64(i)/1000), keyOf(fmt.Sprint("flood", i)), large, end("a", "1", 0, 0.1))
+	}
+	assert.Assert(t, len(tracker.entries) <= maxEntries)
+	assert.Assert(t, tracker.HasEnds(keyOf("small's")), "the small organisation's entry was displaced")
+	assert.Assert(t, tracker.State(at(2), keyOf("large's")).Quarantined, "a quarantined request was displaced before suspects")
+	for i := range 3 * maxEndsKept {
+		tracker.Add(at(2), keyOf("small's"), small, end(fmt.Sprint("s", i), "1", 1, 1+float64(i)/100))
+	}
+	assert.Equal(t, len(tracker.State(at(2), keyOf("small's")).Ends), maxEndsKept)
+}
+
+// TestChangesAreToldInOrder guards against changes that a daemon misses because it polls in the middle of them.
+func TestChangesAreToldInOrder(t *testing.T) {
+	tracker := NewTracker()
+	quarantined := func(name string) Key {
+		key := keyOf(name)
+		tracker.Add(at(1), key, 0, end("a"+name, "1", 0, 0.1), end("b"+name, "2", 0.4, 0.5), end("c"+name, "3", 0.8, 0.9))
+		return key
+	}
+	first, second := quarantined("first"), quarantined("second")
+	changes := tracker.Changes(at(1), 0, 1)
+	assert.Equal(t, len(changes), 1)
+	assert.Equal(t, changes[0].Key, first)
+	tracker.Answered(at(2), first, at(2))
+	changes = tracker.Changes(at(2), changes[0].Version, 10)
+	assert.Equal(t, len(changes), 2)
+	assert.Equal(t, changes[0].Key, second)
+	assert.Equal(t, changes[1].Key, first)
+	assert.Assert(t, changes[0].State.Quarantined && !changes[1].State.Quarantined)
+	assert.Equal(t, len(tracker.Changes(at(2), tracker.Version(), 10)), 0)
+}
--- a/internal/front/gateway/attempt.go
+++ b/internal/front/gateway/attempt.go
@@ -68,6 +68,9 @@
 		return nil, failure
 	}
 	choice.HeadReceived()
+	if response.Status != http.StatusMisdirectedRequest { // which another server sends
+		x.g.quarantine.Responded(choice.Server.ID)
+	}
 	switch {
 	case response.Info.NotRun:
 		_, _ = io.Copy(io.Discard, response.Body) // so that the connection can be reused
@@ -126,6 +129,9 @@
 	x.attempts = append(x.attempts, attemptRecord{server: choice.Server.ID, outcome: outcome, took: time.Since(began),
 		inFlight: choice.InFlight, candidates: choice.Candidates, uncached: choice.Uncached})
 	x.g.stats.attempt(outcome)
+	if result == balance.Answered {
+		x.g.quarantine.Answered(x.keys, x.owner())
+	}
 }
 
 // recordFailure records a failed attempt.
@@ -142,9 +148,6 @@
 	}
 	x.recordAttempt(choice, began, failure.Reason, result)
 	x.attempts[len(x.attempts)-1].reusedConnection = failure.Reused
-	if b := (&brokenAttempt{choice, began, failure.Reason}); failure.Verdict == verdict.MayHaveRun && result == balance.Failed && b.mayHaveEnded() {
-		go x.checkServer(context.WithoutCancel(x.ctx), b)
-	}
 }
 
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
--- a/internal/front/gateway/fixture_test.go
+++ b/internal/front/gateway/fixture_test.go
@@ -24,6 +24,7 @@
 	"github.com/rookpass/rookpass/internal/base/secret"
 	"github.com/rookpass/rookpass/internal/decide/dispatch"
 	"github.com/rookpass/rookpass/internal/decide/policy"
+	"github.com/rookpass/rookpass/internal/decide/quarantine"
 	"github.com/rookpass/rookpass/internal/front/balance"
 	"github.com/rookpass/rookpass/internal/front/catalog"
 	"github.com/rookpass/rookpass/internal/front/gateway"
@@ -242,7 +243,8 @@
 	r.configure(log, maxBodyBytes)
 	r.gateway = gateway.New(gateway.Options{Catalog: r.catalog, Balancer: r.balancer, Sender: upstream.NewPool(network.dial, testCodec{}, 10000),
 		Ledger: r.ledger, HeaderCodec: testCodec{}, Log: log, Stats: gateway.NewStats(r.metrics), Scheduler: r.scheduler, Memory: r.memory,
-		ConfigAgeLimits: policy.NewConfigAgeLimits(maxRevocationDelay, maxAdditionDelay), Quotas: r.quotas})
+		ConfigAgeLimits: policy.NewConfigAgeLimits(maxRevocationDelay, maxAdditionDelay), Quotas: r.quotas,
+		Quarantine: quarantine.NewClient("front", nil, nil, func() []string { return nil }, log)})
 	r.url = "http://" + network.serve(t, "front", r.gateway)
 	return r
 }
--- a/internal/front/gateway/gateway.go
+++ b/internal/front/gateway/gateway.go
@@ -71,6 +71,7 @@
 	scheduler       *dispatch.Scheduler
 	configAgeLimits policy.ConfigAgeLimits
 	quotas          Quotas
+	quarantine      Quarantine
 	steps           []step
 	draining        atomic.Bool
 	activeRequests  atomic.Int64
@@ -93,13 +94,15 @@
 	ConfigAgeLimits policy.ConfigAgeLimits
 	// Quotas grants requests of organisations with a rate limit.
 	Quotas Quotas
+	// Quarantine knows which requests end servers.
+	Quarantine Quarantine
 }
 
 // New returns a gateway.
 func New(o Options) *Gateway {
 	g := &Gateway{catalog: o.Catalog, balancer: o.Balancer, sender: o.Sender, ledger: o.Ledger, headerCodec: o.HeaderCodec,
-		log: o.Log, stats: o.Stats, scheduler: o.Scheduler, configAgeLimits: o.ConfigAgeLimits, quotas: o.Quotas, memory: o.Memory}
-	g.steps = []step{withRequestInfo, withSoundFraming, withConfig, withRoute, withOrganisation, withDeadline, withBody, withIdentity, withinRateLimit}
+		log: o.Log, stats: o.Stats, scheduler: o.Scheduler, configAgeLimits: o.ConfigAgeLimits, quotas: o.Quotas, memory: o.Memory, quarantine: o.Quarantine}
+	g.steps = []step{withRequestInfo, withSoundFraming, withConfig, withRoute, withOrganisation, withDeadline, withBody, withIdentity, notQuarantined, withinRateLimit}
 	return g
 }
 
@@ -133,6 +136,8 @@
 	header http.Header
 	// keys identify the request's content; the last one covers the whole request.
 	keys []quarantine.Key
+	// quarantine is what was known of servers that ended under the request when that was last checked.
+	quarantine quarantine.State
 	// serviceName is the service picked by the route's weights.
 	serviceName string
 
@@ -293,6 +298,7 @@
 		fields["organisation"], fields["config_age_ms"] = x.organisationName(), x.tableAge.Milliseconds()
 	}
 	x.received.addTo(fields)
+	x.addQuarantine(fields)
 	if status != 0 {
 		fields["status"] = status
 	}
--- a/internal/front/gateway/plain.go
+++ b/internal/front/gateway/plain.go
@@ -93,7 +93,7 @@
 
 // startAttempt starts an attempt at another server, or returns false if none is left.
 func (c *hedgedRequest) startAttempt() bool {
-	if c.attempts >= c.x.route.MaxAttempts {
+	if c.attempts >= c.x.route.MaxAttempts || c.x.checkQuarantine() {
 		return false
 	}
 	memory := c.takeMemory()
@@ -116,7 +116,13 @@
 	choice.CancelOnRestart(cancel)
 	c.cancels = append(c.cancels, func() { cancel(nil) })
 	replace := c.attempts < c.x.route.MaxAttempts
-	go func() { c.results <- c.x.fetch(ctx, choice, replace, memory) }()
+	go func() {
+		t := c.x.fetch(ctx, choice, replace, memory)
+		if t.failure != nil {
+			c.x.reportBreak(choice, t.began, t.failure, replace && c.x.route.Kind == catalog.Idempotent)
+		}
+		c.results <- t
+	}()
 	return true
 }
 
@@ -299,6 +305,7 @@
 		if err != nil {
 			failure := upstream.NewFailure(verdict.MayHaveRun, pace.failureReason(upstream.ReasonRead), err)
 			x.recordFailure(t.choice, t.began, failure)
+			x.reportBreak(t.choice, t.began, failure, false)
 			return x.failureResponse(true, failure)
 		}
 	}
@@ -321,6 +328,8 @@
 		return &refusal{status: http.StatusGatewayTimeout, reason: "timeout", err: err}
 	case mayHaveRun:
 		return &refusal{status: http.StatusBadGateway, reason: "no-whole-answer", err: err}
+	case x.quarantine.Quarantined:
+		return x.quarantineRefusal(err)
 	default:
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no-server", retryAfter: jitter(retryBusy), err: err}
 	}
--- /dev/null
+++ b/internal/front/gateway/quarantine_test.go
@@ -0,0 +1,66 @@
+package gateway_test
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// breakOff reads a request and breaks its connection. The server lives on.
+func breakOff(_ http.ResponseWriter, _ *http.Request) { panic(http.ErrAbortHandler) }
+
+// TestBrokenAnswersDoNotQuarantine guards against refusals of requests whose answers are lost by servers that live.
+func TestBrokenAnswersDoNotQuarantine(t *testing.T) {
+	for _, path := range []string{"/twice/x", "/once/x", "/turn/x", "/resume/x"} {
+		t.Run(strings.Split(path, "/")[1], func(t *testing.T) {
+			var runs atomic.Int64
+			broken := countRequests(&runs, breakOff)
+			r := newFixture(t, broken, broken, broken, broken)
+			for range 6 {
+				got := r.send(path, "x")
+				assert.Equal(t, got.status, http.StatusBadGateway)
+				assert.Equal(t, <-r.outcomes, "no-whole-answer")
+			}
+			assert.Assert(t, runs.Load() >= 6)
+		})
+	}
+}
+
+// endServer ends the server of a fixture that gets the request.
+func endServer(_ http.ResponseWriter, r *http.Request) {
+	server := r.Context().Value(http.ServerContextKey).(*http.Server)
+	_ = server.Close() // what remains is closed by the test
+}
+
+// TestQuarantinedRequestIsRefusedTruthfully guards against refusals of quarantined requests that say they did not run although
+// they did, or don't tell when to come back, and against refusals of requests that differ from it in anything.
+func TestQuarantinedRequestIsRefusedTruthfully(t *testing.T) {
+	r := newFixture(t, endServer, endServer, endServer, endServer, endServer)
+	for _, headers := range [][]string{{"Id", "1", "Deadline", "2s"}, {"Id", "2", "Deadline", "1900ms", "Traceparent", "00-1"}} {
+		got := r.send("/twice/x", "content", headers...)
+		if headers[1] == "1" {
+			assert.Equal(t, got.status, http.StatusBadGateway, "three servers have ended under this attempt")
+			continue
+		}
+		assert.Equal(t, got.status, http.StatusServiceUnavailable)
+		wait, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		assert.NilError(t, err)
+		assert.Assert(t, wait > 60)
+	}
+	line := r.requestLines[1]
+	assert.Equal(t, line["outcome"], "quarantined")
+	assert.Equal(t, line["ends"], 3)
+	assert.Equal(t, line["attempts"], "")
+
+	for _, other := range [][]string{
+		{"/twice/x", "other content"}, {"/twice/y", "content"}, {"/twice/x?a=b", "content"},
+		{"/twice/x", "content", "Cookie", "key=1"}, {"/once/x", "content"},
+	} {
+		got := r.send(other[0], other[1], append(other[2:], "Id", "3")...)
+		assert.Assert(t, !strings.Contains(got.body, "quarantined"), "%v", other)
+	}
+}
--- a/internal/front/gateway/serverend.go
+++ b/internal/front/gateway/serverend.go
@@ -6,6 +6,8 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/rookpass/rookpass/internal/base/verdict"
+	"github.com/rookpass/rookpass/internal/decide/quarantine"
 	"github.com/rookpass/rookpass/internal/front/balance"
 	"github.com/rookpass/rookpass/internal/transport/upstream"
 )
@@ -31,6 +33,27 @@
 	}
 }
 
+// reportBreak reports an attempt that failed, if its server has ended. It waits until the other daemons know if the request
+// may be sent to another server.
+func (x *exchange) reportBreak(choice *balance.Choice, sentAt time.Time, failure *upstream.Failure, mayGoOn bool) {
+	b := &brokenAttempt{choice, sentAt, failure.Reason}
+	if failure.Verdict != verdict.MayHaveRun || !b.mayHaveEnded() {
+		return
+	}
+	report := func(ctx context.Context) {
+		if x.checkServer(ctx, b) != upstream.Ended {
+			return
+		}
+		end := quarantine.End{Server: choice.Server.ID, Attempt: x.requestInfo.ID, SentAt: sentAt, EndedAt: time.Now()}
+		x.g.quarantine.ServerEnded(ctx, x.keys, x.owner(), end)
+	}
+	if mayGoOn {
+		report(x.ctx)
+		return
+	}
+	go report(context.WithoutCancel(x.ctx)) // the caller gets its answer at once
+}
+
 // checkServer finds out whether the server of a broken attempt has ended, logs it and counts it.
 func (x *exchange) checkServer(ctx context.Context, b *brokenAttempt) upstream.Liveness {
 	result := x.probeServer(ctx, b)
--- a/internal/front/gateway/stream.go
+++ b/internal/front/gateway/stream.go
@@ -130,7 +130,7 @@
 
 // connect sends the request until a server responds, or returns false if no further attempt may be made.
 func (s *stream) connect() bool {
-	for s.attempts < s.x.route.MaxAttempts && s.x.ctx.Err() == nil {
+	for s.attempts < s.x.route.MaxAttempts && s.x.ctx.Err() == nil && !s.x.checkQuarantine() {
 		s.x.refreshServers(&s.balancerRequest)
 		choice, found := s.x.g.balancer.Pick(&s.balancerRequest)
 		if !found {
@@ -158,6 +158,7 @@
 // recordFailure records an attempt without a complete response, and reports whether another one may be made.
 func (s *stream) recordFailure(t *streamAttempt, failure *upstream.Failure) bool {
 	s.x.recordFailure(t.choice, t.began, failure)
+	s.x.reportBreak(t.choice, t.began, failure, s.x.route.Repeatable() && s.attempts < s.x.route.MaxAttempts)
 	s.lastFailure = failure
 	switch failure.Reason {
 	case upstream.ReasonDial, upstream.ReasonNoConns, reasonMisdirected:
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -155,6 +155,9 @@
 	c.t.Cleanup(func() { _ = server.Close() })
 }
 
+// serverHost returns the name of a backend server's host.
+func serverHost(i int) string { return fmt.Sprint("server-", i) }
+
 // startServer starts the process of a backend server.
 func (c *cluster) startServer(i int) {
 	s := c.servers[i]
@@ -162,7 +165,7 @@
 	c.mu.Lock()
 	c.processes[i] = process
 	c.mu.Unlock()
-	c.serveWith(fmt.Sprint("server-", i), s.Entry().Address, process)
+	c.serveWith(serverHost(i), s.Entry().Address, process)
 }
 
 // publishConfig publishes the next version of the configuration and returns it.
--- a/internal/node/fatalrequests_test.go
+++ b/internal/node/fatalrequests_test.go
@@ -52,6 +52,18 @@
 	})
 }
 
+// endServersTogether ends the processes of servers in one moment.
+func (c *cluster) endServersTogether(servers []int) {
+	var hosts []string
+	for _, i := range servers {
+		hosts = append(hosts, serverHost(i))
+	}
+	c.fabric.End(hosts...)
+	for _, i := range servers {
+		c.endServer(i)
+	}
+}
+
 func callerAddresses(vms []*vm) []string {
 	var addresses []string
 	for _, m := range vms {
@@ -76,6 +88,7 @@
 		"resumable, after events":   request("/question/", workload.NewLateFatalContent(), "fatal"),
 		"call of a program":         request("/tool/", workload.NewFatalContent(), "fatal"),
 		"turn, after events":        request("/turn/", workload.NewLateFatalContent(), "fatal"),
+		"idempotent, hedged":        request("/lookup/", workload.NewSlowFatalContent(), ""),
 		"idempotent of one program": request("/lookup/", workload.NewFatalContent(), "fatal"),
 	}
 }
@@ -116,3 +129,100 @@
 	assert.Assert(c.t, c.checker.Counts()["call whole"] > 0)
 	assert.Equal(c.t, len(c.checker.Violations()), 0, "%v", c.checker.Violations())
 }
+
+// TestRequestsAreNotQuarantinedBecauseServersCrash guards against refusals of requests that have nothing to do with the ends
+// of servers: servers end all the time, one by one or several at once, beside requests of every kind and beside copies of
+// one request that many callers send.
+func TestRequestsAreNotQuarantinedBecauseServersCrash(t *testing.T) {
+	for name, crashes := range map[string]struct {
+		servers int
+		pause   time.Duration
+	}{"one by one": {1, 60 * time.Millisecond}, "five at once": {5, 400 * time.Millisecond}, "half of all": {12, time.Second}} {
+		t.Run(strings.ReplaceAll(name, " ", "-"), func(t *testing.T) {
+			t.Parallel()
+			testbubble.Run(t, func(t *testing.T) {
+				var output lockedBuffer
+				w := newClusterWith(t, 8, defaultStores, &cluster{serverCount: 24, output: &output})
+				stop := make(chan struct{})
+				var callers sync.WaitGroup
+				for i, work := range []workload.Work{workload.Programs, workload.ResumablePrograms, workload.AtMostOnceCalls, workload.IdempotentCalls} {
+					callers.Go(func() { w.caller(uint64(i)).Run(work, stop) })
+				}
+				for i := range 12 {
+					c := w.caller(uint64(10 + 2*i)) // of one organisation
+					callers.Go(func() { c.RunPopular(stop) })
+				}
+				for began, i := time.Now(), 0; time.Since(began) < 20*time.Second; {
+					var servers []int
+					for range crashes.servers {
+						servers = append(servers, i%len(w.servers))
+						i++
+					}
+					w.endServersTogether(servers)
+					time.Sleep(crashes.pause)
+				}
+				close(stop)
+				callers.Wait()
+				assert.Assert(t, strings.Contains(output.String(), "event=server-ended"), "no server ended under a request")
+				assert.Assert(t, !strings.Contains(output.String(), "outcome=quarantined"), "%.600s", linesWith(output.String(), "quarantine"))
+				assert.Assert(t, w.checker.Counts()["call whole"] > 0 && w.checker.Counts()["turn whole"] > 0)
+			})
+		})
+	}
+}
+
+// linesWith returns the lines of a text that contain a word.
+func linesWith(text, word string) string {
+	var lines []string
+	for line := range strings.Lines(text) {
+		if strings.Contains(line, word) {
+			lines = append(lines, line)
+		}
+	}
+	return strings.Join(lines, "")
+}
+
+// TestQuarantineIsOfOneOrganisation guards against an organisation that has another's requests refused by sending the same.
+func TestQuarantineIsOfOneOrganisation(t *testing.T) {
+	testbubble.Run(t, func(t *testing.T) {
+		w := newClusterWith(t, defaultFronts, defaultStores, &cluster{serverCount: 24})
+		w.endOnFatalRequests()
+		f := fatalRequests()["at most once"]
+		got := w.caller(1).ForOrganisation("north").SendFatal(callerAddresses(w.fronts), f)
+		assert.Equal(t, got.Refused(), fatalAttempts-workload.MaxServerEnds)
+		got = w.caller(1).ForOrganisation("south").SendFatal(callerAddresses(w.fronts), f)
+		assert.Equal(t, got.Refused(), fatalAttempts-workload.MaxServerEnds, "the other organisation's request was refused for the first one's")
+	})
+}
+
+// TestQuarantineOutlivesDaemons guards against daemons that send a quarantined request on after a restart of their own, of
+// the registrars one by one, or of all other front daemons.
+func TestQuarantineOutlivesDaemons(t *testing.T) {
+	for name, restart := range map[string]func(w *cluster){
+		"front": func(w *cluster) { w.restart(w.fronts[0], 300*time.Millisecond, false) },
+		"stores one by one": func(w *cluster) {
+			for _, m := range w.stores {
+				w.restart(m, 300*time.Millisecond, false)
+				time.Sleep(4 * time.Second)
+			}
+			w.restart(w.fronts[0], 300*time.Millisecond, false)
+		},
+		"all fronts": func(w *cluster) { w.restartAll(w.fronts) },
+	} {
+		t.Run(strings.ReplaceAll(name, " ", "-"), func(t *testing.T) {
+			t.Parallel()
+			testbubble.Run(t, func(t *testing.T) {
+				w := newClusterWith(t, defaultFronts, defaultStores, &cluster{serverCount: 24})
+				w.endOnFatalRequests()
+				f := fatalRequests()["idempotent"]
+				w.caller(1).SendFatal(callerAddresses(w.fronts[1:]), f)
+				assert.Equal(t, w.checker.ServerEnds(f.Content), workload.MaxServerEnds)
+				restart(w)
+				w.awaitReady()
+				got := w.caller(1).SendFatal(callerAddresses(w.fronts[:1]), f)
+				assert.Equal(t, w.checker.ServerEnds(f.Content), workload.MaxServerEnds)
+				assert.Equal(t, got.Refused(), fatalAttempts, "%v", got.Statuses)
+			})
+		})
+	}
+}
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -19,6 +19,7 @@
 	"github.com/rookpass/rookpass/internal/base/wait"
 	"github.com/rookpass/rookpass/internal/decide/dispatch"
 	"github.com/rookpass/rookpass/internal/decide/policy"
+	"github.com/rookpass/rookpass/internal/decide/quarantine"
 	"github.com/rookpass/rookpass/internal/decide/quota"
 	"github.com/rookpass/rookpass/internal/front/balance"
 	"github.com/rookpass/rookpass/internal/front/catalog"
@@ -46,11 +47,15 @@
 	diskFallbackDelay = 120 * time.Millisecond
 	// mirrorFallbackDelay is the same for watches, which wait up to a second for a change.
 	mirrorFallbackDelay = 1300 * time.Millisecond
+	// quarantinePollFallbackDelay is the same for polls of what is quarantined, which wait up to three seconds for a change.
+	quarantinePollFallbackDelay = 3300 * time.Millisecond
 	// hubFailbackInterval is how long a daemon uses another hub before it returns to the first, which all daemons
 	// share.
 	hubFailbackInterval = 8 * time.Second
 	// quotaGroupKeyPrefix and an organisation's name select the store daemons that count its requests.
 	quotaGroupKeyPrefix = "requests of "
+	// registrarsGroupKey selects the store daemons that count the servers which end under requests.
+	registrarsGroupKey = "registrars of requests that end servers"
 	// layoutTimeout is how long the daemon waits for the layout before it reads everything else from the platform's
 	// store.
 	layoutTimeout      = 4 * time.Second
@@ -90,15 +95,16 @@
 
 type front struct {
 	*base
-	catalog   *catalog.Catalog
-	balancer  *balance.Balancer
-	scheduler *dispatch.Scheduler
-	pool      *upstream.Pool
-	ledger    *ledger.Ledger
-	gateway   *gateway.Gateway
-	memory    *membudget.Budget
-	relay     *tunnel.Dialer
-	stopping  atomic.Bool
+	catalog    *catalog.Catalog
+	balancer   *balance.Balancer
+	scheduler  *dispatch.Scheduler
+	pool       *upstream.Pool
+	ledger     *ledger.Ledger
+	gateway    *gateway.Gateway
+	memory     *membudget.Budget
+	relay      *tunnel.Dialer
+	quarantine *quarantine.Client
+	stopping   atomic.Bool
 }
 
 // RunFront runs the front daemon until ctx ends, and then until its requests have ended.
@@ -123,10 +129,13 @@
 	f.relay = tunnel.NewDialer(b.host.dial, b.settings.PeerAddress())
 	b.links.WithFallback(f.relay.Dial, diskFallbackDelay)
 	f.ledger = ledger.New(b.links, b.settings.Topology(), int(memoryShare(turnCacheShare)), b.log).WithMemory(f.memory)
+	// Polls wait longer than calls may take before they are sent over another front daemon.
+	polls := peerlink.NewPool(b.host.dial).WithFallback(f.relay.Dial, quarantinePollFallbackDelay)
+	f.quarantine = quarantine.NewClient(b.settings.Node, b.links, polls, f.registrars, b.log)
 	f.gateway = gateway.New(gateway.Options{
 		Catalog: f.catalog, Balancer: f.balancer, Sender: f.pool, Ledger: f.ledger, HeaderCodec: platform.HeaderCodec{},
 		Log: b.log, Stats: gateway.NewStats(b.metrics), Scheduler: f.scheduler, Memory: f.memory,
-		ConfigAgeLimits: policy.NewConfigAgeLimits(b.settings.MaxRevocationDelay, b.settings.MaxConfigDelay), Quotas: quota.NewClient(b.links, f.quotaCounters),
+		ConfigAgeLimits: policy.NewConfigAgeLimits(b.settings.MaxRevocationDelay, b.settings.MaxConfigDelay), Quotas: quota.NewClient(b.links, f.quotaCounters), Quarantine: f.quarantine,
 	})
 	b.metrics.Gauge("rookpass_connections_opened_total", func() float64 { return float64(f.pool.Opened()) })
 	b.metrics.Gauge("rookpass_connections_reused_total", func() float64 { return float64(f.pool.Reused()) })
@@ -145,6 +154,8 @@
 	}
 	b.metrics.Gauge("rookpass_memory_limit_bytes", func() float64 { return float64(f.memory.Limit()) })
 	b.metrics.Gauge("rookpass_memory_peak_bytes", func() float64 { return float64(f.memory.Peak()) })
+	b.metrics.Gauge("rookpass_suspected_requests", func() float64 { suspected, _ := f.quarantine.Counts(); return float64(suspected) })
+	b.metrics.Gauge("rookpass_quarantined_requests", func() float64 { _, quarantined := f.quarantine.Counts(); return float64(quarantined) })
 	b.metrics.Gauge("rookpass_servers", func() float64 { return float64(f.catalog.Servers().Len()) })
 	return f
 }
@@ -179,6 +190,7 @@
 	group.Go(func() error { return f.servePages(work, f.status) })
 	f.startWatches(work, group)
 	group.Go(func() error { return f.exchangeWithHubs(work) })
+	group.Go(func() error { return f.quarantine.Run(work) })
 	group.Go(func() error { return f.watchSettings(work) })
 	group.Go(func() error { return f.sweep(work) })
 	group.Go(func() error {
@@ -304,7 +316,7 @@
 
 // ready reports whether requests can be served and the daemon is not stopping.
 func (f *front) ready() bool {
-	return !f.stopping.Load() && f.catalog.Table() != nil && f.catalog.Servers().Len() > 0 && f.ledger.Ready()
+	return !f.stopping.Load() && f.catalog.Table() != nil && f.catalog.Servers().Len() > 0 && f.ledger.Ready() && f.quarantine.Synced()
 }
 
 // isLayoutAddress reports whether a store daemon of the layout listens at an address.
@@ -318,17 +330,29 @@
 // quotaCounters returns the addresses of the store daemons that count an organisation's requests, followed by those
 // that may replace them. The order is the same at every front.
 func (f *front) quotaCounters(organisation string) []string {
+	return f.groupAddresses(quotaGroupKeyPrefix + organisation)
+}
+
+// groupAddresses returns the addresses of the store daemons of a key's group; none while the layout is not known.
+func (f *front) groupAddresses(key string) []string {
 	l := f.ledger.Layout()
 	if l == nil {
 		return nil
 	}
 	var addresses []string
-	for _, slot := range l.Group(quotaGroupKeyPrefix + organisation) {
+	for _, slot := range l.Group(key) {
 		addresses = append(addresses, l.Slots[slot].Disk.Address)
 	}
 	return addresses
 }
 
+// registrars returns the addresses of the store daemons that count the servers which end under requests. They are the same
+// at every front.
+func (f *front) registrars() []string {
+	addresses := f.groupAddresses(registrarsGroupKey)
+	return addresses[:min(quarantine.RegistrarCount, len(addresses))]
+}
+
 // exchangeWithHubs exchanges this daemon's observations for those of the other front daemons, at the first hub that
 // answers.
 func (f *front) exchangeWithHubs(ctx context.Context) error {
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/rookpass/rookpass/internal/base/wait"
+	"github.com/rookpass/rookpass/internal/decide/quarantine"
 	"github.com/rookpass/rookpass/internal/decide/quota"
 	"github.com/rookpass/rookpass/internal/front/exchange"
 	"github.com/rookpass/rookpass/internal/objects/feed"
@@ -107,14 +108,17 @@
 		watchers = append(watchers, b.newWatcher(shared, evacuationWait, m))
 	}
 	group, ctx := errgroup.WithContext(ctx)
-	quotas, hub := quota.NewService(s.Quota), exchange.NewService()
+	quotas, hub, registrar := quota.NewService(s.Quota), exchange.NewService(), quarantine.NewService()
 	group.Go(func() error { return b.servePages(ctx, storeStatus(s.Node, store, quotas)) })
 	b.metrics.Gauge("rookpass_quota_organisations", func() float64 { return float64(quotas.Len()) })
+	b.metrics.Gauge("rookpass_suspected_requests", func() float64 { suspected, _ := registrar.Counts(); return float64(suspected) })
+	b.metrics.Gauge("rookpass_quarantined_requests", func() float64 { _, quarantined := registrar.Counts(); return float64(quarantined) })
 	services := map[string]any{
-		replica.ServiceName:  replica.NewService(store),
-		mirror.ServiceName:   mirror.NewService(append(evacuations, mirrors...)...),
-		exchange.ServiceName: hub,
-		quota.ServiceName:    quotas,
+		replica.ServiceName:    replica.NewService(store),
+		mirror.ServiceName:     mirror.NewService(append(evacuations, mirrors...)...),
+		exchange.ServiceName:   hub,
+		quota.ServiceName:      quotas,
+		quarantine.ServiceName: registrar,
 	}
 	server, err := peerlink.NewServer(services, int64(peerRequestShare*float64(s.MemoryBytes)))
 	if err != nil {
--- a/internal/testing/workload/fatal.go
+++ b/internal/testing/workload/fatal.go
@@ -31,6 +31,15 @@
 // NewLateFatalContent returns the same for one that ends servers in the middle of their stream.
 func NewLateFatalContent() string { return lateMark + NewFatalContent() }
 
+// slowMark marks the content of a fatal request that ends a server only after slowDelay, so that it is hedged.
+const (
+	slowMark  = "slow-"
+	slowDelay = 500 * time.Millisecond
+)
+
+// NewSlowFatalContent returns the same for one that ends servers only after a while.
+func NewSlowFatalContent() string { return slowMark + NewFatalContent() }
+
 // MaxServerEnds is how many servers may end under one request before it is refused.
 const MaxServerEnds = 3
 
@@ -92,3 +101,24 @@
 	}
 	return result
 }
+
+// popularPause is the pause between two copies of the popular request by one caller.
+const popularPause = 30 * time.Millisecond
+
+// RunPopular sends copies of one harmless request, the same for all callers, until stop is closed.
+func (c *Caller) RunPopular(stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(popularPause):
+		}
+		id := fmt.Sprintf("y%d", lastID.Add(1))
+		c.checker.RecordSent(id, "popular", true)
+		c.mu.Lock()
+		front := c.fronts[c.random.IntN(len(c.fronts))]
+		c.mu.Unlock()
+		status, _, _, err := c.sendPath(front, "/lookup/popular", platformtest.Call{ID: id, Deadline: callDeadline}, "popular")
+		c.recordStatus(id, status, err)
+	}
+}
--- a/internal/testing/workload/server.go
+++ b/internal/testing/workload/server.go
@@ -114,6 +114,9 @@
 	if end == nil || !strings.Contains(body, fatalMark) {
 		return false
 	}
+	if strings.HasPrefix(fatalContent(body), slowMark) {
+		time.Sleep(slowDelay)
+	}
 	s.checker.RecordServerEnd(fatalContent(body), name)
 	end()
 	return true
--- a/internal/transport/network/dial.go
+++ b/internal/transport/network/dial.go
@@ -38,6 +38,9 @@
 
 // IsOpen reports whether an idle connection is usable: neither data nor an end of stream has arrived on it.
 func IsOpen(conn net.Conn) bool {
+	if c, ok := conn.(interface{ IsOpen() bool }); ok {
+		return c.IsOpen()
+	}
 	withRaw, ok := conn.(syscall.Conn)
 	if !ok {
 		return true
--- a/internal/transport/network/memnet/memnet.go
+++ b/internal/transport/network/memnet/memnet.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -92,21 +93,24 @@
 // String implements net.Addr.
 func (a listenerAddr) String() string { return string(a) }
 
-// dial hands one end of a new connection to Accept and returns the other one, and the marker that the accepted end sets
-// when it resets the connection.
-func (l *listener) dial(ctx context.Context) (net.Conn, *atomic.Bool, error) {
+// ending marks how the accepted end of a connection ended it.
+type ending struct{ closed, reset atomic.Bool }
+
+// dial hands one end of a new connection to Accept and returns the other one, and the marks that the accepted end sets
+// when it closes or resets the connection.
+func (l *listener) dial(ctx context.Context) (net.Conn, *ending, error) {
 	dialed, accepted, err := newPipe()
 	if err != nil {
 		return nil, nil, err
 	}
-	reset := new(atomic.Bool)
+	marks := new(ending)
 	select {
 	case <-ctx.Done():
 		err = ctx.Err()
 	case <-l.closed:
 		err = net.ErrClosed
-	case l.dialed <- &acceptedConn{deadlineConn: &deadlineConn{Conn: accepted}, reset: reset}:
-		return dialed, reset, nil
+	case l.dialed <- &acceptedConn{deadlineConn: &deadlineConn{Conn: accepted}, marks: marks}:
+		return dialed, marks, nil
 	}
 	_ = dialed.Close()
 	_ = accepted.Close()
@@ -132,7 +136,7 @@
 type acceptedConn struct {
 	*deadlineConn
 	resetOnClose atomic.Bool
-	reset        *atomic.Bool
+	marks        *ending
 }
 
 // SetLinger determines, as that of net.TCPConn, whether Close resets the connection: it does if sec is 0.
@@ -144,8 +148,9 @@
 // Close implements net.Conn. After a reset, the dialer's end reads what was written before and then gets ECONNRESET.
 func (c *acceptedConn) Close() error {
 	if c.resetOnClose.Load() {
-		c.reset.Store(true)
+		c.marks.reset.Store(true)
 	}
+	c.marks.closed.Store(true)
 	return c.deadlineConn.Close()
 }
 
@@ -155,8 +160,8 @@
 	net.Conn
 	fabric   *Fabric
 	from, to string
-	// reset is set when the listener's end resets the connection.
-	reset *atomic.Bool
+	// marks are set when the listener's end ends the connection.
+	marks *ending
 
 	mu      sync.Mutex
 	pending []byte
@@ -165,7 +170,7 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if errors.Is(err, io.EOF) && c.reset.Load() {
+	if (errors.Is(err, io.EOF) || errors.Is(err, io.ErrClosedPipe)) && c.marks.reset.Load() {
 		err = &net.OpError{Op: "read", Net: "memnet", Err: syscall.ECONNRESET}
 	}
 	for {
@@ -177,6 +182,12 @@
 	}
 }
 
+// IsOpen reports whether neither end has closed the connection, as far as the dialer's host can know: nothing reaches it while
+// either host is frozen.
+func (c *conn) IsOpen() bool {
+	return !c.marks.closed.Load() || c.fabric.thawChan(c.from, c.to) != nil
+}
+
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
@@ -248,11 +259,11 @@
 	if err != nil {
 		return nil, err
 	}
-	raw, reset, err := l.dial(ctx)
+	raw, marks, err := l.dial(ctx)
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: &deadlineConn{Conn: raw}, fabric: f, from: host, to: l.host, reset: reset}
+	c := &conn{Conn: &deadlineConn{Conn: raw}, fabric: f, from: host, to: l.host, marks: marks}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err := f.checkPath(host, f.listeners[address]); err != nil || f.listeners[address] != l {
@@ -323,6 +334,28 @@
 	f.Thaw(host)
 }
 
+// End ends the processes of hosts together: from one moment on nobody listens there, and their connections are reset.
+func (f *Fabric) End(hosts ...string) {
+	var ended []*conn
+	f.mu.Lock()
+	for address, l := range f.listeners {
+		if slices.Contains(hosts, l.host) {
+			delete(f.listeners, address)
+		}
+	}
+	for c := range f.conns {
+		if slices.Contains(hosts, c.to) {
+			c.marks.reset.Store(true)
+			c.marks.closed.Store(true)
+			ended = append(ended, c)
+		}
+	}
+	f.mu.Unlock()
+	for _, c := range ended {
+		_ = c.Close()
+	}
+}
+
 // Freeze suspends a host's network traffic until Thaw.
 func (f *Fabric) Freeze(host string) {
 	f.mu.Lock()
