quarantine: all registrars are polled, and the fault matrix sends requests that end servers

Cause: each front polled one registrar and noticed its silence after four seconds; a retirement changes who the registrars are. Now each front polls all three, by one call each 3 s, follows changes of the layout within 0.2 s, and is synchronised once two have replied. Polls that fail are repeated at growing intervals.

The row's bound holds for fronts that the fault doesn't affect, and where not all store daemons are stopped together; after the faults it holds everywhere.

--- a/internal/decide/quarantine/client.go
+++ b/internal/decide/quarantine/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,10 +26,13 @@
 	// pollWait is how long a poll waits for changes, pollMargin how much later its reply may come.
 	pollWait   = 3 * time.Second
 	pollMargin = time.Second
-	// retryPause is the pause after a failed poll.
-	retryPause = 50 * time.Millisecond
+	// retryPause is the pause after a failed poll, doubled with each further one up to maxRetryPause.
+	retryPause    = 50 * time.Millisecond
+	maxRetryPause = time.Second
 	// changePause is the pause after a poll for each change that it brought: it bounds changes to some 10 KB a second.
 	changePause = 10 * time.Millisecond
+	// registrarCheckInterval is the time between two looks at which daemons are registrars.
+	registrarCheckInterval = 200 * time.Millisecond
 	// syncWait is how long a daemon waits for registrars when it starts, before it goes by what it knows.
 	syncWait = time.Second
 )
@@ -36,14 +40,14 @@
 // Client is a front daemon's side: it reports what the daemon sees to the registrars, and learns from them which requests
 // are quarantined. While no registrar answers it goes by what the daemon has seen itself. Use NewClient.
 type Client struct {
-	// name is this daemon's unique name.
-	name           string
 	reports, polls *peerlink.Pool
 	// registrars returns the addresses of the registrars; none while they are not known.
 	registrars func() []string
 	log        logrus.FieldLogger
 	startedAt  time.Time
-	synced     atomic.Bool
+	// replied counts the registrars that have replied to a poll.
+	replied atomic.Int32
+	synced  atomic.Bool
 
 	mu      sync.Mutex
 	tracker *Tracker
@@ -55,8 +59,8 @@
 
 // NewClient returns a client that sends reports and polls over separate links, since a poll that hangs must not break
 // reports.
-func NewClient(name string, reports, polls *peerlink.Pool, registrars func() []string, log logrus.FieldLogger) *Client {
-	return &Client{name: name, reports: reports, polls: polls, registrars: registrars, log: log, startedAt: time.Now(), tracker: NewTracker(),
+func NewClient(reports, polls *peerlink.Pool, registrars func() []string, log logrus.FieldLogger) *Client {
+	return &Client{reports: reports, polls: polls, registrars: registrars, log: log, startedAt: time.Now(), tracker: NewTracker(),
 		answers: newAnswerLog(), responses: map[incarnation.ID]time.Time{}}
 }
 
@@ -236,61 +240,56 @@
 	return missing
 }
 
-// Run learns from a registrar which requests are quarantined until ctx ends. It goes to another registrar if one does not
-// answer.
+// Run learns from the registrars which requests are quarantined until ctx ends. All are polled: one that is silent or has
+// lost its memory must not keep news from this daemon.
 func (c *Client) Run(ctx context.Context) error {
-	args := PollArgs{Wait: pollWait}
-	for next := int(xxhash.Sum64String(c.name) % RegistrarCount); ctx.Err() == nil; {
+	stops := map[string]context.CancelFunc{}
+	var polling sync.WaitGroup
+	defer polling.Wait()
+	for ctx.Err() == nil {
 		addresses := c.registrars()
-		if len(addresses) == 0 {
-			_ = wait.For(ctx, retryPause)
-			continue
+		for _, address := range addresses {
+			if stops[address] == nil {
+				followed, stop := context.WithCancel(ctx)
+				stops[address] = stop
+				polling.Go(func() { c.follow(followed, address, len(addresses)/2+1) })
+			}
 		}
-		if !c.synced.Load() {
-			c.synchronise(ctx, addresses)
+		for address, stop := range stops {
+			if !slices.Contains(addresses, address) {
+				stop()
+				delete(stops, address)
+			}
 		}
-		address := addresses[next%len(addresses)]
+		_ = wait.For(ctx, registrarCheckInterval)
+	}
+	for _, stop := range stops {
+		stop()
+	}
+	return ctx.Err()
+}
+
+// follow polls a registrar until ctx ends. The daemon is synchronised once as many registrars as quorum have replied.
+func (c *Client) follow(ctx context.Context, address string, quorum int) {
+	args, failures := PollArgs{}, 0
+	for ctx.Err() == nil {
 		reply, err := c.poll(ctx, address, &args)
 		if err != nil {
-			next++
-			args = PollArgs{Wait: pollWait}
-			_ = wait.For(ctx, retryPause)
+			_ = wait.For(ctx, min(retryPause<<min(failures, 8), maxRetryPause))
+			failures++
 			continue
 		}
+		failures = 0
+		c.applyChanges(reply.Changes)
+		if args.Wait == 0 && c.replied.Add(1) >= int32(quorum) {
+			c.synced.Store(true)
+		}
 		if args.Start != reply.Start {
 			c.reportKnown(ctx, address)
 		}
-		args.Start, args.Version = reply.Start, reply.Version
-		c.applyChanges(reply.Changes)
+		args = PollArgs{Start: reply.Start, Version: reply.Version, Wait: pollWait}
 		_ = wait.For(ctx, changePause*time.Duration(len(reply.Changes)))
 	}
-	return ctx.Err()
-}
-
-// synchronise learns what most of the registrars know: a single one may have been restarted and know nothing.
-func (c *Client) synchronise(ctx context.Context, addresses []string) {
-	ctx, cancel := context.WithTimeout(ctx, syncWait)
-	defer cancel()
-	replies := make(chan bool, len(addresses))
-	for _, address := range addresses {
-		go func() {
-			reply, err := c.poll(ctx, address, &PollArgs{})
-			if err == nil {
-				c.applyChanges(reply.Changes)
-			}
-			replies <- err == nil
-		}()
-	}
-	enough := len(addresses)/2 + 1
-	for range addresses {
-		if <-replies {
-			enough--
-		}
-		if enough == 0 {
-			break
-		}
-	}
-	c.synced.Store(true)
 }
 
 func (c *Client) poll(ctx context.Context, address string, args *PollArgs) (*PollReply, error) {
--- a/internal/decide/quarantine/client_test.go
+++ b/internal/decide/quarantine/client_test.go
@@ -71,7 +71,7 @@
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	c := quarantine.NewClient(name, peerlink.NewPool(dial), peerlink.NewPool(dial), func() []string { return f.addresses }, log)
+	c := quarantine.NewClient(peerlink.NewPool(dial), peerlink.NewPool(dial), func() []string { return f.addresses }, log)
 	ctx, stop := context.WithCancel(context.Background())
 	f.fronts, f.stops = append(f.fronts, c), append(f.stops, stop)
 	go func() { _ = c.Run(ctx) }()
--- a/internal/front/gateway/fixture_test.go
+++ b/internal/front/gateway/fixture_test.go
@@ -244,7 +244,7 @@
 	r.gateway = gateway.New(gateway.Options{Catalog: r.catalog, Balancer: r.balancer, Sender: upstream.NewPool(network.dial, testCodec{}, 10000),
 		Ledger: r.ledger, HeaderCodec: testCodec{}, Log: log, Stats: gateway.NewStats(r.metrics), Scheduler: r.scheduler, Memory: r.memory,
 		ConfigAgeLimits: policy.NewConfigAgeLimits(maxRevocationDelay, maxAdditionDelay), Quotas: r.quotas,
-		Quarantine: quarantine.NewClient("front", nil, nil, func() []string { return nil }, log)})
+		Quarantine: quarantine.NewClient(nil, nil, func() []string { return nil }, log)})
 	r.url = "http://" + network.serve(t, "front", r.gateway)
 	return r
 }
--- a/internal/node/fatalrequests_test.go
+++ b/internal/node/fatalrequests_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -93,6 +94,39 @@
 	}
 }
 
+// fatalInterval is the time between two fatal requests of the fault matrix.
+const fatalInterval = 1500 * time.Millisecond
+
+// sendFatalRequests sends one fatal request after the other to fronts that the fault does not affect, beside lookups.
+func (c *cluster) sendFatalRequests(f fault, stop <-chan struct{}) {
+	c.endOnFatalRequests()
+	var others sync.WaitGroup
+	others.Go(func() { c.runCallers(workload.IdempotentCalls, stop) })
+	fronts := slices.DeleteFunc(slices.Clone(c.fronts), func(m *vm) bool {
+		return f.affectedFront >= 0 && m == c.fronts[f.affectedFront]
+	})
+	caller := c.caller(9)
+	send := func(fronts []*vm, known bool) {
+		request := workload.FatalRequest{Path: "/lookup/", Content: workload.NewFatalContent(), Attempts: fatalAttempts, Pause: fatalPause}
+		caller.SendFatal(callerAddresses(fronts), request)
+		if n := c.checker.ServerEnds(request.Content); known && n > workload.MaxServerEnds {
+			c.checker.AddViolation("%d servers ended under the request %s", n, request.Content)
+		}
+	}
+	for running := true; running; {
+		send(fronts, !stopsStores[f.name])
+		select {
+		case <-stop:
+			running = false
+		case <-time.After(fatalInterval):
+		}
+	}
+	others.Wait()
+	c.awaitReady()
+	time.Sleep(configDeadline)
+	send(c.fronts, true)
+}
+
 // TestRequestUnderWhichServersEndIsNotSentOn guards against a request that ends one server after the other because its
 // caller repeats it with new IDs.
 func TestRequestUnderWhichServersEndIsNotSentOn(t *testing.T) {
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -131,7 +131,7 @@
 	f.ledger = ledger.New(b.links, b.settings.Topology(), int(memoryShare(turnCacheShare)), b.log).WithMemory(f.memory)
 	// Polls wait longer than calls may take before they are sent over another front daemon.
 	polls := peerlink.NewPool(b.host.dial).WithFallback(f.relay.Dial, quarantinePollFallbackDelay)
-	f.quarantine = quarantine.NewClient(b.settings.Node, b.links, polls, f.registrars, b.log)
+	f.quarantine = quarantine.NewClient(b.links, polls, f.registrars, b.log)
 	f.gateway = gateway.New(gateway.Options{
 		Catalog: f.catalog, Balancer: f.balancer, Sender: f.pool, Ledger: f.ledger, HeaderCodec: platform.HeaderCodec{},
 		Log: b.log, Stats: gateway.NewStats(b.metrics), Scheduler: f.scheduler, Memory: f.memory,
