gateway: an end is reported also if the caller leaves meanwhile

The probe and the report ran under the request's context where a further attempt was possible, so that a caller that gave up within these milliseconds kept the end from being known. Found by reading. They now run to their end; the request waits for them, its caller's leaving excepted. A probe waits 100 ms for a silent server in place of 150.

--- a/internal/front/gateway/serverend.go
+++ b/internal/front/gateway/serverend.go
@@ -40,18 +40,23 @@
 	if failure.Verdict != verdict.MayHaveRun || !b.mayHaveEnded() {
 		return
 	}
-	report := func(ctx context.Context) {
+	known := make(chan struct{})
+	ctx := context.WithoutCancel(x.ctx) // the server has ended also if the caller leaves now
+	go func() {
+		defer close(known)
 		if x.checkServer(ctx, b) != upstream.Ended {
 			return
 		}
 		end := quarantine.End{Server: choice.Server.ID, Attempt: x.requestInfo.ID, SentAt: sentAt, EndedAt: time.Now()}
 		x.g.quarantine.ServerEnded(ctx, x.keys, x.owner(), end)
+	}()
+	if !mayGoOn {
+		return // the caller gets its answer at once
 	}
-	if mayGoOn {
-		report(x.ctx)
-		return
+	select {
+	case <-known:
+	case <-x.ctx.Done():
 	}
-	go report(context.WithoutCancel(x.ctx)) // the caller gets its answer at once
 }
 
 // checkServer finds out whether the server of a broken attempt has ended, logs it and counts it.
--- a/internal/transport/upstream/probe.go
+++ b/internal/transport/upstream/probe.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// probeTimeout bounds a connection attempt of a probe: many round trips to the farthest data centre.
-	probeTimeout = 150 * time.Millisecond
+	// probeTimeout bounds a connection attempt of a probe. It covers a round trip to the farthest data centre, and delays the
+	// next attempt of a request whose server's network failed.
+	probeTimeout = 100 * time.Millisecond
 	// probeSettleTime is how long a probe's connection must stay open. A process that is ending may accept a connection
 	// until its listener is closed.
 	probeSettleTime = 5 * time.Millisecond
