soak: requests that end servers

A caller sends one to each kind of route in turn, every two seconds, while faults are injected: servers end (nobody listens, connections are reset) and others start at new addresses.

--- a/internal/testing/soak/cluster.go
+++ b/internal/testing/soak/cluster.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -47,6 +48,30 @@
 	return s, nil
 }
 
+// serverDowntime is the time from the end of a server until another one starts in its place.
+const serverDowntime = 400 * time.Millisecond
+
+// endOnFatalRequests makes a server end when it runs a fatal request.
+func (c *Cluster) endOnFatalRequests(s *server) {
+	var down atomic.Bool
+	s.OnFatalRequest(func() {
+		if !down.CompareAndSwap(false, true) {
+			return // it has ended under another request
+		}
+		s.link.end()
+		c.restarts.Go(func() {
+			defer down.Store(false)
+			time.Sleep(serverDowntime)
+			c.store.RemoveServer(s.Entry().ID.Server)
+			if err := s.link.open(); err != nil {
+				c.checker.AddViolation("soak: %v", err)
+				return
+			}
+			c.store.SetServer(s.ReplaceAt(s.link.address()))
+		})
+	})
+}
+
 // process is one daemon, which may be restarted.
 type process struct {
 	node, class, ip, dir string
@@ -73,6 +98,8 @@
 	processes   []*process
 	servers     []*server
 	wg          sync.WaitGroup
+	// restarts are those of servers that ended under fatal requests.
+	restarts sync.WaitGroup
 
 	mu      sync.Mutex
 	version int64
@@ -103,6 +130,7 @@
 			return c, err
 		}
 		c.servers = append(c.servers, s)
+		c.endOnFatalRequests(s)
 		c.store.SetServer(s.Entry())
 	}
 	c.putNextConfig()
@@ -278,6 +306,7 @@
 // Close waits for the faults in progress, and kills all processes and stand-ins that the cluster started.
 func (c *Cluster) Close() {
 	c.wg.Wait()
+	c.restarts.Wait()
 	for _, p := range c.processes {
 		if ended, sent := p.signal(syscall.SIGKILL, true); sent {
 			<-ended
--- a/internal/testing/soak/proxy.go
+++ b/internal/testing/soak/proxy.go
@@ -27,26 +27,49 @@
 
 // proxy is a TCP proxy to a target that can disturb its connections.
 type proxy struct {
-	listener net.Listener
-	target   string
+	target string
 
-	mu      sync.Mutex
-	mode    mode
-	changed chan struct{}
-	conns   map[net.Conn]struct{}
+	mu sync.Mutex
+	// listener is replaced when the target ends and another one starts.
+	listener net.Listener
+	mode     mode
+	changed  chan struct{}
+	conns    map[net.Conn]struct{}
 }
 
 func newProxy(target string) (*proxy, error) {
+	p := &proxy{target: target, changed: make(chan struct{}), conns: map[net.Conn]struct{}{}}
+	return p, p.open()
+}
+
+// open listens at a new address.
+func (p *proxy) open() error {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, err
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listener = listener
+	go p.accept(listener)
+	return nil
+}
+
+// end closes the listener and resets all connections, as when the target's process ends. open ends that state.
+func (p *proxy) end() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.listener.Close()
+	for conn := range p.conns {
+		resetConn(conn)
 	}
-	p := &proxy{listener: listener, target: target, changed: make(chan struct{}), conns: map[net.Conn]struct{}{}}
-	go p.accept()
-	return p, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listener.Addr().String()
+}
 
 func (p *proxy) set(m mode) {
 	p.mu.Lock()
@@ -63,7 +86,7 @@
 
 // close closes the listener and resets all connections.
 func (p *proxy) close() {
-	_ = p.listener.Close()
+	p.end()
 	p.set(reset)
 }
 
@@ -75,9 +98,9 @@
 	_ = conn.Close()
 }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(listener net.Listener) {
 	for {
-		client, err := p.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/testing/soak/run.go
+++ b/internal/testing/soak/run.go
@@ -23,6 +23,9 @@
 	Counts map[string]int
 }
 
+// contactTime is the time after the faults from which all daemons are in touch with one another.
+const contactTime = 3 * time.Second
+
 // resumableInterval: every resumableInterval-th caller runs programs with resumable turns.
 const resumableInterval = 3
 
@@ -57,12 +60,16 @@
 		c := workload.NewCaller(fronts, cluster.checker, plan.Seed*1000+uint64(plan.Callers+i), nil).ForOrganisation(limitedOrganisation)
 		callers.Go(func() { c.Run(workload.IdempotentCalls, stop) })
 	}
+	fatal := workload.NewCaller(fronts, cluster.checker, plan.Seed, nil)
+	callers.Go(func() { fatal.RunFatal(stop) })
 	cluster.injectFaults(ctx)
 	cluster.wg.Wait() // until all faults are undone, so that the organisation exists again
 	close(stop)
 	callers.Wait()
 	cluster.awaitFaultsUndone()
 	cluster.checkRecovery(all)
+	time.Sleep(contactTime)
+	fatal.CheckFatal()
 	cluster.checkRateLimit()
 	return Result{Violations: cluster.checker.Violations(), Counts: cluster.checker.Counts()}, ctx.Err()
 }
--- a/internal/testing/workload/fatal.go
+++ b/internal/testing/workload/fatal.go
@@ -122,3 +122,48 @@
 		c.recordStatus(id, status, err)
 	}
 }
+
+const (
+	// fatalAttempts is how often a caller sends a fatal request, fatalPause the pause between two attempts.
+	fatalAttempts = 6
+	fatalPause    = 150 * time.Millisecond
+	// fatalInterval is the time between two fatal requests.
+	fatalInterval = 2 * time.Second
+)
+
+// fatalPaths are the routes to which fatal requests are sent in turn.
+var fatalPaths = []string{"/lookup/", "/tool/", resumablePath, "/turn/"}
+
+// RunFatal sends one fatal request after the other until stop is closed. While daemons are out of touch, more servers may
+// end under one than MaxServerEnds.
+func (c *Caller) RunFatal(stop <-chan struct{}) {
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(fatalInterval):
+		}
+		c.sendNextFatal(n)
+	}
+}
+
+// CheckFatal sends a fatal request to each route and checks how many servers end under it. All daemons must be in touch.
+func (c *Caller) CheckFatal() {
+	for n := range fatalPaths {
+		f, got := c.sendNextFatal(n)
+		if ends := c.checker.ServerEnds(f.Content); ends > MaxServerEnds {
+			c.checker.AddViolation("%d servers ended under the request %s to %s, answered with %v", ends, f.Content, f.Path, got.Statuses)
+		}
+		if got.Refused() == 0 {
+			c.checker.AddViolation("the request %s to %s that ends servers was not refused: %v", f.Content, f.Path, got.Statuses)
+		}
+	}
+}
+
+func (c *Caller) sendNextFatal(n int) (FatalRequest, FatalResult) {
+	f := FatalRequest{Path: fatalPaths[n%len(fatalPaths)], Content: NewFatalContent(), Attempts: fatalAttempts, Pause: fatalPause}
+	if f.Path == "/turn/" || f.Path == resumablePath {
+		f.Program = f.Content
+	}
+	return f, c.SendFatal(c.fronts, f)
+}
--- a/internal/testing/workload/server.go
+++ b/internal/testing/workload/server.go
@@ -99,6 +99,14 @@
 	return s.entry
 }
 
+// ReplaceAt does the same at another address.
+func (s *Server) ReplaceAt(address string) catalog.Server {
+	s.mu.Lock()
+	s.entry.Address = address
+	s.mu.Unlock()
+	return s.Replace()
+}
+
 // OnFatalRequest sets the function that ends the server's process when it gets a fatal request.
 func (s *Server) OnFatalRequest(end func()) {
 	s.mu.Lock()
