rookpass-explain: why a request was quarantined, and the servers that ended

The report of a program names the content, the servers that ended under it and the age of the last end, and lists event=server-ended of servers that the program had attempts at.

--- a/internal/testing/programreport/analysis.go
+++ b/internal/testing/programreport/analysis.go
@@ -120,7 +120,7 @@
 	waiting, running             int
 	resumed                      int
 	attempts                     []Attempt
-	// response describes the last server's response if the request failed; empty if unknown.
+	// response describes the last server's response if the request failed, and why it was quarantined; empty if unknown.
 	response string
 }
 
@@ -213,11 +213,12 @@
 	"config": false, "config-malformed": false, "organisation-refused": false, "layout-malformed": false, "evacuation": false,
 	"exchange-failed": false, "relay-failed": false, "feed-source": false, "feed-stale": false,
 	"watch-lost": false, "watch-regained": false, "servers-lost": false, "servers-regained": false, "log-dropped": false,
-	"server": true, "server-gone": true, "server-refused": true, "server-restarted": true,
+	"server": true, "server-gone": true, "server-refused": true, "server-restarted": true, "server-ended": true,
+	"quarantine-report-failed": false,
 }
 
 // eventFields are the fields of daemon events that are reported, in this order.
-var eventFields = []string{"server", "in_use", "state", "place", "hub", "source", "before", "why", "reason", "outcome", "data_centre", "evacuated",
+var eventFields = []string{"server", "in_use", "content", "registrar", "state", "place", "hub", "source", "before", "why", "reason", "outcome", "data_centre", "evacuated",
 	"version", "revision", "prefix", "calls", "active", "lines", "outage_ms", "missing", "error"}
 
 // add adds a line, and returns what is wrong with it, if anything.
--- a/internal/testing/programreport/programreport_test.go
+++ b/internal/testing/programreport/programreport_test.go
@@ -335,6 +335,14 @@
 note: 21 lines read
 `
 
+// TestReportTellsWhyRequestWasQuarantined guards against reports of refused requests that don't lead to the servers that ended.
+func TestReportTellsWhyRequestWasQuarantined(t *testing.T) {
+	var out strings.Builder
+	assert.NilError(t, analyse(t, "1.00 f event=server-ended id=w server=s3 content=ab12 ms=7\n"+
+		"1.20 f event=request id=x ms=1 program=p attempts= content=ab12 ended_servers=\"[s1 s2 s3]\" ends=3 knowledge_age_ms=200 outcome=quarantined status=503\n").Write(&out, 5))
+	assert.Assert(t, strings.Contains(out.String(), "3 servers ended under this content (ab12, [s1 s2 s3]), the last 200 ms before"), out.String())
+}
+
 // TestReportTellsHowResponseEnded guards against reports that hide whether a failed request's response was broken off.
 func TestReportTellsHowResponseEnded(t *testing.T) {
 	for _, c := range []struct{ line, want string }{
--- a/internal/testing/programreport/report.go
+++ b/internal/testing/programreport/report.go
@@ -72,7 +72,7 @@
 	Waiting, Running int
 	Resumed          int
 	Attempts         []Attempt
-	// Response describes the last server's response if the request failed; empty if unknown.
+	// Response describes the last server's response if the request failed, and why it was quarantined; empty if unknown.
 	Response string
 	Finished bool
 }
@@ -412,15 +412,21 @@
 	}
 }
 
-// responseText describes the last server's response to a request that failed, or whose response ended inside an event.
+// responseText describes why a request was quarantined, and the last server's response to a request that failed or whose
+// response ended inside an event.
 func responseText(r *request, l *line) string {
-	framing, unfinished := l.fields["framing"], l.integer("unfinished_bytes")
-	if framing == "" || !r.failed() && unfinished == 0 {
-		return ""
+	var texts []string
+	if l.fields["ended_servers"] != "" {
+		texts = append(texts, fmt.Sprintf("%d servers ended under this content (%s, %s), the last %d ms before", l.integer("ends"),
+			clean(l.fields["content"], 32), clean(l.fields["ended_servers"], 200), l.integer("knowledge_age_ms")))
 	}
-	text := "response framed by " + clean(framing, 20)
-	if l.fields["events"] != "" {
-		text += fmt.Sprintf(" after %d events and %d unfinished bytes", l.integer("events"), unfinished)
+	framing, unfinished := l.fields["framing"], l.integer("unfinished_bytes")
+	if framing != "" && (r.failed() || unfinished > 0) {
+		text := "response framed by " + clean(framing, 20)
+		if l.fields["events"] != "" {
+			text += fmt.Sprintf(" after %d events and %d unfinished bytes", l.integer("events"), unfinished)
+		}
+		texts = append(texts, text)
 	}
-	return text
+	return strings.Join(texts, "; ")
 }
