quarantine: only a response to a request sent after the end takes it back

Found by reading: a response that a server had sent before it ended, read late by a busy front, would have passed for a sign of life and taken the end back. TestLateResponseOfEndedServerIsNoObjection fails on the code before by construction: it reported any response.

--- a/internal/decide/quarantine/client.go
+++ b/internal/decide/quarantine/client.go
@@ -52,7 +52,8 @@
 	mu      sync.Mutex
 	tracker *Tracker
 	answers answerLog
-	// responses has the time of the last response of each server, ended the servers that are taken for ended.
+	// responses has, for each server, when the last request was sent to which it responded; ended has the servers that are
+	// taken for ended.
 	responses map[incarnation.ID]time.Time
 	ended     map[incarnation.ID]bool
 }
@@ -99,19 +100,21 @@
 	return c.tracker.Counts(time.Now())
 }
 
-// Responded records that a server has responded, so that it has not ended.
-func (c *Client) Responded(server incarnation.ID) {
+// Responded records that a server has responded to a request that was sent at a time, so that it had not ended before. A
+// response to an earlier request may have been on its way when the server ended.
+func (c *Client) Responded(server incarnation.ID, sentAt time.Time) {
 	c.mu.Lock()
 	now := time.Now()
-	c.responses[server] = now
-	wasEnded := c.ended[server]
-	if wasEnded {
-		c.tracker.Responded(now, server, now)
+	if sentAt.After(c.responses[server]) {
+		c.responses[server] = sentAt
+	}
+	takenBack := c.ended[server] && c.tracker.Responded(now, server, sentAt)
+	if takenBack {
 		c.refreshEnded()
 	}
 	c.mu.Unlock()
-	if wasEnded {
-		c.reportLater(&ReportArgs{Responded: map[incarnation.ID]time.Duration{server: 0}})
+	if takenBack {
+		c.reportLater(&ReportArgs{Responded: map[incarnation.ID]time.Duration{server: now.Sub(sentAt)}})
 	}
 }
 
--- a/internal/decide/quarantine/client_test.go
+++ b/internal/decide/quarantine/client_test.go
@@ -185,7 +185,7 @@
 	for name, know := range map[string]func(c *quarantine.Client){
 		"answered before the ends": func(c *quarantine.Client) { c.Answered(content, 0) },
 		"answered after it":        nil,
-		"server responds":          func(c *quarantine.Client) { c.Responded(incarnation.ID{Server: "server-1"}) },
+		"server responds":          func(c *quarantine.Client) { c.Responded(incarnation.ID{Server: "server-1"}, time.Now()) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -212,6 +212,21 @@
 	}
 }
 
+// TestLateResponseOfEndedServerIsNoObjection guards against an end that is taken back because a response that the server sent
+// before was read later.
+func TestLateResponseOfEndedServerIsNoObjection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 8)
+		sentAt := time.Now()
+		time.Sleep(100 * time.Millisecond)
+		f.endThree()
+		time.Sleep(newsTime)
+		f.fronts[7].Responded(incarnation.ID{Server: "server-1"}, sentAt)
+		time.Sleep(newsTime)
+		f.checkAll(true)
+	})
+}
+
 // TestQuarantineIsLiftedEverywhere guards against daemons that go on refusing a request after it was cleared, the one whose
 // registrar was away meanwhile included.
 func TestQuarantineIsLiftedEverywhere(t *testing.T) {
--- a/internal/decide/quarantine/tracker.go
+++ b/internal/decide/quarantine/tracker.go
@@ -77,8 +77,9 @@
 	t.markChanged(e)
 }
 
-// Responded records that a server that was taken for ended responded at a time.
-func (t *Tracker) Responded(now time.Time, server incarnation.ID, at time.Time) {
+// Responded records that a server responded to a request that was sent at a time, and reports whether an end was taken back
+// by that.
+func (t *Tracker) Responded(now time.Time, server incarnation.ID, at time.Time) (takenBack bool) {
 	if at.After(t.respondedAt[server]) {
 		t.respondedAt[server] = at
 	}
@@ -88,10 +89,12 @@
 		if len(e.ends) == before {
 			continue
 		}
+		takenBack = true
 		e.takenBack = append(e.takenBack[max(0, len(e.takenBack)+1-maxEndsKept):], server)
 		t.update(now, e)
 		t.markChanged(e)
 	}
+	return takenBack
 }
 
 // State returns the state of a request.
--- a/internal/front/gateway/attempt.go
+++ b/internal/front/gateway/attempt.go
@@ -57,6 +57,7 @@
 		Idempotent: x.route.Repeatable(),
 	}
 	x.possibleRuns.Add(1)
+	sentAt := time.Now()
 	response, failure := x.g.sender.Do(ctx, endpoint(&choice.Server), x.connectionLimit(&choice.Server), request)
 	if failure != nil && failure.Verdict == verdict.NotRun || failure == nil && response.Info.NotRun {
 		x.possibleRuns.Add(-1)
@@ -69,7 +70,7 @@
 	}
 	choice.HeadReceived()
 	if response.Status != http.StatusMisdirectedRequest { // which another server sends
-		x.g.quarantine.Responded(choice.Server.ID)
+		x.g.quarantine.Responded(choice.Server.ID, sentAt)
 	}
 	switch {
 	case response.Info.NotRun:
--- a/internal/front/gateway/quarantine.go
+++ b/internal/front/gateway/quarantine.go
@@ -16,9 +16,10 @@
 	State(keys []quarantine.Key) quarantine.State
 	// ServerEnded reports that a server ended while it ran a request, and returns once that is known elsewhere.
 	ServerEnded(ctx context.Context, keys []quarantine.Key, owner quarantine.Owner, end quarantine.End) quarantine.State
-	// Answered reports that a request was answered well, Responded that a server has responded to some request.
+	// Answered reports that a request was answered well, Responded that a server has responded to some request that was sent
+	// at a time.
 	Answered(keys []quarantine.Key, owner quarantine.Owner)
-	Responded(server incarnation.ID)
+	Responded(server incarnation.ID, sentAt time.Time)
 }
 
 // reasonQuarantined is the refusal reason of requests under which too many servers have ended.
