--- a/internal/decide/quarantine/client.go
+++ b/internal/decide/quarantine/client.go
@@ -11,7 +11,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/rookpass/rookpass/internal/base/incarnation"
-	"github.com/rookpass/rookpass/internal/base/wait"
 	"github.com/rookpass/rookpass/internal/transport/peerlink"
 )
 
@@ -23,16 +22,6 @@
 	shareWait = 80 * time.Millisecond
 	// reportTimeout bounds a report.
 	reportTimeout = time.Second
-	// pollWait is how long a poll waits for changes, pollMargin how much later its reply may come.
-	pollWait   = 3 * time.Second
-	pollMargin = time.Second
-	// retryPause is the pause after a failed poll, doubled with each further one up to maxRetryPause.
-	retryPause    = 50 * time.Millisecond
-	maxRetryPause = time.Second
-	// changePause is the pause after a poll for each change that it brought: it bounds changes to some 10 KB a second.
-	changePause = 10 * time.Millisecond
-	// registrarCheckInterval is the time between two looks at which daemons are registrars.
-	registrarCheckInterval = 200 * time.Millisecond
 	// syncWait is how long a daemon waits for registrars when it starts, before it goes by what it knows.
 	syncWait = time.Second
 )
@@ -100,6 +89,28 @@
 	return c.tracker.Counts(time.Now())
 }
 
+// View is a quarantined request, for operators.
+type View struct {
+	Content string           `json:"content"`
+	Ends    int              `json:"ends"`
+	Servers []incarnation.ID `json:"servers"`
+	Until   time.Time        `json:"until"`
+}
+
+// Quarantined returns the quarantined requests, those that were quarantined last first, at most limit.
+func (c *Client) Quarantined(limit int) []View {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	views := []View{}
+	changes := c.tracker.Changes(time.Now(), 0, maxEntries)
+	for _, change := range slices.Backward(changes) {
+		if state := change.State; state.Quarantined && len(views) < limit {
+			views = append(views, View{Content: change.Key.String(), Ends: len(state.Ends), Servers: state.Servers(), Until: state.Until})
+		}
+	}
+	return views
+}
+
 // Responded records that a server has responded to a request that was sent at a time, so that it had not ended before. A
 // response to an earlier request may have been on its way when the server ended.
 func (c *Client) Responded(server incarnation.ID, sentAt time.Time) {
@@ -242,123 +253,3 @@
 	c.refreshEnded()
 	return missing
 }
-
-// Run learns from the registrars which requests are quarantined until ctx ends. All are polled: one that is silent or has
-// lost its memory must not keep news from this daemon.
-func (c *Client) Run(ctx context.Context) error {
-	stops := map[string]context.CancelFunc{}
-	var polling sync.WaitGroup
-	defer polling.Wait()
-	for ctx.Err() == nil {
-		addresses := c.registrars()
-		for _, address := range addresses {
-			if stops[address] == nil {
-				followed, stop := context.WithCancel(ctx)
-				stops[address] = stop
-				polling.Go(func() { c.follow(followed, address, len(addresses)/2+1) })
-			}
-		}
-		for address, stop := range stops {
-			if !slices.Contains(addresses, address) {
-				stop()
-				delete(stops, address)
-			}
-		}
-		_ = wait.For(ctx, registrarCheckInterval)
-	}
-	for _, stop := range stops {
-		stop()
-	}
-	return ctx.Err()
-}
-
-// follow polls a registrar until ctx ends. The daemon is synchronised once as many registrars as quorum have replied.
-func (c *Client) follow(ctx context.Context, address string, quorum int) {
-	args, failures := PollArgs{}, 0
-	for ctx.Err() == nil {
-		reply, err := c.poll(ctx, address, &args)
-		if err != nil {
-			_ = wait.For(ctx, min(retryPause<<min(failures, 8), maxRetryPause))
-			failures++
-			continue
-		}
-		failures = 0
-		c.applyChanges(reply.Changes)
-		if args.Wait == 0 && c.replied.Add(1) >= int32(quorum) {
-			c.synced.Store(true)
-		}
-		if args.Start != reply.Start {
-			c.reportKnown(ctx, address)
-		}
-		args = PollArgs{Start: reply.Start, Version: reply.Version, Wait: pollWait}
-		_ = wait.For(ctx, changePause*time.Duration(len(reply.Changes)))
-	}
-}
-
-func (c *Client) poll(ctx context.Context, address string, args *PollArgs) (*PollReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, args.Wait+pollMargin)
-	defer cancel()
-	return peerlink.Call[PollReply](ctx, c.polls.LinkTo(address), ServiceName+".Poll", args)
-}
-
-// reportKnown tells a registrar that has started, or that was not polled before, which requests are quarantined.
-func (c *Client) reportKnown(ctx context.Context, address string) {
-	c.mu.Lock()
-	now, args := time.Now(), &ReportArgs{}
-	for _, change := range c.tracker.Changes(now, 0, maxEntries) {
-		if now.Before(change.State.Until) && len(args.Requests) < maxChangesPerPoll {
-			args.Requests = append(args.Requests, newStatus(now, change.Key, change.Owner, change.State))
-		}
-	}
-	c.mu.Unlock()
-	if len(args.Requests) > 0 {
-		c.send(ctx, []string{address}, args)
-	}
-}
-
-// applyChanges applies what a registrar has quarantined or cleared, and objects to what this daemon knows better: requests
-// that were answered well here, and servers that responded here after they were taken for ended.
-func (c *Client) applyChanges(changes []Status) {
-	objections := ReportArgs{Responded: map[incarnation.ID]time.Duration{}}
-	c.mu.Lock()
-	now := time.Now()
-	c.forget(now)
-	for _, status := range changes {
-		status.applyTo(c.tracker, now)
-		if !status.Quarantined {
-			continue
-		}
-		if c.applyAnswer(now, status.Key) {
-			objections.Requests = append(objections.Requests, newStatus(now, status.Key, status.Owner, c.tracker.State(now, status.Key)))
-		}
-		for _, end := range fromWire(now, status.Ends) {
-			if at := c.responses[end.Server]; at.After(end.EndedAt) {
-				c.tracker.Responded(now, end.Server, at)
-				objections.Responded[end.Server] = now.Sub(at)
-			}
-		}
-		c.logChange(now, status.Key)
-	}
-	c.refreshEnded()
-	c.mu.Unlock()
-	if len(objections.Requests)+len(objections.Responded) > 0 {
-		c.reportLater(&objections)
-	}
-}
-
-// logChange logs a request that was quarantined. The caller holds c.mu.
-func (c *Client) logChange(now time.Time, key Key) {
-	state := c.tracker.State(now, key)
-	c.log.WithFields(logrus.Fields{"event": "quarantine", "content": key, "until": state.Until, "ends": len(state.Ends), "servers": state.Servers(),
-		"age_ms": state.Age(now).Milliseconds()}).Warn("servers ended under a request")
-}
-
-// forget drops what is too old to count: ends, and responses that could contradict one.
-func (c *Client) forget(now time.Time) {
-	c.tracker.Expire(now)
-	for server, at := range c.responses {
-		if now.Sub(at) > endLifetime {
-			delete(c.responses, server)
-		}
-	}
-}
--- /dev/null
+++ b/internal/decide/quarantine/follow.go
@@ -0,0 +1,154 @@
+package quarantine
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/rookpass/rookpass/internal/base/incarnation"
+	"github.com/rookpass/rookpass/internal/base/wait"
+	"github.com/rookpass/rookpass/internal/transport/peerlink"
+)
+
+const (
+	// registrarCheckInterval is the time between two looks at which daemons are registrars.
+	registrarCheckInterval = 200 * time.Millisecond
+	// pollWait is how long a poll waits for changes, pollMargin how much later its reply may come.
+	pollWait   = 3 * time.Second
+	pollMargin = time.Second
+	// retryPause is the pause after a failed poll, doubled with each further one up to maxRetryPause.
+	retryPause    = 50 * time.Millisecond
+	maxRetryPause = time.Second
+	// changePause is the pause after a poll for each change that it brought: it bounds changes to some 10 KB a second.
+	changePause = 10 * time.Millisecond
+)
+
+// Run learns from the registrars which requests are quarantined until ctx ends. All are polled: one that is silent or has
+// lost its memory must not keep news from this daemon.
+func (c *Client) Run(ctx context.Context) error {
+	stops := map[string]context.CancelFunc{}
+	var polling sync.WaitGroup
+	defer polling.Wait()
+	for ctx.Err() == nil {
+		addresses := c.registrars()
+		for _, address := range addresses {
+			if stops[address] == nil {
+				followed, stop := context.WithCancel(ctx)
+				stops[address] = stop
+				polling.Go(func() { c.follow(followed, address, len(addresses)/2+1) })
+			}
+		}
+		for address, stop := range stops {
+			if !slices.Contains(addresses, address) {
+				stop()
+				delete(stops, address)
+			}
+		}
+		_ = wait.For(ctx, registrarCheckInterval)
+	}
+	for _, stop := range stops {
+		stop()
+	}
+	return ctx.Err()
+}
+
+// follow polls a registrar until ctx ends. The daemon is synchronised once as many registrars as quorum have replied.
+func (c *Client) follow(ctx context.Context, address string, quorum int) {
+	args, failures := PollArgs{}, 0
+	for ctx.Err() == nil {
+		reply, err := c.poll(ctx, address, &args)
+		if err != nil {
+			_ = wait.For(ctx, min(retryPause<<min(failures, 8), maxRetryPause))
+			failures++
+			continue
+		}
+		failures = 0
+		c.applyChanges(reply.Changes)
+		if args.Wait == 0 && c.replied.Add(1) >= int32(quorum) {
+			c.synced.Store(true)
+		}
+		if args.Start != reply.Start {
+			c.reportKnown(ctx, address)
+		}
+		args = PollArgs{Start: reply.Start, Version: reply.Version, Wait: pollWait}
+		_ = wait.For(ctx, changePause*time.Duration(len(reply.Changes)))
+	}
+}
+
+func (c *Client) poll(ctx context.Context, address string, args *PollArgs) (*PollReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, args.Wait+pollMargin)
+	defer cancel()
+	return peerlink.Call[PollReply](ctx, c.polls.LinkTo(address), ServiceName+".Poll", args)
+}
+
+// reportKnown tells a registrar that has started, or that was not polled before, which requests are quarantined.
+func (c *Client) reportKnown(ctx context.Context, address string) {
+	c.mu.Lock()
+	now, args := time.Now(), &ReportArgs{}
+	for _, change := range slices.Backward(c.tracker.Changes(now, 0, maxEntries)) {
+		if now.Before(change.State.Until) && len(args.Requests) < maxChangesPerPoll {
+			args.Requests = append(args.Requests, newStatus(now, change.Key, change.Owner, change.State))
+		}
+	}
+	c.mu.Unlock()
+	if len(args.Requests) > 0 {
+		c.send(ctx, []string{address}, args)
+	}
+}
+
+// applyChanges applies what a registrar has quarantined or cleared, and objects to what this daemon knows better: requests
+// that were answered well here, and servers that responded here after they were taken for ended.
+func (c *Client) applyChanges(changes []Status) {
+	objections := ReportArgs{Responded: map[incarnation.ID]time.Duration{}}
+	c.mu.Lock()
+	now := time.Now()
+	c.forget(now)
+	for _, status := range changes {
+		before := c.tracker.State(now, status.Key)
+		status.applyTo(c.tracker, now)
+		if !status.Quarantined {
+			continue
+		}
+		if c.applyAnswer(now, status.Key) {
+			objections.Requests = append(objections.Requests, newStatus(now, status.Key, status.Owner, c.tracker.State(now, status.Key)))
+		}
+		for _, end := range fromWire(now, status.Ends) {
+			if at := c.responses[end.Server]; at.After(end.EndedAt) {
+				c.tracker.Responded(now, end.Server, at)
+				objections.Responded[end.Server] = now.Sub(at)
+			}
+		}
+		if before.Until.IsZero() {
+			c.logQuarantine(now, status.Key)
+		}
+	}
+	c.refreshEnded()
+	c.mu.Unlock()
+	if len(objections.Requests)+len(objections.Responded) > 0 {
+		c.reportLater(&objections)
+	}
+}
+
+// logQuarantine logs that other daemons have found that a request ends servers. "until" is missing if this daemon knows
+// better. The caller holds c.mu.
+func (c *Client) logQuarantine(now time.Time, key Key) {
+	state := c.tracker.State(now, key)
+	fields := logrus.Fields{"event": "quarantine", "content": key, "ends": len(state.Ends), "servers": state.Servers(), "age_ms": state.Age(now).Milliseconds()}
+	if !state.Until.IsZero() {
+		fields["until"] = state.Until
+	}
+	c.log.WithFields(fields).Warn("servers ended under a request")
+}
+
+// forget drops what is too old to count: ends, and responses that could contradict one.
+func (c *Client) forget(now time.Time) {
+	c.tracker.Expire(now)
+	for server, at := range c.responses {
+		if now.Sub(at) > endLifetime {
+			delete(c.responses, server)
+		}
+	}
+}
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -1,8 +1,8 @@
 // Package quarantine keeps requests that end servers away from further ones.
 //
 // A server that ends may have been ended by any of the requests in flight there: all are suspects. A request under which
-// maxEnds servers have ended without a good answer since is quarantined: front daemons refuse it. A good answer to the same content clears it, and an answer of a server that was taken for ended takes that end
-// back.
+// maxEnds servers have ended without a good answer since is quarantined: front daemons refuse it. A good answer to the same
+// content clears it, and a server that responds to a later request takes its end back.
 //
 // Requests are compared by content, since each attempt of a caller has its own ID and reaches another daemon. Front
 // daemons report ends to a few store daemons, the registrars, before they send the request again. Each registrar counts
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/rookpass/rookpass/internal/decide/policy"
+	"github.com/rookpass/rookpass/internal/decide/quarantine"
 	"github.com/rookpass/rookpass/internal/decide/quota"
 	"github.com/rookpass/rookpass/internal/front/balance"
 	"github.com/rookpass/rookpass/internal/front/catalog"
@@ -36,8 +37,13 @@
 	// ConfigAgeMS is the maximum age of the configuration by which keys are checked; -1 if unknown.
 	ConfigAgeMS   int64                `json:"config_age_ms"`
 	Organisations []OrganisationStatus `json:"organisations,omitempty"`
+	// Quarantined are the requests that were quarantined last, at most maxQuarantinedShown.
+	Quarantined []quarantine.View `json:"quarantined"`
 }
 
+// maxQuarantinedShown bounds the quarantined requests on a status page.
+const maxQuarantinedShown = 100
+
 // OrganisationStatus is an organisation in a front daemon's configuration.
 type OrganisationStatus struct {
 	Name string `json:"name"`
@@ -84,7 +90,7 @@
 
 func (f *front) status(*http.Request) any {
 	s := FrontStatus{Node: f.settings.Node, Ready: f.ready(), Stopping: f.stopping.Load(), ActiveRequests: f.gateway.ActiveRequests(),
-		Layout: f.ledger.Layout(), Costs: f.balancer.Costs(), ServerRevision: f.catalog.Servers().Revision}
+		Layout: f.ledger.Layout(), Costs: f.balancer.Costs(), Quarantined: f.quarantine.Quarantined(maxQuarantinedShown), ServerRevision: f.catalog.Servers().Revision}
 	table, age := f.catalog.TableWithAge()
 	s.ConfigAgeMS = -1
 	if age < math.MaxInt64 {
