gateway: servers are not probed after the request's own end

At a deadline, or when its caller leaves, a front closes the connection to the server itself; a stream that broke off so was logged with the reason read, and the server probed. TestServersAreNotProbedAtDeadlines (in virtual time) fails on the code before.

--- a/internal/front/gateway/quarantine_test.go
+++ b/internal/front/gateway/quarantine_test.go
@@ -1,13 +1,18 @@
 package gateway_test
 
 import (
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/rookpass/rookpass/internal/transport/network/memnet"
 )
 
 // breakOff reads a request and breaks its connection. The server lives on.
@@ -30,6 +35,30 @@
 	}
 }
 
+// TestServersAreNotProbedAtDeadlines guards against connections to servers that are only slow, and against ends of servers that
+// refuse further connections since they are full.
+func TestServersAreNotProbedAtDeadlines(t *testing.T) {
+	slow := func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Seal", "s")
+		_, _ = io.WriteString(w, "id: 1\ndata: first\n\n")
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}
+	for _, path := range []string{"/stream/x", "/resume/x", "/twice/x"} {
+		inVirtualTime(t, fixtureLimits, func(t *testing.T, r *fixture, fabric *memnet.Fabric) {
+			caller := startCall(r, fabric, path, "x", "Deadline", "150ms")
+			assert.Assert(t, caller.read().status != 0)
+			<-r.outcomes
+			time.Sleep(time.Second)
+			page := httptest.NewRecorder()
+			r.metrics.ServeHTTP(page, nil)
+			assert.Assert(t, !strings.Contains(page.Body.String(), "rookpass_broken_attempts_total"), "%s: %s", path, page.Body)
+		}, slow, slow)
+	}
+}
+
 // endServer ends the server of a fixture that gets the request.
 func endServer(_ http.ResponseWriter, r *http.Request) {
 	server := r.Context().Value(http.ServerContextKey).(*http.Server)
--- a/internal/front/gateway/serverend.go
+++ b/internal/front/gateway/serverend.go
@@ -40,6 +40,9 @@
 	if failure.Verdict != verdict.MayHaveRun || !b.mayHaveEnded() {
 		return
 	}
+	if x.ctx.Err() != nil {
+		return // the connection was closed here: the caller left, or the deadline has passed
+	}
 	known := make(chan struct{})
 	ctx := context.WithoutCancel(x.ctx) // the server has ended also if the caller leaves now
 	go func() {
