--- a/internal/front/gateway/identity.go
+++ b/internal/front/gateway/identity.go
@@ -14,9 +14,9 @@
 	"X-Forwarded-For": true, "X-Forwarded-Host": true, "X-Forwarded-Proto": true, "X-Request-Id": true,
 }
 
-// withIdentity computes the keys by which the request is recognised when it is repeated. The first covers all that a
-// server gets, and the program. Requests with a body have a second one without the program, for callers that repeat a
-// request in a new program. Without a body, what many programs have in common may be only a path.
+// withIdentity computes the keys by which the request is recognised when it is repeated. The last covers all that a server
+// gets, the program included. Requests with a body have another one before it, without the program, for callers that repeat
+// a request in a new program. Without a body, what many programs have in common may be only a path.
 func withIdentity(x *exchange) *refusal {
 	ignored := x.g.headerCodec.HeaderRoles()
 	wide := quarantine.NewKeyBuilder()
