quarantine: an open end counts until the list of servers would show it

Cause: an open end lapsed by a clock of its own, five seconds after the failed attempt, also where nothing could have told in that time whether the server had ended. Failed attempts that were kept for late news lapsed by their own clock too.

Change: trackers follow the time as of which the list of servers is known. Open ends count until the list is known as of five seconds after them, for the two minutes of recognised ends at most. After an outage the list counts as unknown until live servers have renewed their entries. Attempts that failed earlier than others are no longer dropped by news of these.

--- a/internal/decide/quarantine/client.go
+++ b/internal/decide/quarantine/client.go
@@ -71,6 +71,13 @@
 	return c
 }
 
+// FollowList tells that the list of servers counts as unknown until ServersListed, and returns the client. Call it before the first
+// request.
+func (c *Client) FollowList() *Client {
+	c.tracker.FollowList()
+	return c
+}
+
 func (c *Client) count(name string, label Evidence) {
 	if c.observer != nil {
 		c.observer.Count(name, string(label))
--- a/internal/decide/quarantine/follow.go
+++ b/internal/decide/quarantine/follow.go
@@ -111,7 +111,7 @@
 			objections.Requests = append(objections.Requests, newStatus(now, status.Key, status.Owner, c.tracker.State(now, status.Key)))
 		}
 		for _, end := range fromWire(now, status.Ends) {
-			if r := c.responses[end.Server]; r.contradicts(end) {
+			if r := c.responses[end.Server]; r.contradicts(end, c.tracker.listAge(now)) {
 				c.tracker.Responded(now, r)
 				objections.Responses = append(objections.Responses, r.toWire(now))
 			}
@@ -150,7 +150,7 @@
 			delete(c.responses, server)
 		}
 	}
-	for _, end := range c.suspects.Expire(now) {
+	for _, end := range c.suspects.Expire(now, c.tracker.listed(now)) {
 		c.count(metricUnknown, end.Evidence)
 	}
 }
--- a/internal/decide/quarantine/news.go
+++ b/internal/decide/quarantine/news.go
@@ -29,7 +29,7 @@
 	if sentAt.After(c.responses[server].SentAt) {
 		c.responses[server] = r
 	}
-	c.suspects.Responded(r)
+	c.suspects.Responded(r, c.tracker.listAge(now))
 	takenBack := c.ended[server] && c.tracker.Responded(now, r)
 	if takenBack {
 		c.refreshEnded()
@@ -40,6 +40,20 @@
 	}
 }
 
+// ServersListed tells that the list of servers is known as of a time: ServerNews has told the ends that it shows by then.
+func (c *Client) ServersListed(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tracker.ServersListed(at)
+}
+
+// ListAge returns the time since the list of servers was last known.
+func (c *Client) ListAge() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tracker.listAge(time.Now())
+}
+
 // Heard records a sign of life of a server: a part of a response.
 func (c *Client) Heard(server incarnation.ID) {
 	c.mu.Lock()
--- a/internal/decide/quarantine/permits.go
+++ b/internal/decide/quarantine/permits.go
@@ -42,7 +42,7 @@
 	if slices.ContainsFunc(e.permits, func(p permit) bool { return p.id == id }) {
 		return Admitted
 	}
-	switch state := e.state(now); {
+	switch state := t.state(now, e); {
 	case state.Quarantined:
 		return Forbidden
 	case state.Suspect && !e.hasRoom(now, state):
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -26,7 +26,8 @@
 	answersPerEnd = 14
 	// endLifetime is how long an end counts, and a good answer. Callers and programs repeat a request within seconds.
 	endLifetime = 2 * time.Minute
-	// openTime is how long an open end counts. An entry lapses within some four seconds of its server's end.
+	// openTime is how long after an open end the list of servers shows it: an entry lapses within some four seconds of its server's
+	// end. It is measured in time for which the list is known.
 	openTime = 5 * time.Second
 	// clockError bounds the error of times that daemons tell one another as ages.
 	clockError = 20 * time.Millisecond
@@ -91,6 +92,14 @@
 	Common bool
 }
 
+// undecided reports whether the list of servers, known as of listed, may not show the end yet.
+func (e End) undecided(listed time.Time) bool { return listed.Sub(e.EndedAt) < openTime }
+
+// undecidedFor returns for how much longer the list of servers has to be known until it shows the end.
+func (e End) undecidedFor(listed time.Time) time.Duration {
+	return openTime - max(0, listed.Sub(e.EndedAt))
+}
+
 // Response tells that a server has responded to a request.
 type Response struct {
 	Server incarnation.ID
@@ -100,7 +109,7 @@
 
 // contradicts reports whether the response shows that the server had not ended. A later start of the server may respond under the
 // name of the one before, but not on a connection that is older than the failed attempt, and not for longer than startNotice.
-func (r Response) contradicts(end End) bool {
+func (r Response) contradicts(end End, _ time.Duration) bool {
 	sameStart := r.ConnectedAt.Add(clockError).Before(end.SentAt) || r.SentAt.Sub(end.EndedAt) >= startNotice
 	return r.Server == end.Server && r.SentAt.After(end.EndedAt) && sameStart && end.Evidence.rank() < Restarted.rank()
 }
--- a/internal/decide/quarantine/service.go
+++ b/internal/decide/quarantine/service.go
@@ -62,6 +62,20 @@
 	s.notify(before)
 }
 
+// FollowList tells that the list of servers counts as unknown until ServersListed, and returns the service. Call it before the
+// first report.
+func (s *Service) FollowList() *Service {
+	s.tracker.FollowList()
+	return s
+}
+
+// ServersListed tells that the list of servers is known as of a time: ServerNews has told the ends that it shows by then.
+func (s *Service) ServersListed(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tracker.ServersListed(at)
+}
+
 // ServerStarted records a server's start, which shows that its earlier starts have ended.
 func (s *Service) ServerStarted(id incarnation.ID) {
 	s.mu.Lock()
--- a/internal/decide/quarantine/suspects.go
+++ b/internal/decide/quarantine/suspects.go
@@ -8,7 +8,8 @@
 )
 
 const (
-	// suspectTime is how long after a failed attempt news of its server may show that the server ended then.
+	// suspectTime is how long after a failed attempt news of its server may show that the server ended then, in time for which the
+	// list of servers is known.
 	suspectTime = 8 * time.Second
 	// maxSuspects bounds the failed attempts that are kept.
 	maxSuspects = 4096
@@ -73,12 +74,11 @@
 		l.fates[server] = fate{evidence, now}
 	}
 	l.suspects = slices.DeleteFunc(l.suspects, func(s Suspect) bool {
-		age := now.Sub(s.End.EndedAt)
-		if age < suspectTime && s.End.Server == server {
+		if s.End.Server == server {
 			s.End.Evidence = evidence
 			ended = append(ended, s)
 		}
-		return age >= suspectTime || s.End.Server == server
+		return s.End.Server == server
 	})
 	return ended
 }
@@ -94,15 +94,17 @@
 	return earlier
 }
 
-// Responded drops the attempts that are no longer suspect by a response of their server.
-func (l *SuspectLog) Responded(r Response) {
-	l.suspects = slices.DeleteFunc(l.suspects, func(s Suspect) bool { return r.contradicts(s.End) })
+// Responded drops the attempts that are no longer suspect by a response of their server. listAge is the time since the list of
+// servers was last known.
+func (l *SuspectLog) Responded(r Response, listAge time.Duration) {
+	l.suspects = slices.DeleteFunc(l.suspects, func(s Suspect) bool { return r.contradicts(s.End, listAge) })
 }
 
-// Expire drops the attempts of which nothing more is expected, and returns those that counted and remain unknown.
-func (l *SuspectLog) Expire(now time.Time) (unknown []End) {
+// Expire drops the attempts of which nothing more is expected, where the list of servers is known as of listed, and returns those
+// that counted and remain unknown.
+func (l *SuspectLog) Expire(now, listed time.Time) (unknown []End) {
 	l.suspects = slices.DeleteFunc(l.suspects, func(s Suspect) bool {
-		old := now.Sub(s.End.EndedAt) >= suspectTime
+		old := listed.Sub(s.End.EndedAt) >= suspectTime || now.Sub(s.End.EndedAt) >= endLifetime
 		if old && s.Counts {
 			unknown = append(unknown, s.End)
 		}
--- a/internal/decide/quarantine/tracker.go
+++ b/internal/decide/quarantine/tracker.go
@@ -20,8 +20,33 @@
 	// responses are the last ones of servers that were taken for ended: earlier ends are reported late by daemons that do not
 	// know.
 	responses map[incarnation.ID]Response
+	// followsList is set if listedAt, the time as of which the list of servers is known, is told by ServersListed. Otherwise the
+	// list counts as current.
+	followsList bool
+	listedAt    time.Time
 }
 
+// FollowList tells that the list of servers counts as unknown until ServersListed.
+func (t *Tracker) FollowList() { t.followsList = true }
+
+// ServersListed tells that the list of servers is known as of a time: the ends that it shows by then have been told.
+func (t *Tracker) ServersListed(at time.Time) {
+	if at.After(t.listedAt) {
+		t.listedAt = at
+	}
+}
+
+// listed returns the time as of which the list of servers is known.
+func (t *Tracker) listed(now time.Time) time.Time {
+	if !t.followsList || now.Before(t.listedAt) {
+		return now
+	}
+	return t.listedAt
+}
+
+// listAge returns the time since the list of servers was last known.
+func (t *Tracker) listAge(now time.Time) time.Duration { return now.Sub(t.listed(now)) }
+
 // Owner identifies an organisation. No organisation can displace another's entries while it has more of them.
 type Owner uint64
 
@@ -59,13 +84,13 @@
 	e.touched = now
 	changed := false
 	for _, end := range ends {
-		changed = t.addEnd(e, end) || changed
+		changed = t.addEnd(now, e, end) || changed
 	}
 	t.update(now, e)
-	if changed && e.concernsOthers(now) {
+	if changed && t.concernsOthers(now, e) {
 		t.markChanged(e)
 	}
-	return e.state(now)
+	return t.state(now, e)
 }
 
 // findEnd returns the index of an end among others, or -1. A request that was sent to a server after its end met the next start
@@ -98,9 +123,10 @@
 	if r.SentAt.After(t.responses[r.Server].SentAt) {
 		t.responses[r.Server] = r
 	}
+	listAge := t.listAge(now)
 	for _, e := range t.entries {
 		before := len(e.ends)
-		e.ends = slices.DeleteFunc(e.ends, r.contradicts)
+		e.ends = slices.DeleteFunc(e.ends, func(end End) bool { return r.contradicts(end, listAge) })
 		if len(e.ends) == before {
 			continue
 		}
@@ -137,7 +163,7 @@
 	if e == nil {
 		return State{}
 	}
-	return e.state(now)
+	return t.state(now, e)
 }
 
 // HasEnds reports whether any end of a request is kept.
@@ -179,7 +205,7 @@
 	var changes []Change
 	for key, e := range t.entries {
 		if e.version > after {
-			changes = append(changes, Change{Key: key, Owner: e.owner, Version: e.version, State: e.state(now)})
+			changes = append(changes, Change{Key: key, Owner: e.owner, Version: e.version, State: t.state(now, e)})
 		}
 	}
 	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Version, b.Version) })
@@ -190,7 +216,7 @@
 func (t *Tracker) Known(now time.Time, limit int) []Change {
 	var known []Change
 	for key, e := range t.entries {
-		if state := e.state(now); len(known) < limit && (state.Suspect || now.Before(state.Until)) {
+		if state := t.state(now, e); len(known) < limit && (state.Suspect || now.Before(state.Until)) {
 			known = append(known, Change{Key: key, Owner: e.owner, Version: e.version, State: state})
 		}
 	}
@@ -206,7 +232,7 @@
 		switch {
 		case now.Before(e.until):
 			quarantined++
-		case len(e.counted(now)) > 0:
+		case len(t.counted(now, e)) > 0:
 			suspected++
 		}
 	}
@@ -215,7 +241,7 @@
 
 // addEnd adds an end unless the server has responded after it, or decides one that was open. It reports whether anything
 // changed.
-func (t *Tracker) addEnd(e *entry, end End) (changed bool) {
+func (t *Tracker) addEnd(now time.Time, e *entry, end End) (changed bool) {
 	if i := findEnd(e.ends, end); i >= 0 {
 		if e.ends[i].Evidence.rank() >= end.Evidence.rank() {
 			return false
@@ -223,7 +249,7 @@
 		e.ends[i].Evidence = end.Evidence
 		return true
 	}
-	if t.responses[end.Server].contradicts(end) {
+	if t.responses[end.Server].contradicts(end, t.listAge(now)) {
 		return false
 	}
 	at, _ := slices.BinarySearchFunc(e.ends, end, func(a, b End) int {
@@ -236,13 +262,14 @@
 	return true
 }
 
-// counted returns the ends that count: open ones for openTime, the others for endLifetime or, once a request has been
-// quarantined, for good.
-func (e *entry) counted(now time.Time) []End {
+// counted returns the ends that count: open ones until the list of servers would show the end, and all others, for endLifetime or,
+// once a request has been quarantined by recognised ends, for good.
+func (t *Tracker) counted(now time.Time, e *entry) []End {
+	listed := t.listed(now)
 	var counted []End
 	for _, end := range e.ends {
-		age := now.Sub(end.EndedAt)
-		if end.Evidence.Open() && age < openTime || !end.Evidence.Open() && (age < endLifetime || !e.until.IsZero()) {
+		fresh := now.Sub(end.EndedAt) < endLifetime
+		if end.Evidence.Open() && fresh && end.undecided(listed) || !end.Evidence.Open() && (fresh || !e.until.IsZero()) {
 			counted = append(counted, end)
 		}
 	}
@@ -256,8 +283,8 @@
 
 // concernsOthers reports whether other daemons have to know of the ends of a request: of those that are recognised, and of open
 // ones from the second on. A single open end is common, since answers get lost.
-func (e *entry) concernsOthers(now time.Time) bool {
-	counted := e.counted(now)
+func (t *Tracker) concernsOthers(now time.Time, e *entry) bool {
+	counted := t.counted(now, e)
 	return len(counted) > 1 || len(recognised(counted)) > 0
 }
 
@@ -265,7 +292,7 @@
 // do so only if no good answer is known, and after objectionTime, in which daemons that know one can tell.
 func (t *Tracker) update(now time.Time, e *entry) {
 	before := e.until
-	ends, answers := recognised(e.counted(now)), countAnswers(now, e.answers)
+	ends, answers := recognised(t.counted(now, e)), countAnswers(now, e.answers)
 	switch {
 	case condemned(inSequence(ends), answers):
 		if e.from.IsZero() || now.Before(e.from) {
@@ -291,27 +318,28 @@
 	e.version = t.version
 }
 
-func (e *entry) state(now time.Time) State {
-	ends, answers := e.counted(now), countAnswers(now, e.answers)
+func (t *Tracker) state(now time.Time, e *entry) State {
+	ends, answers := t.counted(now, e), countAnswers(now, e.answers)
 	s := State{Ends: ends, TakenBack: slices.Clone(e.takenBack), Answers: slices.Clone(e.answers), Until: e.until,
 		Quarantined: !now.Before(e.from) && now.Before(e.until), Suspect: !outweighed(weighable(ends, answers), answers)}
 	if s.Quarantined {
 		return s
 	}
-	if until := openUntil(now, ends, answers); !until.IsZero() {
+	if until := openUntil(now, t.listed(now), ends, answers); !until.IsZero() {
 		s.Quarantined, s.Unsure, s.Until = true, true, until
 	}
 	return s
 }
 
-// openUntil returns until when a request must not be sent because of open ends; zero if it may be sent.
-func openUntil(now time.Time, ends []End, answers int) (until time.Time) {
+// openUntil returns until when a request must not be sent because of open ends, if the list of servers is kept up to date from now
+// on; zero if it may be sent.
+func openUntil(now, listed time.Time, ends []End, answers int) (until time.Time) {
 	for {
 		first := slices.IndexFunc(ends, func(end End) bool { return end.Evidence.Open() })
 		if first < 0 || !refusable(now, ends, answers) {
 			return until
 		}
-		until = ends[first].EndedAt.Add(openTime)
+		until = now.Add(ends[first].undecidedFor(listed))
 		ends = slices.Delete(slices.Clone(ends), first, first+1)
 	}
 }
--- a/internal/decide/quarantine/tracker_test.go
+++ b/internal/decide/quarantine/tracker_test.go
@@ -204,3 +204,41 @@
 		}
 	}
 }
+
+// TestOpenEndsCountWhileNothingCanDecideThem guards against a request that is sent on since open ends lapse while the list of
+// servers can't be read.
+func TestOpenEndsCountWhileNothingCanDecideThem(t *testing.T) {
+	tracker, key := NewTracker(), keyOf("x")
+	tracker.FollowList()
+	for i, seconds := range []float64{1, 21, 41} {
+		e := end(fmt.Sprint(i), fmt.Sprint(i), seconds-0.1, seconds)
+		e.Evidence = Silent
+		tracker.Add(at(seconds), key, 0, e)
+	}
+	for _, listed := range []float64{0, 1, 5.9} {
+		tracker.ServersListed(at(listed))
+		state := tracker.State(at(60), key)
+		assert.Assert(t, state.Quarantined && state.Unsure, "list known as of %v s", listed)
+		assert.Assert(t, state.Until.After(at(60)) && !state.Until.After(at(60).Add(openTime)), "%v", state.Until)
+	}
+	tracker.ServersListed(at(6))
+	assert.Equal(t, len(tracker.State(at(60), key).Ends), 2, "the list shows that the first server has not ended")
+	assert.Assert(t, !tracker.State(at(60), key).Quarantined)
+	tracker.ServersListed(at(46))
+	assert.Equal(t, len(tracker.State(at(60), key).Ends), 0)
+	tracker.Recognise(at(60), incarnation.ID{Server: "2"}, Lapsed)
+	assert.Equal(t, len(tracker.State(at(60), key).Ends), 1, "late news counts")
+}
+
+// TestOpenEndsAreForgottenInLongOutages guards against refusals without end of a request that met silent servers.
+func TestOpenEndsAreForgottenInLongOutages(t *testing.T) {
+	tracker, key := NewTracker(), keyOf("x")
+	tracker.FollowList()
+	for i := range 3 {
+		e := end(fmt.Sprint(i), fmt.Sprint(i), float64(i), float64(i)+0.1)
+		e.Evidence = Silent
+		tracker.Add(at(3), key, 0, e)
+	}
+	assert.Assert(t, tracker.State(at(3), key).Quarantined)
+	assert.Assert(t, !tracker.State(at(3).Add(endLifetime), key).Quarantined)
+}
--- a/internal/front/catalog/servers.go
+++ b/internal/front/catalog/servers.go
@@ -26,10 +26,12 @@
 	LeaseExpiry policy.LeaseExpiry
 	Log         logrus.FieldLogger
 	// OnRefused is called for each refused entry, OnStarted for each new incarnation of a server, OnGone for each one whose entry
-	// is gone for good. All are optional and called with the handler locked.
+	// is gone for good. OnListed is called with the time as of which the list is known, once all that it shows has been told. All are
+	// optional and called with the handler locked.
 	OnRefused func(RefusalReason)
 	OnStarted func(incarnation.ID)
 	OnGone    func(incarnation.ID)
+	OnListed  func(at time.Time)
 }
 
 // ServersHandler is a watch handler that maintains the catalog's backend servers. Entries expire during an outage of
@@ -127,6 +129,9 @@
 	if len(h.changed) > 0 {
 		h.publish()
 	}
+	if h.OnListed != nil && !time.Now().Before(h.graceUntil) {
+		h.OnListed(at)
+	}
 }
 
 // SourceUnavailable implements watch.Handler.
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -131,7 +131,7 @@
 	f.ledger = ledger.New(b.links, b.settings.Topology(), int(memoryShare(turnCacheShare)), b.log).WithMemory(f.memory)
 	// Polls wait longer than calls may take before they are sent over another front daemon.
 	polls := peerlink.NewPool(b.host.dial).WithFallback(f.relay.Dial, quarantinePollFallbackDelay)
-	f.quarantine = quarantine.NewClient(b.links, polls, f.registrars, b.log).WithObserver(b.metrics)
+	f.quarantine = quarantine.NewClient(b.links, polls, f.registrars, b.log).WithObserver(b.metrics).FollowList()
 	f.gateway = gateway.New(gateway.Options{
 		Catalog: f.catalog, Balancer: f.balancer, Sender: f.pool, Ledger: f.ledger, HeaderCodec: platform.HeaderCodec{},
 		Log: b.log, Stats: gateway.NewStats(b.metrics), Scheduler: f.scheduler, Memory: f.memory,
@@ -242,6 +242,7 @@
 		Catalog: f.catalog, Topology: f.settings.Topology(), Prefix: platform.ServersPrefix,
 		Decode: platform.DecodeServer, LeaseExpiry: policy.NewLeaseExpiry(f.settings.Heartbeat), Log: f.log, OnStarted: f.serverStarted,
 		OnGone:    func(id incarnation.ID) { f.quarantine.ServerNews(id, quarantine.Lapsed) },
+		OnListed:  f.quarantine.ServersListed,
 		OnRefused: func(reason catalog.RefusalReason) { f.metrics.Count("rookpass_entries_refused_total", string(reason)) },
 	})
 	handlers := map[watch.Handler]time.Duration{
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -103,7 +103,7 @@
 	source := feed.New(b.readers(store), feed.NamedSource{Name: "platform", Source: singlePrefixSource{b.store}}, b.log).WithMirrorPollTimeout(readerWatchWait)
 	shared := watch.NewSharedSource(source)
 	layoutWatcher := b.newWatcher(shared, slowWatchWait, teeHandler{mirrors[2], layouts})
-	registrar := quarantine.NewService()
+	registrar := quarantine.NewService().FollowList()
 	watchers := []*watch.Watcher{
 		b.newWatcher(shared, configWait, mirrors[0]),
 		b.newWatcher(shared, storeWatchWait, watermarkTee{teeHandler{mirrors[1], b.serverNewsHandler(registrar)}, mirrors[1].Watermark}),
@@ -174,7 +174,7 @@
 	return catalog.NewServersHandler(catalog.ServersOptions{
 		Catalog: catalog.New(), Topology: b.settings.Topology(), Prefix: platform.ServersPrefix, Decode: platform.DecodeServer,
 		LeaseExpiry: policy.NewLeaseExpiry(b.settings.Heartbeat), Log: quiet, OnStarted: registrar.ServerStarted,
-		OnGone: func(id incarnation.ID) { registrar.ServerNews(id, quarantine.Lapsed) },
+		OnGone: func(id incarnation.ID) { registrar.ServerNews(id, quarantine.Lapsed) }, OnListed: registrar.ServersListed,
 	})
 }
 
