quarantine: no response takes an end back while no later start could be listed

Cause: a response on a new connection took an end back two seconds after the failed attempt, because a later start of the server would be listed by then. While the list can't be read no later start is listed, and the next start's own responses cleared the request that had ended the one before.

Change: the two seconds are those for which the list was known.

--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -108,9 +108,10 @@
 }
 
 // contradicts reports whether the response shows that the server had not ended. A later start of the server may respond under the
-// name of the one before, but not on a connection that is older than the failed attempt, and not for longer than startNotice.
-func (r Response) contradicts(end End, _ time.Duration) bool {
-	sameStart := r.ConnectedAt.Add(clockError).Before(end.SentAt) || r.SentAt.Sub(end.EndedAt) >= startNotice
+// name of the one before, but not on a connection that is older than the failed attempt, and not for longer than startNotice where
+// the list of servers is kept up to date. listAge is the time since it was last known.
+func (r Response) contradicts(end End, listAge time.Duration) bool {
+	sameStart := r.ConnectedAt.Add(clockError).Before(end.SentAt) || r.SentAt.Add(-listAge).Sub(end.EndedAt) >= startNotice
 	return r.Server == end.Server && r.SentAt.After(end.EndedAt) && sameStart && end.Evidence.rank() < Restarted.rank()
 }
 
--- a/internal/decide/quarantine/tracker_test.go
+++ b/internal/decide/quarantine/tracker_test.go
@@ -242,3 +242,19 @@
 	assert.Assert(t, tracker.State(at(3), key).Quarantined)
 	assert.Assert(t, !tracker.State(at(3).Add(endLifetime), key).Quarantined)
 }
+
+// TestResponseIsNoObjectionWhileNoStartIsListed guards against ends that are taken back by the next start of the server, which
+// responds under the same name and is not listed, since the list of servers can't be read.
+func TestResponseIsNoObjectionWhileNoStartIsListed(t *testing.T) {
+	server := incarnation.ID{Server: "a", Born: 7}
+	broken := End{Server: server, Attempt: "1", SentAt: at(1), EndedAt: at(1.2), Evidence: Broken}
+	later := Response{server, at(20), at(19)}
+	for listed, want := range map[float64]int{0: 1, 1.2: 1, 3.1: 1, 3.3: 0} {
+		tracker, key := NewTracker(), keyOf("x")
+		tracker.FollowList()
+		tracker.ServersListed(at(listed))
+		tracker.Add(at(2), key, 0, broken)
+		assert.Equal(t, tracker.Responded(at(20), later), want == 0, "list known as of %v s", listed)
+		assert.Equal(t, len(tracker.State(at(20), key).Ends), want, "list known as of %v s", listed)
+	}
+}
