quarantine: what registrars know of ends and copies in flight is on their disks

What callers saw: when all daemons were killed once, a request ended 4 to 6 servers in each way of ending, and when fronts were killed one by one 4 to 12 (bound 3).

Cause: ends, quarantines and permits were in memory only. A front passed a failure on to its caller before the registrars knew of it, a front that had just started sent requests before it had asked them, and the permit of a copy whose front had been killed lapsed as if it had ended well.

A permit that is overdue is an open end of that server, until its front tells otherwise, and an end once the list shows that the server has ended.

--- a/internal/decide/quarantine/admit.go
+++ b/internal/decide/quarantine/admit.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/rookpass/rookpass/internal/base/incarnation"
 	"github.com/rookpass/rookpass/internal/base/wait"
 	"github.com/rookpass/rookpass/internal/transport/peerlink"
 )
@@ -100,6 +101,14 @@
 	return denied
 }
 
+// Sent tells the registrars to which server a copy is sent, under which attempt of the caller, and returns once enough of them know,
+// or after shareWait: if this daemon ends, they still know where the copy was. A nil permit needs nothing.
+func (c *Client) Sent(ctx context.Context, permit *Permit, server incarnation.ID, attempt string) {
+	if permit != nil {
+		c.share(ctx, nil, &ReportArgs{Sent: []SentCopy{{*permit, server, attempt}}})
+	}
+}
+
 // Release tells the registrars that a copy is no longer in flight. A nil permit needs none.
 func (c *Client) Release(permit *Permit) {
 	if permit != nil {
--- a/internal/decide/quarantine/client.go
+++ b/internal/decide/quarantine/client.go
@@ -37,7 +37,8 @@
 	startedAt  time.Time
 	// replied counts the registrars that have replied to a poll.
 	replied atomic.Int32
-	synced  atomic.Bool
+	// synced is closed once enough registrars have replied.
+	synced chan struct{}
 
 	// source identifies this start of the daemon in tallies of good answers.
 	source   uint64
@@ -60,7 +61,7 @@
 // NewClient returns a client that sends reports and polls over separate links, since a poll that hangs must not break
 // reports.
 func NewClient(reports, polls *peerlink.Pool, registrars func() []string, log logrus.FieldLogger) *Client {
-	return &Client{reports: reports, polls: polls, registrars: registrars, log: log, startedAt: time.Now(), source: rand.Uint64(), tracker: NewTracker(),
+	return &Client{reports: reports, polls: polls, registrars: registrars, log: log, startedAt: time.Now(), synced: make(chan struct{}), source: rand.Uint64(), tracker: NewTracker(),
 		answers: newAnswerLog(), suspects: NewSuspectLog(), responses: map[incarnation.ID]Response{},
 		heard: map[incarnation.ID]time.Time{}}
 }
@@ -88,7 +89,28 @@
 func OwnerOf(organisation string) Owner { return Owner(xxhash.Sum64String(organisation)) }
 
 // Synced reports whether the daemon has learnt from a registrar what is quarantined, or has waited long enough for it.
-func (c *Client) Synced() bool { return c.synced.Load() || time.Since(c.startedAt) > syncWait }
+func (c *Client) Synced() bool {
+	select {
+	case <-c.synced:
+		return true
+	default:
+		return time.Since(c.startedAt) > syncWait
+	}
+}
+
+// AwaitSync returns once Synced reports true, or ctx ends. It does not wait while no registrar is known.
+func (c *Client) AwaitSync(ctx context.Context) {
+	if c.Synced() || len(c.registrars()) == 0 {
+		return
+	}
+	timer := time.NewTimer(syncWait - time.Since(c.startedAt))
+	defer timer.Stop()
+	select {
+	case <-c.synced:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
 
 // State returns the state of a request by its keys: that of the first key under which it is quarantined, else that with
 // the most ends.
--- a/internal/decide/quarantine/follow.go
+++ b/internal/decide/quarantine/follow.go
@@ -15,6 +15,8 @@
 const (
 	// registrarCheckInterval is the time between two looks at which daemons are registrars.
 	registrarCheckInterval = 200 * time.Millisecond
+	// registrarFindInterval is that time while none is known: requests wait for the first replies.
+	registrarFindInterval = 10 * time.Millisecond
 	// pollWait is how long a poll waits for changes, pollMargin how much later its reply may come.
 	pollWait   = 3 * time.Second
 	pollMargin = time.Second
@@ -47,7 +49,11 @@
 			}
 		}
 		c.forget(time.Now())
-		_ = wait.For(ctx, registrarCheckInterval)
+		interval := registrarCheckInterval
+		if len(addresses) == 0 {
+			interval = registrarFindInterval
+		}
+		_ = wait.For(ctx, interval)
 	}
 	for _, stop := range stops {
 		stop()
@@ -67,13 +73,18 @@
 		}
 		failures = 0
 		c.applyChanges(reply.Changes)
-		if args.Wait == 0 && c.replied.Add(1) >= int32(quorum) {
-			c.synced.Store(true)
+		caughtUp := len(reply.Changes) < maxChangesPerPoll
+		if args.Wait == 0 && caughtUp && c.replied.Add(1) == int32(quorum) {
+			close(c.synced)
 		}
 		if args.Start != reply.Start {
 			c.reportKnown(ctx, address)
 		}
-		args = PollArgs{Start: reply.Start, Version: reply.Version, Wait: pollWait}
+		first := args.Wait == 0 && !caughtUp
+		args = PollArgs{Start: reply.Start, Version: reply.Version}
+		if !first {
+			args.Wait = pollWait
+		}
 		_ = wait.For(ctx, changePause*time.Duration(len(reply.Changes)))
 	}
 }
--- a/internal/decide/quarantine/permits.go
+++ b/internal/decide/quarantine/permits.go
@@ -3,19 +3,48 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/rookpass/rookpass/internal/base/incarnation"
 )
 
 const (
 	// maxPermitTime bounds how long a copy counts as in flight whose daemon does not tell how it ended.
 	maxPermitTime = 10 * time.Second
+	// releaseTime is how long after the deadline of a copy its daemon has told how it ended.
+	releaseTime = time.Second
 	// settleTime is how long after an end no copy is sent: copies in flight that end servers in the same moment are known then.
 	settleTime = 60 * time.Millisecond
 )
 
 // permit is the right to send one copy of a suspected request.
 type permit struct {
-	id    uint64
-	until time.Time
+	id uint64
+	// until is the deadline of the copy.
+	grantedAt, until time.Time
+	// server and attempt tell where the copy was sent, under which attempt of the caller; zero until that is known.
+	server  incarnation.ID
+	attempt string
+	// unheard is set once the copy is overdue: its server is taken for ended.
+	unheard bool
+}
+
+// overdue reports whether the daemon that sent the copy should have told how it ended.
+func (p *permit) overdue(now time.Time) bool { return now.Sub(p.until) >= releaseTime }
+
+// end returns the end of the copy's server.
+func (p *permit) end(endedAt time.Time, evidence Evidence) End {
+	return End{Server: p.server, Attempt: p.attempt, SentAt: p.grantedAt, EndedAt: endedAt, Evidence: evidence}
+}
+
+// inFlight returns how many copies are in flight.
+func (e *entry) inFlight() int {
+	n := 0
+	for _, p := range e.permits {
+		if !p.unheard {
+			n++
+		}
+	}
+	return n
 }
 
 // Admission is whether a copy of a request may be sent now.
@@ -38,7 +67,7 @@
 	if e == nil {
 		return Admitted
 	}
-	e.expirePermits(now)
+	t.expirePermits(now, e)
 	if slices.ContainsFunc(e.permits, func(p permit) bool { return p.id == id }) {
 		return Admitted
 	}
@@ -51,7 +80,8 @@
 	if latest := now.Add(maxPermitTime); until.After(latest) {
 		until = latest
 	}
-	e.permits = append(e.permits, permit{id, until})
+	e.permits = append(e.permits, permit{id: id, grantedAt: now, until: until})
+	t.markUnsaved(e)
 	return Admitted
 }
 
@@ -59,19 +89,83 @@
 // After a quarantine a single one may be.
 func (e *entry) hasRoom(now time.Time, s State) bool {
 	if !e.until.IsZero() && !now.Before(e.until) {
-		return len(e.permits) == 0
+		return e.inFlight() == 0
 	}
 	answers := countAnswers(now, e.answers)
-	return s.Age(now) >= settleTime && !condemned(weighable(s.Ends, answers)+len(e.permits), answers)
+	return s.Age(now) >= settleTime && !condemned(weighable(s.Ends, answers)+e.inFlight(), answers)
 }
 
-// Release tells that a copy is no longer in flight.
+// Sent tells to which server a copy with a permit is sent, under which attempt of the caller.
+func (t *Tracker) Sent(key Key, id uint64, server incarnation.ID, attempt string) {
+	e := t.entries[key]
+	if e == nil {
+		return
+	}
+	for i := range e.permits {
+		if e.permits[i].id == id {
+			e.permits[i].server, e.permits[i].attempt = server, attempt
+			t.markUnsaved(e)
+		}
+	}
+}
+
+// Release tells that a copy is no longer in flight. If its server ended, that has been told before.
 func (t *Tracker) Release(key Key, id uint64) {
-	if e := t.entries[key]; e != nil {
-		e.permits = slices.DeleteFunc(e.permits, func(p permit) bool { return p.id == id })
+	e := t.entries[key]
+	if e == nil {
+		return
+	}
+	i := slices.IndexFunc(e.permits, func(p permit) bool { return p.id == id })
+	if i < 0 {
+		return
 	}
+	p := e.permits[i]
+	e.permits = slices.Delete(e.permits, i, i+1)
+	if p.unheard {
+		e.ends = slices.DeleteFunc(e.ends, func(end End) bool {
+			return end.Evidence == Unheard && end.Server == p.server && end.Attempt == p.attempt
+		})
+		t.markChanged(e)
+	}
+	t.markUnsaved(e)
 }
 
-func (e *entry) expirePermits(now time.Time) {
-	e.permits = slices.DeleteFunc(e.permits, func(p permit) bool { return !now.Before(p.until) })
+// expirePermits takes the servers of overdue copies for ended, as far as is known: the daemons that sent these have ended too, or are
+// cut off. It forgets copies of which nothing is known, and those that are long overdue.
+func (t *Tracker) expirePermits(now time.Time, e *entry) {
+	e.permits = slices.DeleteFunc(e.permits, func(p permit) bool {
+		return p.overdue(now) && p.server.IsZero() || now.Sub(p.until) >= endLifetime
+	})
+	for i := range e.permits {
+		if p := &e.permits[i]; p.overdue(now) && !p.unheard {
+			p.unheard = true
+			t.endCopy(now, e, p.end(p.until, Unheard))
+		}
+	}
+}
+
+// endCopies recognises the ends of the server of copies in flight.
+func (t *Tracker) endCopies(now time.Time, e *entry, server incarnation.ID, evidence Evidence) (recognised bool) {
+	for _, p := range e.permits {
+		if p.server == server && t.endCopy(now, e, p.end(now, evidence)) {
+			recognised = true
+		}
+	}
+	return recognised
+}
+
+func (t *Tracker) endCopy(now time.Time, e *entry, end End) (changed bool) {
+	if !t.addEnd(now, e, end) {
+		return false
+	}
+	t.update(now, e)
+	t.markChanged(e)
+	return true
+}
+
+// restorePermit adds a permit that was granted before a restart.
+func (t *Tracker) restorePermit(key Key, p permit) {
+	if e := t.entries[key]; e != nil && !slices.ContainsFunc(e.permits, func(known permit) bool { return known.id == p.id }) {
+		e.permits = append(e.permits, p)
+	}
 }
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -8,8 +8,8 @@
 //
 // Requests are compared by content, since each attempt of a caller has its own ID and reaches another daemon. Front
 // daemons report ends to a few store daemons, the registrars, before they send the request again. Each registrar counts
-// for itself, and tells all front daemons at once when a request is suspected, quarantined or cleared. State is in memory:
-// a registrar that was restarted learns from the reports and front daemons again, and is outvoted until then.
+// for itself, and tells all front daemons at once when a request is suspected, quarantined or cleared. It keeps what it knows on
+// its disk too. One that has lost its disk learns from the reports and front daemons again, and is outvoted until then.
 package quarantine
 
 import (
@@ -61,14 +61,19 @@
 	Broken Evidence = "broken"
 	// Silent means that the server showed no sign of life: it has ended, is cut off, hangs or is slow.
 	Silent Evidence = "silent"
+	// Unheard means that the daemon that sent the request has not told how it ended: that daemon has ended or is cut off.
+	Unheard Evidence = "unheard"
 )
 
 // Open reports whether the evidence leaves open whether the server has ended.
-func (e Evidence) Open() bool { return e == Broken || e == Silent }
+func (e Evidence) Open() bool { return e == Broken || e == Silent || e == Unheard }
 
-// rank orders evidence by what it proves: nothing yet; an end, unless the server responds later; an end for certain.
+// rank orders evidence by what it proves: nothing yet, seen by nobody or by the daemon that sent the request; an end, unless the
+// server responds later; an end for certain.
 func (e Evidence) rank() int {
 	switch e {
+	case Unheard:
+		return -1
 	case Broken, Silent:
 		return 0
 	case Restarted, Replaced:
--- a/internal/decide/quarantine/service.go
+++ b/internal/decide/quarantine/service.go
@@ -1,10 +1,14 @@
 package quarantine
 
 import (
+	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/rookpass/rookpass/internal/base/incarnation"
 )
 
@@ -22,6 +26,11 @@
 type Service struct {
 	start uint64
 
+	// journal keeps what has to outlive the process; nil for none.
+	journal *Journal
+	// loaded is closed once the journal is read; it must not be written before.
+	loaded chan struct{}
+
 	mu      sync.Mutex
 	tracker *Tracker
 	// changed is closed at the next change.
@@ -33,8 +42,14 @@
 	return &Service{start: rand.Uint64(), tracker: NewTracker(), changed: make(chan struct{})}
 }
 
-// Report records what a front daemon has seen.
+// Report records what a front daemon has seen. It returns once that is on the disk, or after saveWait.
 func (s *Service) Report(args *ReportArgs, reply *ReportReply) error {
+	s.awaitSaved(s.record(args, reply))
+	return nil
+}
+
+// record records a report and returns a channel that is closed once it is saved.
+func (s *Service) record(args *ReportArgs, reply *ReportReply) <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now, before := time.Now(), s.tracker.Version()
@@ -43,13 +58,18 @@
 		s.tracker.Responded(now, r.response(now))
 	}
 	reply.Requests = s.merge(now, args.Requests)
+	for _, sent := range args.Sent {
+		for _, key := range sent.Permit.Keys {
+			s.tracker.Sent(key, sent.Permit.ID, sent.Server, sent.Attempt)
+		}
+	}
 	for _, p := range args.Released {
 		for _, key := range p.Keys {
 			s.tracker.Release(key, p.ID)
 		}
 	}
 	s.notify(before)
-	return nil
+	return s.save()
 }
 
 // ServerNews records that a server has ended by what the list of servers shows. The daemons that reported open ends there may be
@@ -60,6 +80,7 @@
 	before := s.tracker.Version()
 	s.tracker.Recognise(time.Now(), server, evidence)
 	s.notify(before)
+	s.save()
 }
 
 // FollowList tells that the list of servers counts as unknown until ServersListed, and returns the service. Call it before the
@@ -87,10 +108,17 @@
 		}
 	}
 	s.notify(before)
+	s.save()
 }
 
-// Admit decides whether a front daemon may send a copy of a request. It may if all keys of the request allow it.
+// Admit decides whether a front daemon may send a copy of a request. It may if all keys of the request allow it. It returns once
+// the permit is on the disk, or after saveWait.
 func (s *Service) Admit(args *AdmitArgs, reply *AdmitReply) error {
+	s.awaitSaved(s.admit(args, reply))
+	return nil
+}
+
+func (s *Service) admit(args *AdmitArgs, reply *AdmitReply) <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now, before := time.Now(), s.tracker.Version()
@@ -104,7 +132,7 @@
 		}
 	}
 	s.notify(before)
-	return nil
+	return s.save()
 }
 
 // merge adds what a front daemon knows of requests and returns what is known of them then. The caller holds s.mu.
@@ -125,6 +153,78 @@
 	}
 }
 
+// WithJournal makes the registrar keep what it knows in a journal, and returns the service. What the journal holds is known once this
+// returns, unless its disk hangs for longer than loadWait.
+func (s *Service) WithJournal(j *Journal) *Service {
+	s.journal, s.tracker.unsaved, s.loaded = j, map[Key]bool{}, make(chan struct{})
+	go func() {
+		defer close(s.loaded)
+		s.restore()
+	}()
+	awaitFor(s.loaded, loadWait)
+	return s
+}
+
+// restore adds what the journal holds.
+func (s *Service) restore() {
+	requests, err := s.journal.load()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before, now := s.tracker.Version(), time.Now()
+	for i := range requests {
+		err = errors.Join(err, requests[i].restore(s.tracker, now))
+	}
+	s.notify(before)
+	suspected, quarantined := s.tracker.Counts(now)
+	line := s.journal.log.WithFields(logrus.Fields{"event": "quarantine-restored", "requests": len(requests), "suspected": suspected, "quarantined": quarantined})
+	if err != nil {
+		line.WithField("error", err).Error("saved ends of servers not read")
+		return
+	}
+	line.Info("saved ends of servers read")
+}
+
+// Run writes the journal until ctx ends.
+func (s *Service) Run(ctx context.Context) error {
+	select {
+	case <-s.loaded:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	s.journal.run(ctx, func() map[Key]storedRequest {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.tracker.stored()
+	})
+	return ctx.Err()
+}
+
+// save passes what has changed to the journal, and returns a channel that is closed once it is on the disk; nil if nothing has
+// changed. The caller holds s.mu.
+func (s *Service) save() <-chan struct{} {
+	if len(s.tracker.unsaved) == 0 {
+		return nil
+	}
+	return s.journal.append(s.tracker.takeUnsaved())
+}
+
+// awaitSaved waits for a channel of save, for saveWait at most.
+func (s *Service) awaitSaved(saved <-chan struct{}) {
+	if saved != nil {
+		awaitFor(saved, saveWait)
+	}
+}
+
+// awaitFor waits until a channel is closed, for a time at most.
+func awaitFor(done <-chan struct{}, limit time.Duration) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	}
+}
+
 // Poll returns the changes after a version, and waits if there are none.
 func (s *Service) Poll(args *PollArgs, reply *PollReply) error {
 	after := args.Version
--- a/internal/decide/quarantine/tracker.go
+++ b/internal/decide/quarantine/tracker.go
@@ -24,6 +24,8 @@
 	// list counts as current.
 	followsList bool
 	listedAt    time.Time
+	// unsaved are the requests of which something has changed that has to outlive the process; nil if nothing has to.
+	unsaved map[Key]bool
 }
 
 // FollowList tells that the list of servers counts as unknown until ServersListed.
@@ -52,6 +54,7 @@
 
 // entry is what is known of one request.
 type entry struct {
+	key   Key
 	owner Owner
 	// ends are sorted by EndedAt. Open ends stay when they no longer count, since later news may
 	// decide them.
@@ -115,6 +118,7 @@
 	t.update(now, e)
 	if len(e.ends) > 0 {
 		t.markChanged(e)
+		t.markUnsaved(e)
 	}
 }
 
@@ -131,6 +135,7 @@
 			continue
 		}
 		takenBack = true
+		t.markUnsaved(e)
 		e.takenBack = append(e.takenBack[max(0, len(e.takenBack)+1-maxEndsKept):], r)
 		t.update(now, e)
 		t.markChanged(e)
@@ -141,7 +146,7 @@
 // Recognise decides the open ends at a server by evidence, and reports whether there are any.
 func (t *Tracker) Recognise(now time.Time, server incarnation.ID, evidence Evidence) (recognised bool) {
 	for _, e := range t.entries {
-		changed := false
+		changed := t.endCopies(now, e, server, evidence)
 		for i := range e.ends {
 			if e.ends[i].Server == server && e.ends[i].Evidence.rank() < evidence.rank() {
 				e.ends[i].Evidence = evidence
@@ -152,6 +157,7 @@
 			recognised = true
 			t.update(now, e)
 			t.markChanged(e)
+			t.markUnsaved(e)
 		}
 	}
 	return recognised
@@ -185,6 +191,9 @@
 		for _, end := range e.ends {
 			servers[end.Server] = true
 		}
+		for _, p := range e.permits {
+			servers[p.server] = true
+		}
 	}
 	return servers
 }
@@ -247,6 +256,7 @@
 			return false
 		}
 		e.ends[i].Evidence = end.Evidence
+		t.markUnsaved(e)
 		return true
 	}
 	if t.responses[end.Server].contradicts(end, t.listAge(now)) {
@@ -259,6 +269,7 @@
 	if len(e.ends) > maxEndsKept {
 		e.ends = slices.Delete(e.ends, 0, 1)
 	}
+	t.markUnsaved(e)
 	return true
 }
 
@@ -318,6 +329,12 @@
 	e.version = t.version
 }
 
+func (t *Tracker) markUnsaved(e *entry) {
+	if t.unsaved != nil {
+		t.unsaved[e.key] = true
+	}
+}
+
 func (t *Tracker) state(now time.Time, e *entry) State {
 	ends, answers := t.counted(now, e), countAnswers(now, e.answers)
 	s := State{Ends: ends, TakenBack: slices.Clone(e.takenBack), Answers: slices.Clone(e.answers), Until: e.until,
@@ -365,7 +382,7 @@
 	if len(t.entries) >= maxEntries {
 		t.evict()
 	}
-	e := &entry{owner: owner}
+	e := &entry{key: key, owner: owner}
 	t.entries[key] = e
 	t.perOwner[owner]++
 	return e
@@ -381,7 +398,7 @@
 	}
 	t.sweptAt = now
 	for key, e := range t.entries {
-		e.expirePermits(now)
+		t.expirePermits(now, e)
 		if e.expired(now) {
 			t.remove(key, e)
 		}
--- a/internal/decide/quarantine/wire.go
+++ b/internal/decide/quarantine/wire.go
@@ -106,10 +106,19 @@
 	Requests []Status
 	// Responses are those of servers that were taken for ended.
 	Responses []WireResponse
+	// Sent are copies that are sent with a permit.
+	Sent []SentCopy
 	// Released are permits of copies that are no longer in flight.
 	Released []Permit
 }
 
+// SentCopy tells to which server a copy is sent, under which attempt of the caller.
+type SentCopy struct {
+	Permit  Permit
+	Server  incarnation.ID
+	Attempt string
+}
+
 // Permit identifies the right to send one copy of a request.
 type Permit struct {
 	ID   uint64
--- a/internal/front/gateway/attempt.go
+++ b/internal/front/gateway/attempt.go
@@ -56,6 +56,7 @@
 		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: header, Body: body, ID: x.requestInfo.ID,
 		Idempotent: x.route.Repeatable(),
 	}
+	x.g.quarantine.Sent(ctx, x.permit.Load(), choice.Server.ID, x.requestInfo.ID)
 	x.possibleRuns.Add(1)
 	sentAt := time.Now()
 	response, failure := x.g.sender.Do(ctx, endpoint(&choice.Server), x.connectionLimit(&choice.Server), request)
--- a/internal/front/gateway/quarantine.go
+++ b/internal/front/gateway/quarantine.go
@@ -13,11 +13,16 @@
 
 // Quarantine knows which requests end servers. Requests are given by the keys of their content.
 type Quarantine interface {
+	// AwaitSync returns once a daemon that has started knows what the others do, or has waited long enough for it.
+	AwaitSync(ctx context.Context)
 	State(keys []quarantine.Key) quarantine.State
 	// Admit returns once a copy of a request may be sent, or with a state that refuses it. left is the time until the request's
 	// deadline. Release returns the permit.
 	Admit(ctx context.Context, keys []quarantine.Key, owner quarantine.Owner, left time.Duration) (*quarantine.Permit, quarantine.State)
 	Release(*quarantine.Permit)
+	// Sent reports to which server a copy with a permit is sent, under which attempt of the caller. It returns once that is known
+	// elsewhere.
+	Sent(ctx context.Context, permit *quarantine.Permit, server incarnation.ID, attempt string)
 	// ServerEnded reports that a server ended while it ran a request, AttemptFailed that it may have. They return once that is
 	// known elsewhere.
 	ServerEnded(ctx context.Context, keys []quarantine.Key, owner quarantine.Owner, end quarantine.End) quarantine.State
@@ -41,6 +46,7 @@
 
 // notQuarantined refuses requests under which too many servers have ended.
 func notQuarantined(x *exchange) *refusal {
+	x.g.quarantine.AwaitSync(x.ctx)
 	x.quarantine = x.g.quarantine.State(x.keys)
 	if x.quarantine.Quarantined {
 		return x.quarantineRefusal(nil)
--- a/internal/front/gateway/serverend.go
+++ b/internal/front/gateway/serverend.go
@@ -45,7 +45,7 @@
 }
 
 // reportFailure reports an attempt that failed, if its server has ended or may have. It waits until the other daemons know if the
-// request may be sent to another server.
+// request may be sent to another server, or its caller is told of the failure and may repeat it.
 func (x *exchange) reportFailure(choice *balance.Choice, sentAt time.Time, failure *upstream.Failure, mayGoOn bool) {
 	a := x.newFailedAttempt(choice, sentAt, failure)
 	if a == nil {
@@ -60,8 +60,8 @@
 		x.reportEnd(ctx, a)
 		x.g.quarantine.Release(permit)
 	}()
-	if !mayGoOn {
-		return // the caller gets its answer at once
+	if !mayGoOn && !a.connectionBroke {
+		return // the caller has waited long enough, or has left
 	}
 	select {
 	case <-known:
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -103,7 +103,7 @@
 	source := feed.New(b.readers(store), feed.NamedSource{Name: "platform", Source: singlePrefixSource{b.store}}, b.log).WithMirrorPollTimeout(readerWatchWait)
 	shared := watch.NewSharedSource(source)
 	layoutWatcher := b.newWatcher(shared, slowWatchWait, teeHandler{mirrors[2], layouts})
-	registrar := quarantine.NewService().FollowList()
+	registrar := quarantine.NewService().FollowList().WithJournal(quarantine.OpenJournal(b.host.disk, filepath.Join(s.DataDir, "server-ends.jsonl"), b.log))
 	watchers := []*watch.Watcher{
 		b.newWatcher(shared, configWait, mirrors[0]),
 		b.newWatcher(shared, storeWatchWait, watermarkTee{teeHandler{mirrors[1], b.serverNewsHandler(registrar)}, mirrors[1].Watermark}),
@@ -149,6 +149,7 @@
 		file.Restore()
 		group.Go(func() error { return file.Save(ctx) })
 	}
+	group.Go(func() error { return registrar.Run(ctx) })
 	group.Go(func() error { return controller.Run(ctx) })
 	group.Go(func() error {
 		relayer := &exchange.Relayer{Service: hub, Links: b.links, SelfAddress: s.PeerAddress(), HubsByArea: hubsByArea(store, s.Regions), Log: b.log}
