quarantine: copies at silent servers are known before their front is killed

What callers saw: with fronts or all daemons killed, a request under which servers fall silent ended 4 to 7 servers (bound 3).

Cause: nobody but the front that sent a first copy knew of it until its failure, seconds later. A front that was killed in this time took that with it, so the end was never counted.

Change: a front tells the registrars of a copy whose server has shown no sign of life for half a second, all fronts together of 20 a second at most (some 4 KB a second at a registrar).

Ruled out: telling of each copy (10,000 a second), the exchange's reports (they reach one hub, and later than the caller's next try).

--- a/internal/decide/quarantine/admit.go
+++ b/internal/decide/quarantine/admit.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/rookpass/rookpass/internal/base/incarnation"
 	"github.com/rookpass/rookpass/internal/base/wait"
 	"github.com/rookpass/rookpass/internal/transport/peerlink"
@@ -16,6 +18,10 @@
 	permitPause = 20 * time.Millisecond
 	// busyRetry is when a caller whose copy got no permit may come back.
 	busyRetry = 500 * time.Millisecond
+	// maxStalledRate is how many stalled copies a second all front daemons together tell the registrars, stalledBurst how many one
+	// may tell at once. Registrars take some 4 KB a second for them.
+	maxStalledRate = 20
+	stalledBurst   = 4
 )
 
 // Admit returns once a copy of a request may be sent, or with a state that refuses it. Of suspected requests the copies in flight are
@@ -101,14 +107,51 @@
 	return denied
 }
 
-// Sent tells the registrars to which server a copy is sent, under which attempt of the caller, and returns once enough of them know,
-// or after shareWait: if this daemon ends, they still know where the copy was. A nil permit needs nothing.
-func (c *Client) Sent(ctx context.Context, permit *Permit, server incarnation.ID, attempt string) {
+// Copy is a copy of a request that is sent to a server.
+type Copy struct {
+	Keys   []Key
+	Owner  Owner
+	Server incarnation.ID
+	// Attempt is the ID of the caller's attempt.
+	Attempt string
+	SentAt  time.Time
+	// Left is the time until the request's deadline; 0 if it has none.
+	Left time.Duration
+}
+
+func (c *Client) describeCopy(permit *Permit, copied *Copy) *ReportArgs {
+	left := copied.Left
+	if left <= 0 {
+		left = maxPermitTime
+	}
+	return &ReportArgs{Sent: []SentCopy{{Permit: *permit, Owner: copied.Owner, Server: copied.Server, Attempt: copied.Attempt, Daemon: c.source,
+		SentAgo: time.Since(copied.SentAt), Left: left}}}
+}
+
+// Sent tells the registrars where a copy with a permit is sent, and returns once enough of them know, or after shareWait: if this daemon
+// ends, they still know of the copy. A nil permit needs nothing.
+func (c *Client) Sent(ctx context.Context, permit *Permit, copied *Copy) {
 	if permit != nil {
-		c.share(ctx, nil, &ReportArgs{Sent: []SentCopy{{*permit, server, attempt}}})
+		c.share(ctx, nil, c.describeCopy(permit, copied))
 	}
 }
 
+// Stalled tells the registrars of a copy without a permit whose server has shown no sign of life, in case that this daemon ends with
+// it. It returns a permit to release, or nil if too many copies are told.
+func (c *Client) Stalled(copied *Copy) *Permit {
+	if !c.stalled.Allow() {
+		return nil
+	}
+	permit := &Permit{ID: rand.Uint64(), Keys: copied.Keys}
+	c.reportLater(c.describeCopy(permit, copied))
+	return permit
+}
+
+// SetDaemons tells how many front daemons there are, which share the rate of stalled copies that are told.
+func (c *Client) SetDaemons(n int) {
+	c.stalled.SetLimit(rate.Limit(maxStalledRate / float64(max(n, 1))))
+}
+
 // Release tells the registrars that a copy is no longer in flight. A nil permit needs none.
 func (c *Client) Release(permit *Permit) {
 	if permit != nil {
--- a/internal/decide/quarantine/client.go
+++ b/internal/decide/quarantine/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"github.com/rookpass/rookpass/internal/base/incarnation"
 	"github.com/rookpass/rookpass/internal/transport/peerlink"
@@ -40,8 +41,10 @@
 	// synced is closed once enough registrars have replied.
 	synced chan struct{}
 
-	// source identifies this start of the daemon in tallies of good answers.
+	// source identifies this start of the daemon, and name the daemon. stalled bounds the stalled copies that are told.
 	source   uint64
+	name     string
+	stalled  *rate.Limiter
 	observer Observer
 
 	mu       sync.Mutex
@@ -61,7 +64,7 @@
 // NewClient returns a client that sends reports and polls over separate links, since a poll that hangs must not break
 // reports.
 func NewClient(reports, polls *peerlink.Pool, registrars func() []string, log logrus.FieldLogger) *Client {
-	return &Client{reports: reports, polls: polls, registrars: registrars, log: log, startedAt: time.Now(), synced: make(chan struct{}), source: rand.Uint64(), tracker: NewTracker(),
+	return &Client{reports: reports, polls: polls, registrars: registrars, log: log, startedAt: time.Now(), synced: make(chan struct{}), source: rand.Uint64(), stalled: rate.NewLimiter(maxStalledRate, stalledBurst), tracker: NewTracker(),
 		answers: newAnswerLog(), suspects: NewSuspectLog(), responses: map[incarnation.ID]Response{},
 		heard: map[incarnation.ID]time.Time{}}
 }
@@ -79,6 +82,12 @@
 	return c
 }
 
+// WithName sets the daemon's name, and returns the client. Call it before Run.
+func (c *Client) WithName(name string) *Client {
+	c.name = name
+	return c
+}
+
 func (c *Client) count(name string, label Evidence) {
 	if c.observer != nil {
 		c.observer.Count(name, string(label))
--- a/internal/decide/quarantine/follow.go
+++ b/internal/decide/quarantine/follow.go
@@ -63,7 +63,7 @@
 
 // follow polls a registrar until ctx ends. The daemon is synchronised once as many registrars as quorum have replied.
 func (c *Client) follow(ctx context.Context, address string, quorum int) {
-	args, failures := PollArgs{}, 0
+	args, failures := PollArgs{Name: c.name, Daemon: c.source}, 0
 	for ctx.Err() == nil {
 		reply, err := c.poll(ctx, address, &args)
 		if err != nil {
@@ -81,7 +81,7 @@
 			c.reportKnown(ctx, address)
 		}
 		first := args.Wait == 0 && !caughtUp
-		args = PollArgs{Start: reply.Start, Version: reply.Version}
+		args.Start, args.Version, args.Wait = reply.Start, reply.Version, 0
 		if !first {
 			args.Wait = pollWait
 		}
--- a/internal/decide/quarantine/journal.go
+++ b/internal/decide/quarantine/journal.go
@@ -110,6 +110,9 @@
 		ends[i] = End{Server: incarnation.ID{Server: s.Server, Born: s.Born}, Attempt: s.Attempt, SentAt: past(s.SentAt), EndedAt: past(s.EndedAt),
 			Evidence: s.Evidence, Common: s.Common}
 	}
+	if len(r.Ends)+len(r.Permits) == 0 {
+		return nil // all copies ended well
+	}
 	t.Add(now, key, r.Owner)
 	for _, tally := range r.Answers {
 		tally.At = past(tally.At)
@@ -118,7 +121,7 @@
 	t.Add(now, key, r.Owner, ends...)
 	for _, p := range r.Permits {
 		until := min(p.Until.Sub(now), maxPermitTime)
-		t.restorePermit(key, permit{id: p.ID, until: now.Add(until), grantedAt: past(p.GrantedAt),
+		t.restorePermit(now, key, r.Owner, permit{id: p.ID, until: now.Add(until), grantedAt: past(p.GrantedAt),
 			server: incarnation.ID{Server: p.Server, Born: p.Born}, attempt: p.Attempt})
 	}
 	return nil
@@ -130,6 +133,8 @@
 	for key := range t.unsaved {
 		if e := t.entries[key]; e != nil {
 			requests[key] = storeRequest(key, e)
+		} else {
+			requests[key] = storedRequest{Key: key.String()} // replaces an earlier line
 		}
 	}
 	clear(t.unsaved)
--- a/internal/decide/quarantine/permits.go
+++ b/internal/decide/quarantine/permits.go
@@ -14,11 +14,16 @@
 	releaseTime = time.Second
 	// settleTime is how long after an end no copy is sent: copies in flight that end servers in the same moment are known then.
 	settleTime = 60 * time.Millisecond
+	// maxPermits bounds the copies of one request that are kept.
+	maxPermits = 64
 )
 
-// permit is the right to send one copy of a suspected request.
+// permit is one copy of a request in flight: the right to send a copy of a suspected request, or a copy whose server has shown no sign
+// of life.
 type permit struct {
 	id uint64
+	// daemon is the start of the daemon that sent the copy; 0 if that is not known.
+	daemon uint64
 	// until is the deadline of the copy.
 	grantedAt, until time.Time
 	// server and attempt tell where the copy was sent, under which attempt of the caller; zero until that is known.
@@ -95,17 +100,23 @@
 	return s.Age(now) >= settleTime && !condemned(weighable(s.Ends, answers)+e.inFlight(), answers)
 }
 
-// Sent tells to which server a copy with a permit is sent, under which attempt of the caller.
-func (t *Tracker) Sent(key Key, id uint64, server incarnation.ID, attempt string) {
+// Sent tells where a copy was sent that may end its server.
+func (t *Tracker) Sent(now time.Time, key Key, owner Owner, sent permit) {
 	e := t.entries[key]
 	if e == nil {
+		e = t.insert(now, key, owner)
+	}
+	e.touched = now
+	if latest := now.Add(maxPermitTime); sent.until.After(latest) {
+		sent.until = latest
+	}
+	t.markUnsaved(e)
+	if i := slices.IndexFunc(e.permits, func(p permit) bool { return p.id == sent.id }); i >= 0 {
+		e.permits[i] = sent
 		return
 	}
-	for i := range e.permits {
-		if e.permits[i].id == id {
-			e.permits[i].server, e.permits[i].attempt = server, attempt
-			t.markUnsaved(e)
-		}
+	if len(e.permits) < maxPermits {
+		e.permits = append(e.permits, sent)
 	}
 }
 
@@ -128,6 +139,16 @@
 		t.markChanged(e)
 	}
 	t.markUnsaved(e)
+	if len(e.ends)+len(e.permits)+len(e.answers)+len(e.takenBack) == 0 && e.until.IsZero() {
+		t.remove(key, e)
+	}
+}
+
+// DaemonEnded takes the servers of the copies in flight that a start of a daemon sent for ended, as far as is known.
+func (t *Tracker) DaemonEnded(now time.Time, daemon uint64) {
+	for _, e := range t.entries {
+		t.abandonPermits(now, e, func(p *permit) bool { return p.daemon == daemon && daemon != 0 })
+	}
 }
 
 // expirePermits takes the servers of overdue copies for ended, as far as is known: the daemons that sent these have ended too, or are
@@ -136,11 +157,22 @@
 	e.permits = slices.DeleteFunc(e.permits, func(p permit) bool {
 		return p.overdue(now) && p.server.IsZero() || now.Sub(p.until) >= endLifetime
 	})
+	t.abandonPermits(now, e, func(p *permit) bool { return p.overdue(now) })
+}
+
+// abandonPermits takes the servers of copies of which nothing more may be heard for ended, as far as is known.
+func (t *Tracker) abandonPermits(now time.Time, e *entry, abandoned func(*permit) bool) {
 	for i := range e.permits {
-		if p := &e.permits[i]; p.overdue(now) && !p.unheard {
-			p.unheard = true
-			t.endCopy(now, e, p.end(p.until, Unheard))
+		p := &e.permits[i]
+		if p.unheard || p.server.IsZero() || !abandoned(p) {
+			continue
+		}
+		p.unheard = true
+		endedAt := now
+		if p.until.Before(now) {
+			endedAt = p.until
 		}
+		t.endCopy(now, e, p.end(endedAt, Unheard))
 	}
 }
 
@@ -163,9 +195,8 @@
 	return true
 }
 
-// restorePermit adds a permit that was granted before a restart.
-func (t *Tracker) restorePermit(key Key, p permit) {
-	if e := t.entries[key]; e != nil && !slices.ContainsFunc(e.permits, func(known permit) bool { return known.id == p.id }) {
-		e.permits = append(e.permits, p)
-	}
+// restorePermit adds a copy that was in flight before a restart. The daemon that sent it may have ended too, and tells otherwise.
+func (t *Tracker) restorePermit(now time.Time, key Key, owner Owner, p permit) {
+	t.Sent(now, key, owner, p)
+	t.abandonPermits(now, t.entries[key], func(other *permit) bool { return other.id == p.id })
 }
--- a/internal/decide/quarantine/service.go
+++ b/internal/decide/quarantine/service.go
@@ -35,11 +35,13 @@
 	tracker *Tracker
 	// changed is closed at the next change.
 	changed chan struct{}
+	// daemons has the start of each front daemon that polls, by its name.
+	daemons map[string]uint64
 }
 
 // NewService returns a registrar that knows nothing.
 func NewService() *Service {
-	return &Service{start: rand.Uint64(), tracker: NewTracker(), changed: make(chan struct{})}
+	return &Service{start: rand.Uint64(), tracker: NewTracker(), changed: make(chan struct{}), daemons: map[string]uint64{}}
 }
 
 // Report records what a front daemon has seen. It returns once that is on the disk, or after saveWait.
@@ -60,7 +62,8 @@
 	reply.Requests = s.merge(now, args.Requests)
 	for _, sent := range args.Sent {
 		for _, key := range sent.Permit.Keys {
-			s.tracker.Sent(key, sent.Permit.ID, sent.Server, sent.Attempt)
+			s.tracker.Sent(now, key, sent.Owner, permit{id: sent.Permit.ID, daemon: sent.Daemon, grantedAt: now.Add(-sent.SentAgo), until: now.Add(sent.Left),
+				server: sent.Server, attempt: sent.Attempt})
 		}
 	}
 	for _, p := range args.Released {
@@ -225,8 +228,24 @@
 	}
 }
 
+// observeStart records the start of a front daemon that polls. Its earlier start has ended.
+func (s *Service) observeStart(name string, daemon uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	earlier := s.daemons[name]
+	if earlier == daemon {
+		return
+	}
+	s.daemons[name] = daemon
+	before := s.tracker.Version()
+	s.tracker.DaemonEnded(time.Now(), earlier)
+	s.notify(before)
+	s.save()
+}
+
 // Poll returns the changes after a version, and waits if there are none.
 func (s *Service) Poll(args *PollArgs, reply *PollReply) error {
+	s.observeStart(args.Name, args.Daemon)
 	after := args.Version
 	if args.Start != s.start {
 		after = 0
--- a/internal/decide/quarantine/tracker.go
+++ b/internal/decide/quarantine/tracker.go
@@ -191,7 +191,7 @@
 		for _, end := range e.ends {
 			servers[end.Server] = true
 		}
-		for _, p := range e.permits {
+		for _, p := range e.permits { // of registrars only
 			servers[p.server] = true
 		}
 	}
--- a/internal/decide/quarantine/wire.go
+++ b/internal/decide/quarantine/wire.go
@@ -106,17 +106,22 @@
 	Requests []Status
 	// Responses are those of servers that were taken for ended.
 	Responses []WireResponse
-	// Sent are copies that are sent with a permit.
+	// Sent are copies in flight that may end their servers.
 	Sent []SentCopy
 	// Released are permits of copies that are no longer in flight.
 	Released []Permit
 }
 
-// SentCopy tells to which server a copy is sent, under which attempt of the caller.
+// SentCopy is a copy of a request in flight.
 type SentCopy struct {
-	Permit  Permit
-	Server  incarnation.ID
+	Permit Permit
+	Owner  Owner
+	Server incarnation.ID
+	// Attempt is the ID of the caller's attempt, Daemon the start of the daemon that sent the copy.
 	Attempt string
+	Daemon  uint64
+	// SentAgo is the time since the copy was sent, Left the time until its deadline.
+	SentAgo, Left time.Duration
 }
 
 // Permit identifies the right to send one copy of a request.
@@ -143,6 +148,9 @@
 
 // PollArgs ask for changes after a version of a start of the registrar, and tell for how long to wait if there are none.
 type PollArgs struct {
+	// Name and Daemon identify the front daemon and its start.
+	Name           string
+	Daemon         uint64
 	Start, Version uint64
 	Wait           time.Duration
 }
--- a/internal/front/gateway/attempt.go
+++ b/internal/front/gateway/attempt.go
@@ -56,9 +56,14 @@
 		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: header, Body: body, ID: x.requestInfo.ID,
 		Idempotent: x.route.Repeatable(),
 	}
-	x.g.quarantine.Sent(ctx, x.permit.Load(), choice.Server.ID, x.requestInfo.ID)
+	permit := x.permit.Load()
+	x.g.quarantine.Sent(ctx, permit, x.copyTo(choice, time.Now()))
 	x.possibleRuns.Add(1)
 	sentAt := time.Now()
+	var stalled *stalledCopy
+	if permit == nil {
+		stalled = x.watchCopy(choice, sentAt)
+	}
 	response, failure := x.g.sender.Do(ctx, endpoint(&choice.Server), x.connectionLimit(&choice.Server), request)
 	if failure != nil && failure.Verdict == verdict.NotRun || failure == nil && response.Info.NotRun {
 		x.possibleRuns.Add(-1)
@@ -67,8 +72,10 @@
 		if failure.Verdict != verdict.NotRun { // failed dials keep their reason, since no server was reached
 			failure.Reason = failureReason(ctx, failure.Reason)
 		}
+		x.stalled.keep(choice.Server.ID, stalled)
 		return nil, failure
 	}
+	stalled.release()
 	choice.HeadReceived()
 	if response.Status == http.StatusMisdirectedRequest {
 		x.g.quarantine.ServerNews(choice.Server.ID, quarantine.Replaced)
--- a/internal/front/gateway/gateway.go
+++ b/internal/front/gateway/gateway.go
@@ -142,6 +142,8 @@
 	quarantine quarantine.State
 	// permit is that of the attempt under way, if the request is suspected of ending servers.
 	permit atomic.Pointer[quarantine.Permit]
+	// stalled are copies that have failed, and of which other daemons know.
+	stalled stalledCopies
 	// answered is set once a server has answered the request well.
 	answered atomic.Bool
 	// serviceName is the service picked by the route's weights.
--- a/internal/front/gateway/quarantine.go
+++ b/internal/front/gateway/quarantine.go
@@ -20,9 +20,10 @@
 	// deadline. Release returns the permit.
 	Admit(ctx context.Context, keys []quarantine.Key, owner quarantine.Owner, left time.Duration) (*quarantine.Permit, quarantine.State)
 	Release(*quarantine.Permit)
-	// Sent reports to which server a copy with a permit is sent, under which attempt of the caller. It returns once that is known
-	// elsewhere.
-	Sent(ctx context.Context, permit *quarantine.Permit, server incarnation.ID, attempt string)
+	// Sent reports where a copy with a permit is sent, and returns once that is known elsewhere. Stalled reports a copy without a
+	// permit whose server has shown no sign of life, and returns a permit to release, or nil.
+	Sent(ctx context.Context, permit *quarantine.Permit, copied *quarantine.Copy)
+	Stalled(copied *quarantine.Copy) *quarantine.Permit
 	// ServerEnded reports that a server ended while it ran a request, AttemptFailed that it may have. They return once that is
 	// known elsewhere.
 	ServerEnded(ctx context.Context, keys []quarantine.Key, owner quarantine.Owner, end quarantine.End) quarantine.State
--- a/internal/front/gateway/serverend.go
+++ b/internal/front/gateway/serverend.go
@@ -47,8 +47,10 @@
 // reportFailure reports an attempt that failed, if its server has ended or may have. It waits until the other daemons know if the
 // request may be sent to another server, or its caller is told of the failure and may repeat it.
 func (x *exchange) reportFailure(choice *balance.Choice, sentAt time.Time, failure *upstream.Failure, mayGoOn bool) {
+	stalled := x.stalled.take(choice.Server.ID)
 	a := x.newFailedAttempt(choice, sentAt, failure)
 	if a == nil {
+		stalled.release()
 		return
 	}
 	permit := x.permit.Swap(nil)
@@ -59,6 +61,7 @@
 		a.suspected = permit != nil
 		x.reportEnd(ctx, a)
 		x.g.quarantine.Release(permit)
+		stalled.release()
 	}()
 	if !mayGoOn && !a.connectionBroke {
 		return // the caller has waited long enough, or has left
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -131,7 +131,7 @@
 	f.ledger = ledger.New(b.links, b.settings.Topology(), int(memoryShare(turnCacheShare)), b.log).WithMemory(f.memory)
 	// Polls wait longer than calls may take before they are sent over another front daemon.
 	polls := peerlink.NewPool(b.host.dial).WithFallback(f.relay.Dial, quarantinePollFallbackDelay)
-	f.quarantine = quarantine.NewClient(b.links, polls, f.registrars, b.log).WithObserver(b.metrics).FollowList()
+	f.quarantine = quarantine.NewClient(b.links, polls, f.registrars, b.log).WithObserver(b.metrics).WithName(b.settings.Node).FollowList()
 	f.gateway = gateway.New(gateway.Options{
 		Catalog: f.catalog, Balancer: f.balancer, Sender: f.pool, Ledger: f.ledger, HeaderCodec: platform.HeaderCodec{},
 		Log: b.log, Stats: gateway.NewStats(b.metrics), Scheduler: f.scheduler, Memory: f.memory,
@@ -388,6 +388,7 @@
 		hubDaemons = reply.Here
 		f.balancer.SetPeerReports(reply.Suspects, reply.Failing)
 		f.balancer.SetPeerCount(reply.Daemons)
+		f.quarantine.SetDaemons(reply.Daemons)
 		f.balancer.SetPeerLoads(reply.Loads)
 		f.balancer.SetPeerSpeeds(reply.Speeds)
 		f.balancer.SetPeerDemand(reply.Demand)
