--- a/internal/decide/quarantine/admit.go
+++ b/internal/decide/quarantine/admit.go
@@ -137,13 +137,25 @@
 }
 
 // Stalled tells the registrars of a copy without a permit whose server has shown no sign of life, in case that this daemon ends with
-// it. It returns a permit to release, or nil if too many copies are told.
+// it. It returns a permit to release, or nil if the good answers that are known outweigh an end, or if too many copies are told.
 func (c *Client) Stalled(copied *Copy) *Permit {
+	permit := &Permit{ID: rand.Uint64(), Keys: copied.Keys}
+	args := c.describeCopy(permit, copied)
+	c.mu.Lock()
+	now := time.Now()
+	for _, key := range copied.Keys {
+		if outweighed(1, c.answers.count(now, key)) {
+			c.mu.Unlock()
+			return nil
+		}
+		c.tracker.Add(now, key, copied.Owner) // good answers are kept of requests that were added
+	}
+	args.Requests = c.describe(now, copied.Keys, copied.Owner).Requests
+	c.mu.Unlock()
 	if !c.stalled.Allow() {
 		return nil
 	}
-	permit := &Permit{ID: rand.Uint64(), Keys: copied.Keys}
-	c.reportLater(c.describeCopy(permit, copied))
+	c.reportLater(args)
 	return permit
 }
 
--- a/internal/node/endtroubles_test.go
+++ b/internal/node/endtroubles_test.go
@@ -173,3 +173,35 @@
 	}
 	return refused.String()
 }
+
+// TestRequestsAreNotRefusedWhileTheSystemIsInTrouble guards against refusals of requests that have nothing to do with the ends of
+// servers, which fall silent, freeze or are replaced while nothing can tell, or while daemons end.
+func TestRequestsAreNotRefusedWhileTheSystemIsInTrouble(t *testing.T) {
+	for n, tr := range troubles() {
+		for i, ending := range serverEndings() {
+			if i%3 != n%3 { // each way of ending beside five troubles
+				continue
+			}
+			crash := serverCrashes()[(n+i)%len(serverCrashes())]
+			t.Run(endingName(tr.name, ending.name, crash.name), func(t *testing.T) {
+				t.Parallel()
+				testbubble.Run(t, func(t *testing.T) {
+					var output lockedBuffer
+					w := newClusterWith(t, 8, defaultStores, &cluster{serverCount: 48, output: &output})
+					stop := make(chan struct{})
+					var around sync.WaitGroup
+					around.Go(func() {
+						time.Sleep(3 * time.Second)
+						tr.run(w, stop)
+					})
+					w.serveWhileServersEnd(ending, crash)
+					close(stop)
+					around.Wait()
+					refused := innocentRefusals(output.String())
+					assert.Equal(t, refused, "", "%.1500s", refused)
+					assert.Assert(t, w.checker.Counts()["call whole"] > 0 && w.checker.Counts()["turn whole"] > 0)
+				})
+			})
+		}
+	}
+}
