Tests: heads that the platform's store and the first product's servers cut off are no answers

Another operator's report: a server stopped in the middle of its answer's head, and clients got a 200 with an empty or short body.

--- a/internal/transport/httpclient/framing_test.go
+++ b/internal/transport/httpclient/framing_test.go
@@ -229,3 +229,24 @@
 		assert.Assert(t, err != nil, "complete: %q", answer)
 	}
 }
+
+// TestCutHeadIsNoResponse guards against a response with an empty body because its head was cut off.
+func TestCutHeadIsNoResponse(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 17\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n",
+		"HTTP/1.1 200 OK\r\nX-Field: value\r\n", "HTTP/1.0 200 OK\r\nX-Field: value\r\n", "HTTP/1.1 200 OK\nContent-Length: 17\n",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 17\r\n"} {
+		for cut := range len(head) + 1 {
+			for _, reset := range []bool{false, true} {
+				for _, once := range []bool{false, true} {
+					client := httpclient.New(serveRaw(t, head[:cut], reset), httpclient.DialTCP, time.Minute)
+					resp, err := client.Do(t.Context(), httpclient.Request{Method: http.MethodGet, Path: "/", AtMostOnce: once})
+					if err == nil {
+						_, err = resp.ReadAll(t.Context(), 1<<20)
+					}
+					assert.Assert(t, err != nil, "%q, reset %v, once %v", head[:cut], reset, once)
+					client.Close()
+				}
+			}
+		}
+	}
+}
