--- a/internal/decide/quarantine/admit.go
+++ b/internal/decide/quarantine/admit.go
@@ -129,11 +129,9 @@
 }
 
 // Sent tells the registrars where a copy with a permit is sent, and returns once enough of them know, or after shareWait: if this daemon
-// ends, they still know of the copy. A nil permit needs nothing.
+// ends, they still know of the copy.
 func (c *Client) Sent(ctx context.Context, permit *Permit, copied *Copy) {
-	if permit != nil {
-		c.share(ctx, nil, c.describeCopy(permit, copied))
-	}
+	c.share(ctx, nil, c.describeCopy(permit, copied))
 }
 
 // Stalled tells the registrars of a copy without a permit whose server has shown no sign of life, in case that this daemon ends with
--- a/internal/front/gateway/attempt.go
+++ b/internal/front/gateway/attempt.go
@@ -57,7 +57,9 @@
 		Idempotent: x.route.Repeatable(),
 	}
 	permit := x.permit.Load()
-	x.g.quarantine.Sent(ctx, permit, x.copyTo(choice, time.Now()))
+	if permit != nil {
+		x.g.quarantine.Sent(ctx, permit, x.copyTo(choice, time.Now()))
+	}
 	x.possibleRuns.Add(1)
 	sentAt := time.Now()
 	var stalled *stalledCopy
--- a/internal/front/gateway/quarantine.go
+++ b/internal/front/gateway/quarantine.go
@@ -36,6 +36,8 @@
 	Responded(server incarnation.ID, sentAt, connectedAt time.Time)
 	Heard(server incarnation.ID)
 	LastHeard(server incarnation.ID) time.Time
+	// ListAge returns the time since the list of servers was last known, which decides what is open.
+	ListAge() time.Duration
 }
 
 const (
@@ -94,5 +96,6 @@
 	fields["ends"], fields["ended_servers"] = len(x.quarantine.Ends), x.quarantine.Servers()
 	fields["ends_open"], fields["evidence"] = x.quarantine.Open(), x.quarantine.Evidence()
 	fields["knowledge_age_ms"] = x.quarantine.Age(time.Now()).Milliseconds()
+	fields["list_age_ms"] = x.g.quarantine.ListAge().Milliseconds()
 	fields["refused_for_ms"] = time.Until(x.quarantine.Until).Milliseconds()
 }
--- a/internal/front/gateway/serverend.go
+++ b/internal/front/gateway/serverend.go
@@ -129,5 +129,6 @@
 
 func (x *exchange) logEnd(event string, a *failedAttempt, evidence quarantine.Evidence) logrus.FieldLogger {
 	return x.g.log.WithFields(logrus.Fields{"event": event, "id": x.requestInfo.ID, "server": a.choice.Server.ID, "content": x.identity(),
-		"reason": a.reason, "evidence": evidence, "ms": a.endedAt.Sub(a.sentAt).Milliseconds(), "in_flight": a.choice.InFlight})
+		"reason": a.reason, "evidence": evidence, "ms": a.endedAt.Sub(a.sentAt).Milliseconds(), "in_flight": a.choice.InFlight,
+		"list_age_ms": x.g.quarantine.ListAge().Milliseconds()})
 }
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -156,6 +156,7 @@
 	b.metrics.Gauge("rookpass_memory_peak_bytes", func() float64 { return float64(f.memory.Peak()) })
 	b.metrics.Gauge("rookpass_suspected_requests", func() float64 { suspected, _ := f.quarantine.Counts(); return float64(suspected) })
 	b.metrics.Gauge("rookpass_quarantined_requests", func() float64 { _, quarantined := f.quarantine.Counts(); return float64(quarantined) })
+	b.metrics.Gauge("rookpass_server_list_age_seconds", func() float64 { return f.quarantine.ListAge().Seconds() })
 	b.metrics.Gauge("rookpass_server_ends_open", func() float64 { return float64(f.quarantine.Open()) })
 	b.metrics.Gauge("rookpass_servers", func() float64 { return float64(f.catalog.Servers().Len()) })
 	return f
