--- a/internal/testing/workload/fatal.go
+++ b/internal/testing/workload/fatal.go
@@ -143,8 +143,7 @@
 // fatalPaths are the routes to which fatal requests are sent in turn.
 var fatalPaths = []string{"/lookup/", "/tool/", resumablePath, "/turn/"}
 
-// RunFatal sends one fatal request after the other until stop is closed. While daemons are out of touch, more servers may
-// end under one than MaxServerEnds.
+// RunFatal sends one fatal request after the other until stop is closed, and checks how many servers end under each.
 func (c *Caller) RunFatal(stop <-chan struct{}) {
 	for n := 0; ; n++ {
 		select {
@@ -152,7 +151,15 @@
 			return
 		case <-time.After(fatalInterval):
 		}
-		c.sendNextFatal(n)
+		f, got := c.sendNextFatal(n)
+		c.checkServerEnds(f, got)
+	}
+}
+
+// checkServerEnds checks how many servers have ended under a fatal request.
+func (c *Caller) checkServerEnds(f FatalRequest, got FatalResult) {
+	if ends := c.checker.ServerEnds(f.Content); ends > MaxServerEnds {
+		c.checker.AddViolation("%d servers ended under the request %s to %s, answered with %v", ends, f.Content, f.Path, got.Statuses)
 	}
 }
 
@@ -160,9 +167,7 @@
 func (c *Caller) CheckFatal() {
 	for n := range fatalPaths {
 		f, got := c.sendNextFatal(n)
-		if ends := c.checker.ServerEnds(f.Content); ends > MaxServerEnds {
-			c.checker.AddViolation("%d servers ended under the request %s to %s, answered with %v", ends, f.Content, f.Path, got.Statuses)
-		}
+		c.checkServerEnds(f, got)
 		if got.Refused() == 0 {
 			c.checker.AddViolation("the request %s to %s that ends servers was not refused: %v", f.Content, f.Path, got.Statuses)
 		}
