quarantine: a response takes back the end that it contradicts, and no other

Cause: daemons told one another of a response by its age. A front whose response, sent 10 ms before a server's end, contradicted older ends there told the registrars so; by the time that they read the message, 10 ms and more later on a busy VM, the response seemed to have been sent after the new end, and took that back as well. Class: ages grow on their way.

Change: daemons tell which ends are taken back, by server and attempt, and keep that for ends that are told later. Copies of which nothing was heard are recognised as ends once, not again when their server ends much later.

TestWithdrawalIsOfOneEnd.

--- a/internal/decide/quarantine/follow.go
+++ b/internal/decide/quarantine/follow.go
@@ -123,8 +123,10 @@
 		}
 		for _, end := range fromWire(now, status.Ends) {
 			if r := c.responses[end.Server]; r.contradicts(end, c.tracker.listAge(now)) {
-				c.tracker.Responded(now, r)
-				objections.Responses = append(objections.Responses, r.toWire(now))
+				w := WithdrawnEnd{status.Key, Withdrawal{end.Server, end.Attempt}}
+				c.tracker.Withdraw(now, w.Key, w.Withdrawal)
+				c.logWithdrawn(r, 1)
+				objections.Withdrawn = append(objections.Withdrawn, w)
 			}
 		}
 		if status.Quarantined && before.Until.IsZero() {
@@ -133,7 +135,7 @@
 	}
 	c.refreshEnded()
 	c.mu.Unlock()
-	if len(objections.Requests)+len(objections.Responses) > 0 {
+	if len(objections.Requests)+len(objections.Withdrawn) > 0 {
 		c.reportLater(&objections)
 	}
 }
--- a/internal/decide/quarantine/journal.go
+++ b/internal/decide/quarantine/journal.go
@@ -61,6 +61,14 @@
 	Ends    []storedEnd    `json:"ends,omitempty"`
 	Answers []Tally        `json:"answers,omitempty"`
 	Permits []storedPermit `json:"permits,omitempty"`
+	// Withdrawn are ends that were taken back.
+	Withdrawn []storedWithdrawal `json:"withdrawn,omitempty"`
+}
+
+type storedWithdrawal struct {
+	Server  string `json:"server"`
+	Born    int64  `json:"born,omitempty"`
+	Attempt string `json:"attempt"`
 }
 
 type storedEnd struct {
@@ -87,6 +95,9 @@
 	for _, end := range e.ends {
 		r.Ends = append(r.Ends, storedEnd{end.Server.Server, end.Server.Born, end.Attempt, end.SentAt, end.EndedAt, end.Evidence, end.Common})
 	}
+	for _, w := range e.withdrawn {
+		r.Withdrawn = append(r.Withdrawn, storedWithdrawal{w.Server.Server, w.Server.Born, w.Attempt})
+	}
 	for _, p := range e.permits {
 		r.Permits = append(r.Permits, storedPermit{p.id, p.server.Server, p.server.Born, p.attempt, p.grantedAt, p.until})
 	}
@@ -118,6 +129,9 @@
 		tally.At = past(tally.At)
 		t.Answered(now, key, tally)
 	}
+	for _, w := range r.Withdrawn {
+		t.Withdraw(now, key, Withdrawal{Server: incarnation.ID{Server: w.Server, Born: w.Born}, Attempt: w.Attempt})
+	}
 	t.Add(now, key, r.Owner, ends...)
 	for _, p := range r.Permits {
 		until := min(p.Until.Sub(now), maxPermitTime)
--- a/internal/decide/quarantine/journal_test.go
+++ b/internal/decide/quarantine/journal_test.go
@@ -72,11 +72,12 @@
 	disk, path, key := faultfs.New(), filepath.Join(t.TempDir(), "ends"), keyOf("x")
 	s, stop := openService(t, disk, path)
 	reportEnds(t, s, key, freshEnd("a", Broken), freshEnd("b", Broken))
-	alive := WireResponse{Server: incarnation.ID{Server: "a", Born: 7}, SentAgo: 0, ConnectedAgo: time.Minute}
-	assert.NilError(t, s.Report(&ReportArgs{Responses: []WireResponse{alive}}, &ReportReply{}))
+	withdrawn := Withdrawal{Server: incarnation.ID{Server: "a", Born: 7}, Attempt: "a"}
+	assert.NilError(t, s.Report(&ReportArgs{Withdrawn: []WithdrawnEnd{{key, withdrawn}}}, &ReportReply{}))
 	stop()
 	s, _ = openService(t, disk, path)
 	assert.Equal(t, len(reportEnds(t, s, key).Ends), 1)
+	assert.Equal(t, len(reportEnds(t, s, key, freshEnd("a", Broken)).Ends), 1, "a daemon that does not know has told it again")
 }
 
 // TestTornJournalIsRead guards against a registrar that knows nothing since its VM lost power in a write.
--- a/internal/decide/quarantine/news.go
+++ b/internal/decide/quarantine/news.go
@@ -30,16 +30,24 @@
 		c.responses[server] = r
 	}
 	c.suspects.Responded(r, c.tracker.listAge(now))
-	takenBack := c.ended[server] && c.tracker.Responded(now, r)
-	if takenBack {
+	var withdrawn []WithdrawnEnd
+	if c.ended[server] {
+		withdrawn = c.tracker.Responded(now, r)
 		c.refreshEnded()
 	}
 	c.mu.Unlock()
-	if takenBack {
-		c.reportLater(&ReportArgs{Responses: []WireResponse{r.toWire(now)}})
+	if len(withdrawn) > 0 {
+		c.logWithdrawn(r, len(withdrawn))
+		c.reportLater(&ReportArgs{Withdrawn: withdrawn})
 	}
 }
 
+// logWithdrawn logs that a response shows that a server had not ended under some requests.
+func (c *Client) logWithdrawn(r Response, requests int) {
+	c.log.WithFields(logrus.Fields{"event": "server-end-withdrawn", "server": r.Server, "requests": requests, "sent_ago_ms": time.Since(r.SentAt).Milliseconds(),
+		"connected_ago_ms": time.Since(r.ConnectedAt).Milliseconds()}).Info("server that was taken for ended has responded")
+}
+
 // ServersListed tells that the list of servers is known as of a time: ServerNews has told the ends that it shows by then.
 func (c *Client) ServersListed(at time.Time) {
 	c.mu.Lock()
--- a/internal/decide/quarantine/permits.go
+++ b/internal/decide/quarantine/permits.go
@@ -139,7 +139,7 @@
 		t.markChanged(e)
 	}
 	t.markUnsaved(e)
-	if len(e.ends)+len(e.permits)+len(e.answers)+len(e.takenBack) == 0 && e.until.IsZero() {
+	if len(e.ends)+len(e.permits)+len(e.answers)+len(e.withdrawn) == 0 && e.until.IsZero() {
 		t.remove(key, e)
 	}
 }
@@ -176,10 +176,10 @@
 	}
 }
 
-// endCopies recognises the ends of the server of copies in flight.
+// endCopies recognises the ends of the server of copies in flight. Those of which nothing is heard have ends already.
 func (t *Tracker) endCopies(now time.Time, e *entry, server incarnation.ID, evidence Evidence) (recognised bool) {
 	for _, p := range e.permits {
-		if p.server == server && t.endCopy(now, e, p.end(now, evidence)) {
+		if p.server == server && !p.unheard && t.endCopy(now, e, p.end(now, evidence)) {
 			recognised = true
 		}
 	}
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -120,12 +120,24 @@
 	return r.Server == end.Server && r.SentAt.After(end.EndedAt) && sameStart && end.Evidence.rank() < Restarted.rank()
 }
 
+// Withdrawal tells that the end of a server under an attempt was taken back, because the server has responded since. It names the end
+// rather than the time of the response: by the time that another daemon knows, ages have grown.
+type Withdrawal struct {
+	Server  incarnation.ID
+	Attempt string
+}
+
+// of reports whether the end is the withdrawn one. What is certain is not withdrawn.
+func (w Withdrawal) of(end End) bool {
+	return w.Server == end.Server && w.Attempt == end.Attempt && end.Evidence.rank() < Restarted.rank()
+}
+
 // State is what is known of a request.
 type State struct {
 	// Ends are those that count against the request, open ones included.
 	Ends []End
-	// TakenBack are the responses of servers that had been taken for ended.
-	TakenBack []Response
+	// Withdrawn are ends that were taken back.
+	Withdrawn []Withdrawal
 	// Answers counts good answers.
 	Answers []Tally
 	// Suspect is set if the ends outweigh the good answers: copies of the request are sent only with a permit.
--- a/internal/decide/quarantine/service.go
+++ b/internal/decide/quarantine/service.go
@@ -56,10 +56,10 @@
 	defer s.mu.Unlock()
 	now, before := time.Now(), s.tracker.Version()
 	s.tracker.Expire(now)
-	for _, r := range args.Responses {
-		s.tracker.Responded(now, r.response(now))
-	}
 	reply.Requests = s.merge(now, args.Requests)
+	for _, w := range args.Withdrawn {
+		s.tracker.Withdraw(now, w.Key, w.Withdrawal)
+	}
 	for _, sent := range args.Sent {
 		for _, key := range sent.Permit.Keys {
 			s.tracker.Sent(now, key, sent.Owner, permit{id: sent.Permit.ID, daemon: sent.Daemon, grantedAt: now.Add(-sent.SentAgo), until: now.Add(sent.Left),
--- a/internal/decide/quarantine/tracker.go
+++ b/internal/decide/quarantine/tracker.go
@@ -59,8 +59,8 @@
 	// ends are sorted by EndedAt. Open ends stay when they no longer count, since later news may
 	// decide them.
 	ends []End
-	// takenBack are the responses by which ends were taken back.
-	takenBack []Response
+	// withdrawn are the last ends that were taken back.
+	withdrawn []Withdrawal
 	answers   []Tally
 	// permits are the copies in flight that were sent with a permit.
 	permits []permit
@@ -122,25 +122,37 @@
 	}
 }
 
-// Responded records a response of a server and reports whether an end was taken back by it.
-func (t *Tracker) Responded(now time.Time, r Response) (takenBack bool) {
+// Responded records a response of a server and returns the ends that were taken back by it.
+func (t *Tracker) Responded(now time.Time, r Response) (withdrawn []WithdrawnEnd) {
 	if r.SentAt.After(t.responses[r.Server].SentAt) {
 		t.responses[r.Server] = r
 	}
 	listAge := t.listAge(now)
-	for _, e := range t.entries {
-		before := len(e.ends)
-		e.ends = slices.DeleteFunc(e.ends, func(end End) bool { return r.contradicts(end, listAge) })
-		if len(e.ends) == before {
-			continue
+	for key, e := range t.entries {
+		for _, end := range slices.Clone(e.ends) {
+			if r.contradicts(end, listAge) {
+				w := Withdrawal{end.Server, end.Attempt}
+				t.withdraw(now, e, w)
+				withdrawn = append(withdrawn, WithdrawnEnd{key, w})
+			}
 		}
-		takenBack = true
-		t.markUnsaved(e)
-		e.takenBack = append(e.takenBack[max(0, len(e.takenBack)+1-maxEndsKept):], r)
-		t.update(now, e)
-		t.markChanged(e)
 	}
-	return takenBack
+	return withdrawn
+}
+
+// Withdraw takes an end back, also one that is reported later.
+func (t *Tracker) Withdraw(now time.Time, key Key, w Withdrawal) {
+	if e := t.entries[key]; e != nil && !slices.Contains(e.withdrawn, w) {
+		t.withdraw(now, e, w)
+	}
+}
+
+func (t *Tracker) withdraw(now time.Time, e *entry, w Withdrawal) {
+	e.ends = slices.DeleteFunc(e.ends, w.of)
+	e.withdrawn = append(e.withdrawn[max(0, len(e.withdrawn)+1-maxEndsKept):], w)
+	t.update(now, e)
+	t.markChanged(e)
+	t.markUnsaved(e)
 }
 
 // Recognise decides the open ends at a server by evidence, and reports whether there are any.
@@ -259,7 +271,7 @@
 		t.markUnsaved(e)
 		return true
 	}
-	if t.responses[end.Server].contradicts(end, t.listAge(now)) {
+	if t.responses[end.Server].contradicts(end, t.listAge(now)) || slices.ContainsFunc(e.withdrawn, func(w Withdrawal) bool { return w.of(end) }) {
 		return false
 	}
 	at, _ := slices.BinarySearchFunc(e.ends, end, func(a, b End) int {
@@ -337,7 +349,7 @@
 
 func (t *Tracker) state(now time.Time, e *entry) State {
 	ends, answers := t.counted(now, e), countAnswers(now, e.answers)
-	s := State{Ends: ends, TakenBack: slices.Clone(e.takenBack), Answers: slices.Clone(e.answers), Until: e.until,
+	s := State{Ends: ends, Withdrawn: slices.Clone(e.withdrawn), Answers: slices.Clone(e.answers), Until: e.until,
 		Quarantined: !now.Before(e.from) && now.Before(e.until), Suspect: !outweighed(weighable(ends, answers), answers)}
 	if s.Quarantined {
 		return s
--- a/internal/decide/quarantine/tracker_test.go
+++ b/internal/decide/quarantine/tracker_test.go
@@ -254,7 +254,30 @@
 		tracker.FollowList()
 		tracker.ServersListed(at(listed))
 		tracker.Add(at(2), key, 0, broken)
-		assert.Equal(t, tracker.Responded(at(20), later), want == 0, "list known as of %v s", listed)
+		assert.Equal(t, len(tracker.Responded(at(20), later)), 1-want, "list known as of %v s", listed)
 		assert.Equal(t, len(tracker.State(at(20), key).Ends), want, "list known as of %v s", listed)
 	}
 }
+
+// TestWithdrawalIsOfOneEnd guards against ends that are taken back by the response that took back another one: by the time that a
+// daemon hears of it, the response may seem to have been sent after them.
+func TestWithdrawalIsOfOneEnd(t *testing.T) {
+	tracker, key := NewTracker(), keyOf("x")
+	ends := []End{end("a", "1", 0, 0.1), end("a", "2", 0.5, 0.6), end("b", "1", 0.5, 0.6)}
+	withdrawn := Withdrawal{Server: incarnation.ID{Server: "a"}, Attempt: "1"}
+	for _, first := range []bool{true, false} {
+		tracker.Add(at(1), key, 0)
+		if first {
+			tracker.Withdraw(at(1), key, withdrawn)
+		}
+		tracker.Add(at(1), key, 0, ends...)
+		tracker.Withdraw(at(1), key, withdrawn)
+		assert.Equal(t, len(tracker.State(at(1), key).Ends), 2, "withdrawn first: %v", first)
+		tracker = NewTracker()
+	}
+	certain := ends[0]
+	certain.Evidence = Restarted
+	tracker.Add(at(1), key, 0, certain)
+	tracker.Withdraw(at(1), key, withdrawn)
+	assert.Equal(t, len(tracker.State(at(1), key).Ends), 1, "the server has started anew")
+}
--- a/internal/decide/quarantine/wire.go
+++ b/internal/decide/quarantine/wire.go
@@ -16,28 +16,6 @@
 	Common         bool
 }
 
-// WireResponse is a Response between daemons. ConnectedAgo is negative if it is not known when the connection was opened.
-type WireResponse struct {
-	Server                incarnation.ID
-	SentAgo, ConnectedAgo time.Duration
-}
-
-func (r Response) toWire(now time.Time) WireResponse {
-	wire := WireResponse{Server: r.Server, SentAgo: now.Sub(r.SentAt), ConnectedAgo: -1}
-	if !r.ConnectedAt.IsZero() {
-		wire.ConnectedAgo = now.Sub(r.ConnectedAt)
-	}
-	return wire
-}
-
-func (w WireResponse) response(now time.Time) Response {
-	r := Response{Server: w.Server, SentAt: now.Add(-w.SentAgo)}
-	if w.ConnectedAgo >= 0 {
-		r.ConnectedAt = now.Add(-w.ConnectedAgo)
-	}
-	return r
-}
-
 // WireTally is a Tally between daemons.
 type WireTally struct {
 	Source uint64
@@ -67,20 +45,17 @@
 	Owner   Owner
 	Ends    []WireEnd
 	Answers []WireTally
-	// Responses are those of servers that had been taken for ended.
-	Responses []WireResponse
+	// Withdrawn are ends that were taken back.
+	Withdrawn []Withdrawal
 	// Quarantined is set if the request is quarantined, or will be unless a daemon objects.
 	Quarantined bool
 }
 
 func newStatus(now time.Time, key Key, owner Owner, state State) Status {
-	s := Status{Key: key, Owner: owner, Ends: toWire(now, state.Ends), Quarantined: now.Before(state.Until)}
+	s := Status{Key: key, Owner: owner, Ends: toWire(now, state.Ends), Withdrawn: state.Withdrawn, Quarantined: now.Before(state.Until)}
 	for _, t := range state.Answers {
 		s.Answers = append(s.Answers, WireTally{Source: t.Source, Count: t.Count, Ago: now.Sub(t.At)})
 	}
-	for _, r := range state.TakenBack {
-		s.Responses = append(s.Responses, r.toWire(now))
-	}
 	return s
 }
 
@@ -91,8 +66,8 @@
 		t.Answered(now, s.Key, Tally{Source: a.Source, Count: a.Count, At: now.Add(-a.Ago)})
 	}
 	t.Add(now, s.Key, s.Owner, fromWire(now, s.Ends)...)
-	for _, r := range s.Responses {
-		t.Responded(now, r.response(now))
+	for _, w := range s.Withdrawn {
+		t.Withdraw(now, s.Key, w)
 	}
 }
 
@@ -104,14 +79,20 @@
 // ReportArgs are what a front daemon has seen of requests.
 type ReportArgs struct {
 	Requests []Status
-	// Responses are those of servers that were taken for ended.
-	Responses []WireResponse
+	// Withdrawn are ends that were taken back, by request.
+	Withdrawn []WithdrawnEnd
 	// Sent are copies in flight that may end their servers.
 	Sent []SentCopy
 	// Released are permits of copies that are no longer in flight.
 	Released []Permit
 }
 
+// WithdrawnEnd is an end of a request that was taken back.
+type WithdrawnEnd struct {
+	Key        Key
+	Withdrawal Withdrawal
+}
+
 // SentCopy is a copy of a request in flight.
 type SentCopy struct {
 	Permit Permit
