quarantine: a stalled copy that is not told costs no entry

Entries for the good answers of a stalled copy were added, and its report was built, before the rate limit was asked. Both happen after it now; what is told is the same.

--- a/internal/decide/quarantine/admit.go
+++ b/internal/decide/quarantine/admit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -137,26 +138,30 @@
 // Stalled tells the registrars of a copy without a permit whose server has shown no sign of life, in case that this daemon ends with
 // it. It returns a permit to release, or nil if the good answers that are known outweigh an end, or if too many copies are told.
 func (c *Client) Stalled(copied *Copy) *Permit {
+	if c.answeredWell(copied.Keys) || !c.stalled.Allow() {
+		return nil
+	}
 	permit := &Permit{ID: rand.Uint64(), Keys: copied.Keys}
 	args := c.describeCopy(permit, copied)
 	c.mu.Lock()
 	now := time.Now()
 	for _, key := range copied.Keys {
-		if outweighed(1, c.answers.count(now, key)) {
-			c.mu.Unlock()
-			return nil
-		}
 		c.tracker.Add(now, key, copied.Owner) // good answers are kept of requests that were added
 	}
 	args.Requests = c.describe(now, copied.Keys, copied.Owner).Requests
 	c.mu.Unlock()
-	if !c.stalled.Allow() {
-		return nil
-	}
 	c.reportLater(args)
 	return permit
 }
 
+// answeredWell reports whether the good answers that this daemon has counted of a request outweigh an end.
+func (c *Client) answeredWell(keys []Key) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	return slices.ContainsFunc(keys, func(key Key) bool { return outweighed(1, c.answers.count(now, key)) })
+}
+
 // SetDaemons tells how many front daemons there are, which share the rate of stalled copies that are told.
 func (c *Client) SetDaemons(n int) {
 	c.stalled.SetLimit(rate.Limit(maxStalledRate / float64(max(n, 1))))
