--- a/internal/decide/quarantine/client.go
+++ b/internal/decide/quarantine/client.go
@@ -39,7 +39,8 @@
 	// replied counts the registrars that have replied to a poll.
 	replied atomic.Int32
 	// synced is closed once enough registrars have replied.
-	synced chan struct{}
+	synced   chan struct{}
+	syncOnce sync.Once
 
 	// source identifies this start of the daemon, and name the daemon. stalled bounds the stalled copies that are told.
 	source   uint64
--- a/internal/decide/quarantine/follow.go
+++ b/internal/decide/quarantine/follow.go
@@ -74,8 +74,8 @@
 		failures = 0
 		c.applyChanges(reply.Changes)
 		caughtUp := len(reply.Changes) < maxChangesPerPoll
-		if args.Wait == 0 && caughtUp && c.replied.Add(1) == int32(quorum) {
-			close(c.synced)
+		if args.Wait == 0 && caughtUp && c.replied.Add(1) >= int32(quorum) {
+			c.syncOnce.Do(func() { close(c.synced) })
 		}
 		if args.Start != reply.Start {
 			c.reportKnown(ctx, address)
--- a/internal/decide/quarantine/journal.go
+++ b/internal/decide/quarantine/journal.go
@@ -63,6 +63,9 @@
 	Permits []storedPermit `json:"permits,omitempty"`
 	// Withdrawn are ends that were taken back.
 	Withdrawn []storedWithdrawal `json:"withdrawn,omitempty"`
+	// From and Until are the beginning and the end of the quarantine.
+	From  time.Time `json:"from,omitzero"`
+	Until time.Time `json:"until,omitzero"`
 }
 
 type storedWithdrawal struct {
@@ -91,7 +94,7 @@
 }
 
 func storeRequest(key Key, e *entry) storedRequest {
-	r := storedRequest{Key: key.String(), Owner: e.owner, Answers: append([]Tally(nil), e.answers...)}
+	r := storedRequest{Key: key.String(), Owner: e.owner, Answers: append([]Tally(nil), e.answers...), From: e.from, Until: e.until}
 	for _, end := range e.ends {
 		r.Ends = append(r.Ends, storedEnd{end.Server.Server, end.Server.Born, end.Attempt, end.SentAt, end.EndedAt, end.Evidence, end.Common})
 	}
@@ -132,6 +135,7 @@
 	for _, w := range r.Withdrawn {
 		t.Withdraw(now, key, Withdrawal{Server: incarnation.ID{Server: w.Server, Born: w.Born}, Attempt: w.Attempt})
 	}
+	t.entries[key].from, t.entries[key].until = past(r.From), r.Until // ends of a quarantined request count for good
 	t.Add(now, key, r.Owner, ends...)
 	for _, p := range r.Permits {
 		until := min(p.Until.Sub(now), maxPermitTime)
--- a/internal/decide/quarantine/journal_test.go
+++ b/internal/decide/quarantine/journal_test.go
@@ -67,6 +67,32 @@
 	assert.Assert(t, len(reply.Changes) == 4, "a front that starts is not told: %v", reply.Changes)
 }
 
+// TestQuarantineOutlivesItsEnds guards against a request that is sent on after a restart, since the ends for which it was quarantined
+// are older by then than those that count anew.
+func TestQuarantineOutlivesItsEnds(t *testing.T) {
+	for _, after := range []time.Duration{time.Second, endLifetime + time.Second, quarantineTime - time.Second, quarantineTime + time.Second} {
+		before, key := NewTracker(), keyOf("x")
+		before.Add(at(1), key, 0, end("a", "1", 0, 0.1), end("b", "2", 0.4, 0.5), end("c", "3", 0.8, 1))
+		before.Answered(at(1), key, answers(1, 1))
+		before.Withdraw(at(1), key, Withdrawal{Server: incarnation.ID{Server: "d"}, Attempt: "4"})
+		stored, restored, now := storeRequest(key, before.entries[key]), NewTracker(), at(1).Add(after)
+		assert.NilError(t, stored.restore(restored, now))
+		assert.Equal(t, restored.State(now, key).Quarantined, after < quarantineTime, "after %v", after)
+	}
+}
+
+// TestClockSetBackKeepsEnds guards against ends that seem to lie in the future for good, since a VM's clock was set back.
+func TestClockSetBackKeepsEnds(t *testing.T) {
+	before, key := NewTracker(), keyOf("x")
+	before.Add(at(9), key, 0, end("a", "1", 7, 8), end("b", "2", 8, 9))
+	before.Sent(at(9), key, 0, permit{id: 4, grantedAt: at(9), until: at(13), server: incarnation.ID{Server: "c"}, attempt: "3"})
+	stored, restored := storeRequest(key, before.entries[key]), NewTracker()
+	assert.NilError(t, stored.restore(restored, at(2)))
+	state := restored.State(at(2), key)
+	assert.Equal(t, len(state.Ends), 3)
+	assert.Assert(t, state.Age(at(2)) >= 0, "%v", state.Age(at(2)))
+}
+
 // TestTakenBackEndsStayTakenBack guards against a refusal by ends that were taken back before a restart.
 func TestTakenBackEndsStayTakenBack(t *testing.T) {
 	disk, path, key := faultfs.New(), filepath.Join(t.TempDir(), "ends"), keyOf("x")
