quarantine: daemons that keep different withdrawn ends don't tell one another of them

Found by reading the diff. Only an end that is removed is a change now. TestWithdrawalOfUnknownEndIsNoChange fails before. Daemons without a name are not compared by it.

--- a/internal/decide/quarantine/service.go
+++ b/internal/decide/quarantine/service.go
@@ -233,7 +233,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	earlier := s.daemons[name]
-	if earlier == daemon {
+	if name == "" || earlier == daemon {
 		return
 	}
 	s.daemons[name] = daemon
--- a/internal/decide/quarantine/tracker.go
+++ b/internal/decide/quarantine/tracker.go
@@ -148,11 +148,14 @@
 }
 
 func (t *Tracker) withdraw(now time.Time, e *entry, w Withdrawal) {
+	before := len(e.ends)
 	e.ends = slices.DeleteFunc(e.ends, w.of)
 	e.withdrawn = append(e.withdrawn[max(0, len(e.withdrawn)+1-maxEndsKept):], w)
-	t.update(now, e)
-	t.markChanged(e)
 	t.markUnsaved(e)
+	if len(e.ends) < before { // else daemons that keep different ones would tell one another without end
+		t.update(now, e)
+		t.markChanged(e)
+	}
 }
 
 // Recognise decides the open ends at a server by evidence, and reports whether there are any.
--- a/internal/decide/quarantine/tracker_test.go
+++ b/internal/decide/quarantine/tracker_test.go
@@ -281,3 +281,17 @@
 	tracker.Withdraw(at(1), key, withdrawn)
 	assert.Equal(t, len(tracker.State(at(1), key).Ends), 1, "the server has started anew")
 }
+
+// TestWithdrawalOfUnknownEndIsNoChange guards against daemons that tell one another without end of ends that were taken back, since
+// each keeps only the last.
+func TestWithdrawalOfUnknownEndIsNoChange(t *testing.T) {
+	tracker, key := NewTracker(), keyOf("x")
+	tracker.Add(at(1), key, 0, end("a", "1", 0.1, 0.2))
+	before := tracker.Version()
+	for i := range 2 * maxEndsKept {
+		tracker.Withdraw(at(1), key, Withdrawal{Server: incarnation.ID{Server: "b"}, Attempt: fmt.Sprint(i)})
+	}
+	assert.Equal(t, tracker.Version(), before)
+	tracker.Withdraw(at(1), key, Withdrawal{Server: incarnation.ID{Server: "a"}, Attempt: "1"})
+	assert.Assert(t, tracker.Version() > before)
+}
