quarantine: where servers have ended under a request, a failed attempt counts beside others

Cause: a front that sees three other requests fail at three servers within a second takes its own network for the cause, and tells nothing of a failed attempt. That rule did not ask whether servers had ended under the request before.

Change: the rule does not hold for requests under which ends are recognised. With open ends only it does: a front that is cut off sees these of innocent requests.

Evidence: TestEndBesideOtherFailuresCounts fails before. Also: a constant that no test used.

--- a/internal/decide/quarantine/client_test.go
+++ b/internal/decide/quarantine/client_test.go
@@ -248,3 +248,31 @@
 		f.checkAll(false)
 	})
 }
+
+// TestEndBesideOtherFailuresCounts guards against a fourth server that ends under a request since the third ended while a daemon saw
+// other requests fail.
+func TestEndBesideOtherFailuresCounts(t *testing.T) {
+	for ends, want := range map[int]bool{0: false, 2: true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, 8)
+			fail := func(keys []quarantine.Key, server string) {
+				now := time.Now()
+				f.fronts[0].AttemptFailed(context.Background(), quarantine.Suspect{Keys: keys, Counts: true, End: quarantine.End{
+					Server: incarnation.ID{Server: server}, Attempt: server, SentAt: now.Add(-time.Millisecond), EndedAt: now, Evidence: quarantine.Broken}})
+			}
+			for i := range ends {
+				f.end(0, fmt.Sprint("server-", i))
+				time.Sleep(100 * time.Millisecond)
+			}
+			for i := range 4 {
+				fail([]quarantine.Key{{2, byte(i)}}, fmt.Sprint("other-", i))
+			}
+			for i := range 3 - ends {
+				fail(content, fmt.Sprint("last-", i))
+				time.Sleep(100 * time.Millisecond)
+			}
+			time.Sleep(newsTime)
+			f.checkAll(want)
+		})
+	}
+}
--- a/internal/decide/quarantine/news.go
+++ b/internal/decide/quarantine/news.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -77,8 +78,9 @@
 }
 
 // AttemptFailed records an attempt that failed while its server may have ended, and tells the registrars if the end counts while
-// that is open. Without a registrar it doesn't: a daemon that is cut off sees all servers fail. It returns once enough
-// registrars have told what they know of the request, or after shareWait.
+// that is open. Where other requests fail too it doesn't count, unless servers have ended under this one before. Without a registrar
+// it doesn't: a daemon that is cut off sees all servers fail. It returns once enough registrars have told what they know of the
+// request, or after shareWait.
 func (c *Client) AttemptFailed(ctx context.Context, s Suspect) State {
 	c.mu.Lock()
 	now := time.Now()
@@ -91,7 +93,7 @@
 	if s.Counts {
 		c.count(metricOpen, s.End.Evidence)
 	}
-	if !s.Counts || c.suspects.OthersFailed(now, s.content(), c.touched(s.Keys)) {
+	if !s.Counts || c.suspects.OthersFailed(now, s.content(), c.touched(s.Keys)) && !c.hasEnded(now, s.Keys) {
 		c.mu.Unlock()
 		return c.State(s.Keys)
 	}
@@ -103,6 +105,11 @@
 	return c.share(ctx, s.Keys, args)
 }
 
+// hasEnded reports whether servers are known to have ended under a request. The caller holds c.mu.
+func (c *Client) hasEnded(now time.Time, keys []Key) bool {
+	return slices.ContainsFunc(keys, func(key Key) bool { return len(recognised(c.tracker.State(now, key).Ends)) > 0 })
+}
+
 // ServerNews records that a server has ended by what the list of servers shows, or by a response at its address. Attempts that
 // failed there before count from now on.
 func (c *Client) ServerNews(server incarnation.ID, evidence Evidence) {
--- a/internal/node/endtroubles_test.go
+++ b/internal/node/endtroubles_test.go
@@ -27,9 +27,6 @@
 	kinds []string
 }
 
-// storeAnswerDelay is the response time of a slow platform.
-const storeAnswerDelay = 200 * time.Millisecond
-
 func troubles() []trouble {
 	store := func(fault func(http.ResponseWriter)) func(*cluster, <-chan struct{}) {
 		return func(w *cluster, stop <-chan struct{}) {
