quarantine: an end that another daemon told makes no connection seem older than it was

A report that went over another path after 0.12 s was 0.14 s old when it was read. The failed request seemed to have been sent that much later, so that a connection to the next start of the server, opened in between, passed for one that was older than the request, and its responses took the end back.

Change: the times of ends that another daemon told are taken to be earlier by up to the time that a report may take (1 s); those that a daemon saw itself are exact.

Evidence: TestAgeOnTheWayMakesNoConnectionOlder fails before (0 of 1 ends left). Traced by the log line of the withdrawal (sent 42 ms, connected 303 ms before) and the registrars' journals.

--- a/internal/decide/quarantine/journal.go
+++ b/internal/decide/quarantine/journal.go
@@ -122,7 +122,7 @@
 	ends := make([]End, len(r.Ends))
 	for i, s := range r.Ends {
 		ends[i] = End{Server: incarnation.ID{Server: s.Server, Born: s.Born}, Attempt: s.Attempt, SentAt: past(s.SentAt), EndedAt: past(s.EndedAt),
-			Evidence: s.Evidence, Common: s.Common}
+			Evidence: s.Evidence, Common: s.Common, Told: true}
 	}
 	if len(r.Ends)+len(r.Permits) == 0 {
 		return nil // all copies ended well
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -29,7 +29,7 @@
 	// openTime is how long after an open end the list of servers shows it: an entry lapses within some four seconds of its server's
 	// end. It is measured in time for which the list is known.
 	openTime = 5 * time.Second
-	// clockError bounds the error of times that daemons tell one another as ages.
+	// clockError bounds the time that a daemon takes to note when something happened.
 	clockError = 20 * time.Millisecond
 	// startNotice is the time from the start of a server within which the list of servers shows it. A response on a connection
 	// that was opened after a failed attempt is of the same start only if none is listed after that time.
@@ -95,6 +95,17 @@
 	Evidence Evidence
 	// Common is set if servers that never got the request ended at the same time.
 	Common bool
+	// Told is set if another daemon told the times as ages, which grow on their way: they are earlier by up to reportTimeout.
+	Told bool
+}
+
+// sentAfter reports whether the request was certainly sent after a time.
+func (e End) sentAfter(at time.Time) bool {
+	err := clockError
+	if e.Told {
+		err += reportTimeout
+	}
+	return at.Add(err).Before(e.SentAt)
 }
 
 // undecided reports whether the list of servers, known as of listed, may not show the end yet.
@@ -116,7 +127,7 @@
 // name of the one before, but not on a connection that is older than the failed attempt, and not for longer than startNotice where
 // the list of servers is kept up to date. listAge is the time since it was last known.
 func (r Response) contradicts(end End, listAge time.Duration) bool {
-	sameStart := r.ConnectedAt.Add(clockError).Before(end.SentAt) || r.SentAt.Add(-listAge).Sub(end.EndedAt) >= startNotice
+	sameStart := end.sentAfter(r.ConnectedAt) || r.SentAt.Add(-listAge).Sub(end.EndedAt) >= startNotice
 	return r.Server == end.Server && r.SentAt.After(end.EndedAt) && sameStart && end.Evidence.rank() < Restarted.rank()
 }
 
--- a/internal/decide/quarantine/tracker_test.go
+++ b/internal/decide/quarantine/tracker_test.go
@@ -295,3 +295,16 @@
 	tracker.Withdraw(at(1), key, Withdrawal{Server: incarnation.ID{Server: "a"}, Attempt: "1"})
 	assert.Assert(t, tracker.Version() > before)
 }
+
+// TestAgeOnTheWayMakesNoConnectionOlder guards against an end that is taken back by the next start of the server: a report took longer
+// than usual, so that the failed request seems to have been sent after the connection was opened.
+func TestAgeOnTheWayMakesNoConnectionOlder(t *testing.T) {
+	key, server := keyOf("x"), incarnation.ID{Server: "a", Born: 7}
+	reported := newStatus(at(1), key, 0, State{Ends: []End{{Server: server, Attempt: "1", SentAt: at(0.95), EndedAt: at(1), Evidence: Broken}}})
+	for connected, want := range map[float64]int{1.05: 1, 0.9: 1, -1: 0} {
+		tracker := NewTracker()
+		reported.applyTo(tracker, at(1.14)) // over another path
+		tracker.Responded(at(1.3), Response{server, at(1.25), at(connected)})
+		assert.Equal(t, len(tracker.State(at(1.3), key).Ends), want, "connected at %v s", connected)
+	}
+}
--- a/internal/decide/quarantine/wire.go
+++ b/internal/decide/quarantine/wire.go
@@ -34,7 +34,7 @@
 func fromWire(now time.Time, wire []WireEnd) []End {
 	ends := make([]End, len(wire))
 	for i, w := range wire {
-		ends[i] = End{Server: w.Server, Attempt: w.Attempt, SentAt: now.Add(-w.SentAgo), EndedAt: now.Add(-w.Since), Evidence: w.Evidence, Common: w.Common}
+		ends[i] = End{Server: w.Server, Attempt: w.Attempt, SentAt: now.Add(-w.SentAgo), EndedAt: now.Add(-w.Since), Evidence: w.Evidence, Common: w.Common, Told: true}
 	}
 	return ends
 }
