--- a/internal/node/endtroubles_test.go
+++ b/internal/node/endtroubles_test.go
@@ -202,3 +202,31 @@
 		}
 	}
 }
+
+// TestRequestIsNotSentOnWhileAllStoresAreAway guards against a request that ends servers at one front after the other while no store
+// daemon counts them.
+func TestRequestIsNotSentOnWhileAllStoresAreAway(t *testing.T) {
+	for _, f := range faults() {
+		if !stopsStores[f.name] {
+			continue
+		}
+		for i, ending := range serverEndings() {
+			kind := fatalKinds[i%len(fatalKinds)]
+			t.Run(endingName(f.name, ending.name, kind), func(t *testing.T) {
+				t.Parallel()
+				testbubble.Run(t, func(t *testing.T) {
+					w := newClusterWith(t, defaultFronts, defaultStores, &cluster{serverCount: 96})
+					w.endBy(ending)
+					request := fatalRequests()[kind]
+					request.Attempts, request.Pause = troubleAttempts, 200*time.Millisecond
+					var around sync.WaitGroup
+					around.Go(func() { f.inject(w) })
+					got := w.caller(2).SendFatal(callerAddresses(w.fronts), request)
+					around.Wait()
+					ends := w.checker.ServerEnds(request.Content)
+					assert.Assert(t, ends <= workload.MaxServerEnds, "%d ended: %v", ends, got.Statuses)
+				})
+			})
+		}
+	}
+}
