Soak: a server that has fallen silent stays silent until another one takes its place

The stand-in was wrong: a VM without power answers nothing when the network recovers. The check stays as it is. No code of the daemons changes.

--- a/internal/testing/soak/cluster.go
+++ b/internal/testing/soak/cluster.go
@@ -105,13 +105,12 @@
 
 // silence makes a server fall silent. Its entry lapses, and another one takes its place.
 func (c *Cluster) silence(s *server) {
-	s.link.set(blackhole)
+	s.link.silence()
 	time.Sleep(leaseTime)
 	c.store.RemoveServer(s.Entry().ID.Server)
 	time.Sleep(silentTime - leaseTime)
 	entry := s.Replace()
-	s.link.resetConns()
-	s.link.set(pass)
+	s.link.wake()
 	c.store.SetServer(entry)
 }
 
--- a/internal/testing/soak/proxy.go
+++ b/internal/testing/soak/proxy.go
@@ -33,8 +33,10 @@
 	// listener is replaced when the target ends and another one starts.
 	listener net.Listener
 	mode     mode
-	changed  chan struct{}
-	conns    map[net.Conn]struct{}
+	// silent is set while the target has ended without closing its connections.
+	silent  bool
+	changed chan struct{}
+	conns   map[net.Conn]struct{}
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -80,9 +82,30 @@
 	return p.listener.Addr().String()
 }
 
+// silence holds back all data, as when the target's VM loses power. No fault of the link ends that before wake.
+func (p *proxy) silence() {
+	p.set(blackhole)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent = true
+}
+
+// wake resets the connections of the silent target and lets data pass to the one in its place.
+func (p *proxy) wake() {
+	p.resetConns()
+	p.mu.Lock()
+	p.silent = false
+	p.mu.Unlock()
+	p.set(pass)
+}
+
+// set sets the mode, unless the target is silent.
 func (p *proxy) set(m mode) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.silent {
+		return
+	}
 	p.mode = m
 	close(p.changed)
 	p.changed = make(chan struct{})
