--- a/internal/testing/workload/caller.go
+++ b/internal/testing/workload/caller.go
@@ -294,7 +294,12 @@
 
 // sendPath sends a request to a path that does not contain its ID.
 func (c *Caller) sendPath(front, path string, call platformtest.Call, body string) (int, http.Header, []byte, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), call.Deadline)
+	return c.sendVaried(front, path, call, body, call.Deadline, func(*http.Request) {})
+}
+
+// sendVaried does the same after vary has changed the request, and gives it up after patience.
+func (c *Caller) sendVaried(front, path string, call platformtest.Call, body string, patience time.Duration, vary func(*http.Request)) (int, http.Header, []byte, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+front+path, bytes.NewReader([]byte(body)))
 	if err != nil {
@@ -305,6 +310,7 @@
 	c.checker.RecordSender(call.ID, c.organisation)
 	r.Header = call.Header()
 	r.GetBody = nil // prevents automatic retries by the HTTP client
+	vary(r)
 	resp, err := c.client.Do(r)
 	if err != nil {
 		return 0, nil, nil, err
--- a/internal/testing/workload/fatal.go
+++ b/internal/testing/workload/fatal.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"strings"
@@ -40,6 +41,15 @@
 // NewSlowFatalContent returns the same for one that ends servers only after a while.
 func NewSlowFatalContent() string { return slowMark + NewFatalContent() }
 
+// delayedMark marks the content of a fatal request that ends a server only after fatalDelay, also if its caller has left by then.
+const (
+	delayedMark = "delayed-"
+	fatalDelay  = 300 * time.Millisecond
+)
+
+// NewDelayedFatalContent returns the content of a fatal request that ends servers some time after they got it.
+func NewDelayedFatalContent() string { return delayedMark + NewFatalContent() }
+
 // sparingMark marks the content of a fatal request that each third server survives.
 const (
 	sparingMark   = "sparing-"
@@ -62,6 +72,10 @@
 	NewPrograms bool
 	Attempts    int
 	Pause       time.Duration
+	// Patience is the time after which the caller gives an attempt up; 0 for its deadline.
+	Patience time.Duration
+	// Vary changes what an attempt of the given number sends; nil for nothing.
+	Vary func(n int, r *http.Request)
 }
 
 // FatalResult is what a caller saw of a fatal request: the status of each attempt, 0 for a broken-off answer, and how
@@ -104,7 +118,11 @@
 		front := fronts[c.random.IntN(len(fronts))]
 		c.mu.Unlock()
 		began := time.Now()
-		status, _, _, err := c.sendPath(front, f.Path+f.Content, call, body)
+		status, _, _, err := c.sendVaried(front, f.Path+f.Content, call, body, cmp.Or(f.Patience, call.Deadline), func(r *http.Request) {
+			if f.Vary != nil {
+				f.Vary(n, r)
+			}
+		})
 		result.Took = append(result.Took, time.Since(began))
 		result.Statuses = append(result.Statuses, c.recordStatus(id, status, err))
 	}
@@ -114,6 +132,32 @@
 // popularPause is the pause between two copies of the popular request by one caller.
 const popularPause = 30 * time.Millisecond
 
+// RunImpatient sends calls and streams to a server again and again, the same n times, and gives each up after another time between
+// least and most.
+func (c *Caller) RunImpatient(path string, n int, least, most, pause time.Duration) FatalResult {
+	var result FatalResult
+	content, program := NewFatalContent(), fmt.Sprintf("p%d", lastID.Add(1))
+	for i := range n {
+		id := fmt.Sprintf("z%d", lastID.Add(1))
+		call := platformtest.Call{ID: id, Deadline: callDeadline, MaxOutputTokens: maxTurnTokens}
+		if path == "/turn/" || path == resumablePath {
+			call.Program, call.Budget = program, tokenBudget(false)*int64(n)
+		}
+		body := "impatient " + content
+		c.checker.RecordSent(id, body, path == "/lookup/" || path == resumablePath)
+		c.mu.Lock()
+		front := c.fronts[c.random.IntN(len(c.fronts))]
+		c.mu.Unlock()
+		patience := least + (most-least)*time.Duration(i%7)/6
+		began := time.Now()
+		status, _, _, err := c.sendVaried(front, path+content, call, body, patience, func(*http.Request) {})
+		result.Took = append(result.Took, time.Since(began))
+		result.Statuses = append(result.Statuses, c.recordStatus(id, status, err))
+		time.Sleep(pause)
+	}
+	return result
+}
+
 // RunPopular sends copies of one harmless request, the same for all callers, until stop is closed.
 func (c *Caller) RunPopular(stop <-chan struct{}) {
 	for {
--- a/internal/testing/workload/server.go
+++ b/internal/testing/workload/server.go
@@ -125,6 +125,9 @@
 	if strings.HasPrefix(fatalContent(body), slowMark) {
 		time.Sleep(slowDelay)
 	}
+	if strings.HasPrefix(fatalContent(body), delayedMark) {
+		time.Sleep(fatalDelay)
+	}
 	if s.checker.spares(fatalContent(body)) {
 		return false
 	}
