--- a/internal/decide/quarantine/answers.go
+++ b/internal/decide/quarantine/answers.go
@@ -3,14 +3,14 @@
 import "time"
 
 const (
-	// answerGeneration is how many requests are remembered at least whose good answers are counted.
-	answerGeneration = 1024
+	// answerGeneration is how many keys are remembered at least whose good answers are counted, some three of each request.
+	answerGeneration = 2048
 	// answerPeriod is the time for which good answers are counted at least, and half of that for which they are at most.
 	answerPeriod = endLifetime / 2
 )
 
 // answerLog counts the good answers of requests in the last one to two answerPeriods: of at least the last answerGeneration
-// requests, of at most twice as many. Use newAnswerLog.
+// keys, of at most twice as many. Use newAnswerLog.
 type answerLog struct {
 	current, previous map[Key]int
 	rotatedAt         time.Time
