--- a/internal/node/fatalrequests_test.go
+++ b/internal/node/fatalrequests_test.go
@@ -112,6 +112,9 @@
 		next++
 		c.endBy(serverEnding{name: ending.name, end: func(c *cluster, i int) { ending.end(c, i); c.replaceLater(i) }})
 		request := workload.FatalRequest{Path: "/lookup/", Content: workload.NewFatalContent(), Attempts: fatalAttempts, Pause: fatalPause}
+		if next%2 == 0 { // its caller gives up while the server may still end
+			request.Content, request.Patience = workload.NewDelayedFatalContent(), 150*time.Millisecond
+		}
 		got := caller.SendFatal(callerAddresses(fronts), request)
 		if n := c.checker.ServerEnds(request.Content); known && n > workload.MaxServerEnds {
 			c.checker.AddViolation("%d servers ended (%s) under the request %s, answered with %v", n, ending.name, request.Content, got.Statuses)
--- a/internal/testing/workload/checker.go
+++ b/internal/testing/workload/checker.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -203,11 +204,13 @@
 	delete(c.drainingSince, server)
 }
 
-// RecordServerEnd records that a fatal request has ended a server.
-func (c *Checker) RecordServerEnd(content, server string) {
+// RecordServerEnd records that a fatal request has ended a start of a server. A start ends once, whatever further copies it got.
+func (c *Checker) RecordServerEnd(content, start string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.serverEnds[content] = append(c.serverEnds[content], server)
+	if !slices.Contains(c.serverEnds[content], start) {
+		c.serverEnds[content] = append(c.serverEnds[content], start)
+	}
 }
 
 // spares counts a run of a fatal request, and reports whether the server survives it.
--- a/internal/testing/workload/fatal.go
+++ b/internal/testing/workload/fatal.go
@@ -195,11 +195,21 @@
 			return
 		case <-time.After(fatalInterval):
 		}
-		f, got := c.sendNextFatal(n)
+		f, got := c.sendNextFatal(n, givenUpForms[n%len(givenUpForms)])
 		c.checkServerEnds(f, got)
 	}
 }
 
+// fatalForm is when a fatal request ends servers, and after which time its caller gives an attempt up; 0 for its deadline.
+type fatalForm struct {
+	newContent func() string
+	patience   time.Duration
+}
+
+// givenUpForms are the forms of fatal requests beside faults. Their number is no multiple of that of the paths.
+var givenUpForms = []fatalForm{{NewFatalContent, 0}, {NewDelayedFatalContent, 100 * time.Millisecond}, {NewLateFatalContent, 0},
+	{NewFatalContent, 400 * time.Millisecond}, {NewFatalContent, 100 * time.Millisecond}}
+
 // checkServerEnds checks how many servers have ended under a fatal request.
 func (c *Caller) checkServerEnds(f FatalRequest, got FatalResult) {
 	if ends := c.checker.ServerEnds(f.Content); ends > MaxServerEnds {
@@ -210,7 +220,7 @@
 // CheckFatal sends a fatal request to each route and checks how many servers end under it. All daemons must be in touch.
 func (c *Caller) CheckFatal() {
 	for n := range fatalPaths {
-		f, got := c.sendNextFatal(n)
+		f, got := c.sendNextFatal(n, givenUpForms[0])
 		c.checkServerEnds(f, got)
 		if got.Refused() == 0 {
 			c.checker.AddViolation("the request %s to %s that ends servers was not refused: %v", f.Content, f.Path, got.Statuses)
@@ -218,8 +228,8 @@
 	}
 }
 
-func (c *Caller) sendNextFatal(n int) (FatalRequest, FatalResult) {
-	f := FatalRequest{Path: fatalPaths[n%len(fatalPaths)], Content: NewFatalContent(), Attempts: fatalAttempts, Pause: fatalPause}
+func (c *Caller) sendNextFatal(n int, form fatalForm) (FatalRequest, FatalResult) {
+	f := FatalRequest{Path: fatalPaths[n%len(fatalPaths)], Content: form.newContent(), Attempts: fatalAttempts, Pause: fatalPause, Patience: form.patience}
 	if f.Path == "/turn/" || f.Path == resumablePath {
 		f.Program = f.Content
 	}
