upstream: the answer to a question on a held connection may have no end

The head is bounded like any other. A full server may refuse connections, so that a refusal without a break is an open end.

--- a/internal/decide/quarantine/watch.go
+++ b/internal/decide/quarantine/watch.go
@@ -43,20 +43,17 @@
 	Evidence Evidence
 }
 
-// Decided reports whether the fate is known, as far as a look can tell.
-func (f Fate) Decided() bool { return f.Outlived || f.Evidence != "" }
-
 // Fate returns what a look tells. A process may have started in the server's place that accepts connections; it did not accept
-// those from before.
+// those from before. A server that has no room may refuse connections; it does not close those that it has.
 func (l Look) Fate() Fate {
 	switch {
 	case l.Answered:
 		return Fate{Outlived: true}
-	case l.Refused:
+	case l.Broke && l.Refused:
 		return Fate{Evidence: Refused}
 	case l.Broke && l.Accepts:
 		return Fate{Evidence: Broken}
-	case l.Silent:
+	case l.Silent, l.Refused:
 		return Fate{Evidence: Silent}
 	default:
 		return Fate{}
--- a/internal/transport/upstream/probe.go
+++ b/internal/transport/upstream/probe.go
@@ -161,40 +161,52 @@
 	answer := make(chan error, 1)
 	go func() {
 		defer close(h.asked)
-		reusable, err := h.ask(path)
-		h.reusable = reusable
+		response, err := h.ask(path)
 		answer <- err
+		h.reusable = err == nil && h.readWhole(response)
 	}()
 	return answer
 }
 
-func (h *Held) ask(path string) (reusable bool, err error) {
+func (h *Held) ask(path string) (*http.Response, error) {
 	request, err := http.NewRequest(http.MethodGet, "http://"+h.to.Address+path, nil)
 	if err != nil {
-		return false, Error.Wrap(err)
+		return nil, Error.Wrap(err)
 	}
 	if err := request.Write(h.conn); err != nil {
-		return false, Error.Wrap(err)
+		return nil, Error.Wrap(err)
 	}
-	response, err := http.ReadResponse(h.conn.reader, request)
-	if err != nil {
-		return false, Error.Wrap(err)
+	if _, err := h.conn.peekHead(); err != nil { // bounds the head
+		return nil, Error.Wrap(err)
 	}
-	defer func() { _ = response.Body.Close() }()
+	response, err := http.ReadResponse(h.conn.reader, request)
+	return response, Error.Wrap(err)
+}
+
+// readWhole reads a response and reports whether the connection can be used again. The body is not closed, since that reads it to an end
+// that may never come.
+func (h *Held) readWhole(response *http.Response) bool {
 	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxAskedBytes))
 	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	return err == nil && n < maxAskedBytes && framed && !response.Close && h.conn.reader.Buffered() == 0, nil
+	return err == nil && n < maxAskedBytes && framed && !response.Close && h.conn.reader.Buffered() == 0
 }
 
+// Asked returns a channel that is closed once the response to Ask has been read.
+func (h *Held) Asked() <-chan struct{} { return h.asked }
+
 // Release gives the connection back to the pool if it can be used again. An answer that is due is no longer waited for.
 func (h *Held) Release() {
+	usable := h.asked == nil && h.Open()
 	if h.asked != nil {
-		_ = h.conn.SetReadDeadline(time.Unix(0, 0)) // fails only if the connection was closed
-		<-h.asked
-		_ = h.conn.SetReadDeadline(time.Time{})
+		select {
+		case <-h.asked:
+		default:
+			_ = h.conn.Close()
+			<-h.asked
+		}
+		usable = h.reusable
 	}
-	left := time.Until(h.conn.expires)
-	if left > 0 && (h.asked == nil && h.Open() || h.reusable) {
+	if left := time.Until(h.conn.expires); left > 0 && usable {
 		h.pool.putIdle(h.to, h.conn, left+idleMargin)
 		return
 	}
--- a/internal/transport/upstream/probe_test.go
+++ b/internal/transport/upstream/probe_test.go
@@ -3,7 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
+	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -64,3 +67,50 @@
 	assert.Equal(t, got, upstream.Unknown)
 	assert.Assert(t, time.Since(began) < time.Second, "a probe of a silent server has no bound")
 }
+
+// TestHeldConnectionTellsOfItsServer guards against servers that are taken for alive although they don't answer, and against waiting for
+// the end of an answer that has none.
+func TestHeldConnectionTellsOfItsServer(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer         string
+		endless, ended bool
+		kept           bool
+	}{
+		"answers":            {answer: "HTTP/1.1 503 Unavailable\r\nContent-Length: 2\r\n\r\nno", kept: true},
+		"answers and closes": {answer: "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"},
+		"answers endlessly":  {answer: "HTTP/1.1 200 OK\r\n\r\n", endless: true},
+		"ends":               {ended: true},
+		"is silent":          {},
+	} {
+		t.Run(strings.ReplaceAll(name, " ", "-"), func(t *testing.T) {
+			address := server(t, func(conn net.Conn, r *bufio.Reader) {
+				if _, err := http.ReadRequest(r); err != nil || c.ended {
+					return
+				}
+				_, err := io.WriteString(conn, c.answer)
+				for c.endless && err == nil {
+					_, err = io.WriteString(conn, "more")
+				}
+				_, _ = r.ReadByte()
+			})
+			pool, to := upstream.NewPool((&net.Dialer{}).DialContext, headerCodec{}, 10), upstream.Endpoint{Address: address}
+			held := pool.Hold(t.Context(), to, 0)
+			assert.Assert(t, held.Open())
+			answer := held.Ask("/health")
+			if c.answer != "" {
+				assert.NilError(t, <-answer)
+			}
+			if c.ended {
+				assert.Assert(t, <-answer != nil)
+			}
+			if c.kept {
+				<-held.Asked()
+			}
+			held.Release()
+			assert.Equal(t, pool.HasIdle(to, true), c.kept)
+			if !c.kept {
+				assert.Assert(t, pool.Hold(t.Context(), to, 1) != nil, "the connection is counted still")
+			}
+		})
+	}
+}
