--- a/internal/decide/quarantine/client_test.go
+++ b/internal/decide/quarantine/client_test.go
@@ -276,3 +276,72 @@
 		})
 	}
 }
+
+// giveUp records a copy at a server that a front daemon has given up.
+func (f *fleet) giveUp(front int, server string, tell bool) *quarantine.AtRisk {
+	return f.fronts[front].GivenUp(&quarantine.Copy{Keys: content, Server: incarnation.ID{Server: server}, Attempt: server, SentAt: time.Now()}, nil, tell)
+}
+
+// TestGivenUpCopiesHoldBackOthersUntilDecided guards against copies at other daemons that are sent while three may still end their
+// servers, and against refusals for the sake of copies whose servers have not ended.
+func TestGivenUpCopiesHoldBackOthersUntilDecided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 8)
+		var copies []*quarantine.AtRisk
+		for i := range 3 {
+			copies = append(copies, f.giveUp(i, fmt.Sprint("server-", i), true))
+			time.Sleep(newsTime)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		permit, _ := f.fronts[7].Admit(ctx, content, 0, 0)
+		cancel()
+		assert.Assert(t, permit == nil, "a fourth copy was admitted")
+
+		f.fronts[0].Decided(copies[0])
+		time.Sleep(newsTime)
+		permit, state := f.fronts[7].Admit(t.Context(), content, 0, 0)
+		assert.Assert(t, permit != nil && !state.Quarantined, "held back although a server has outlived its copy")
+		f.fronts[7].Release(permit)
+
+		f.giveUp(3, "server-3", true)
+		time.Sleep(newsTime)
+		began := time.Now()
+		_, state = f.fronts[6].Admit(t.Context(), content, 0, 0)
+		assert.Assert(t, !state.Quarantined, "refused although no server has ended")
+		assert.Assert(t, time.Since(began) > time.Second, "sent before the fates of the copies were known")
+	})
+}
+
+// TestUntoldCopiesAreDisclosed guards against copies that registrars don't know of since too many were told, under a request that has
+// ended servers.
+func TestUntoldCopiesAreDisclosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 8)
+		f.giveUp(0, "server-0", false)
+		f.end(1, "server-1")
+		time.Sleep(newsTime)
+		f.end(2, "server-2")
+		time.Sleep(newsTime)
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		defer cancel()
+		permit, _ := f.fronts[7].Admit(ctx, content, 0, 0)
+		assert.Assert(t, permit == nil, "two servers have ended and a third may")
+	})
+}
+
+// TestTakenBackEndDoesNotCount guards against ends of servers that stood still and are known to live.
+func TestTakenBackEndDoesNotCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 8)
+		for i := range 2 {
+			server := incarnation.ID{Server: fmt.Sprint("server-", i)}
+			open := quarantine.End{Server: server, Attempt: server.Server, SentAt: time.Now(), EndedAt: time.Now(), Evidence: quarantine.Silent}
+			f.fronts[i].AttemptFailed(t.Context(), quarantine.Suspect{Keys: content, End: open, Counts: true})
+			time.Sleep(newsTime)
+		}
+		assert.Equal(t, len(f.fronts[7].State(content).Ends), 2)
+		f.fronts[0].TakeBack(&quarantine.Copy{Keys: content, Server: incarnation.ID{Server: "server-0"}, Attempt: "server-0"})
+		time.Sleep(newsTime)
+		assert.Equal(t, len(f.fronts[7].State(content).Ends), 1)
+	})
+}
