quarantine: a given-up copy is looked at for longer than its server should work on it

Cause: once a server had answered 0.6 s later, it was taken to have outlived the copy, also for what the list of servers told later. Some servers don't drop a request when its connection closes. Change: the copy no longer counts like one in flight then, but the front looks on until 2 s after it was given up, and asks again; once servers have ended under the request, such copies count again. A held connection that the server may close is replaced.

--- a/internal/decide/quarantine/follow.go
+++ b/internal/decide/quarantine/follow.go
@@ -132,7 +132,7 @@
 			}
 		}
 		if suspect {
-			objections.Sent = append(objections.Sent, c.discloseCopies(status.Key)...)
+			objections.Sent = append(objections.Sent, c.discloseCopies(status.Key, len(status.Ends) > 0)...)
 		}
 		if status.Quarantined && before.Until.IsZero() {
 			c.logQuarantine(now, status.Key)
--- a/internal/decide/quarantine/watch.go
+++ b/internal/decide/quarantine/watch.go
@@ -11,7 +11,9 @@
 	// RunEndTime is how long after a copy was given up its server may still work on it: it drops requests within half a second of the
 	// end of their connection.
 	RunEndTime = 600 * time.Millisecond
-	// AnswerTime is how long after that a server has to show a sign of life, else it may have ended. Servers stand still for
+	// LateEndTime is how long after a copy was given up an end of its server is put down to it: some servers don't drop requests.
+	LateEndTime = 2 * time.Second
+	// AnswerTime is how long after RunEndTime a server has to show a sign of life, else it may have ended. Servers stand still for
 	// less.
 	AnswerTime = 1200 * time.Millisecond
 	// givenUpHold is how long a copy waits at most for the fates of those that were given up: both times, and the news of it.
@@ -67,6 +69,8 @@
 type AtRisk struct {
 	copied *Copy
 	permit *Permit
+	// answered is set once the server has shown a sign of life: the copy counts again if servers end under the request.
+	answered bool
 }
 
 // GivenUp records a copy that was given up. The registrars are told, unless tell is not set, they know by its permit, or too many copies
@@ -86,6 +90,16 @@
 	return a
 }
 
+// ServerAnswered records that the server of a copy has shown a sign of life after RunEndTime. The copy no longer counts like one in flight,
+// unless servers end under the request before Decided.
+func (c *Client) ServerAnswered(a *AtRisk) {
+	c.mu.Lock()
+	permit := a.permit
+	a.permit, a.answered = nil, true
+	c.mu.Unlock()
+	c.Release(permit)
+}
+
 // Decided records that it is known what became of the server of a copy, or that no more is to be learnt of it.
 func (c *Client) Decided(a *AtRisk) {
 	c.mu.Lock()
@@ -118,10 +132,11 @@
 	c.reportLater(args)
 }
 
-// discloseCopies returns the given-up copies of a request of which registrars have not been told. The caller holds c.mu.
-func (c *Client) discloseCopies(key Key) (sent []SentCopy) {
+// discloseCopies returns the given-up copies of a request that registrars don't count; ended tells that servers have ended under it. The
+// caller holds c.mu.
+func (c *Client) discloseCopies(key Key, ended bool) (sent []SentCopy) {
 	for _, a := range c.atRisk.copies {
-		if a.permit == nil && slices.Contains(a.copied.Keys, key) {
+		if a.permit == nil && (ended || !a.answered) && slices.Contains(a.copied.Keys, key) {
 			a.permit = newPermit(a.copied.Keys)
 			sent = append(sent, c.describeCopy(a.permit, a.copied).Sent...)
 		}
--- a/internal/front/gateway/givenup.go
+++ b/internal/front/gateway/givenup.go
@@ -38,7 +38,11 @@
 	permit, now := c.finish(), time.Now()
 	silent := now.Sub(later(c.SentAt, c.g.quarantine.LastHeard(c.Server))) >= silenceTime
 	end := c.end(now, quarantine.Silent)
-	end.RunsUntil = now.Add(quarantine.RunEndTime)
+	runEnd, lateEnd := now.Add(quarantine.RunEndTime), now.Add(quarantine.LateEndTime)
+	end.RunsUntil = runEnd
+	if unanswered { // else its caller does not repeat it
+		end.RunsUntil = lateEnd
+	}
 	atRisk := c.g.quarantine.GivenUp(&c.Copy, permit, unanswered)
 	c.reportOpen(ctx, reason, end, silent && unanswered)
 	reported()
@@ -50,8 +54,13 @@
 	defer c.g.givenUp.Add(-1)
 	l := &look{sentCopy: c, held: c.g.sender.Hold(ctx, c.to, c.limit)}
 	defer l.stop()
-	l.awaitRunEnd(ctx, end.RunsUntil)
+	l.awaitBreak(ctx, runEnd)
 	fate := l.await(ctx, quarantine.AnswerTime)
+	if fate.Outlived && unanswered && l.held != nil && !l.broke() {
+		c.g.quarantine.ServerAnswered(atRisk)
+		l.awaitBreak(ctx, lateEnd)
+		fate = l.await(ctx, quarantine.AnswerTime)
+	}
 	l.decide(ctx, reason, fate, silent)
 	c.g.quarantine.Decided(atRisk)
 	if fate.Evidence == quarantine.Silent { // what takes the end back is looked for until the list of servers tells of it
@@ -80,9 +89,12 @@
 
 func (l *look) broke() bool { return !l.brokeAt.IsZero() }
 
-// awaitRunEnd waits until the server works no more on the copy, or until the held connection breaks.
-func (l *look) awaitRunEnd(ctx context.Context, until time.Time) {
+// awaitBreak waits until a time, or until the held connection breaks.
+func (l *look) awaitBreak(ctx context.Context, until time.Time) {
 	for time.Now().Before(until) {
+		if l.held != nil && l.held.Expired() {
+			l.renew(ctx)
+		}
 		if l.held != nil && !l.held.Open() {
 			l.brokeAt = time.Now()
 			return
@@ -112,15 +124,26 @@
 		}
 		select {
 		case err := <-l.answer:
+			l.answer = nil
 			if err == nil {
+				l.renew(ctx)
 				return quarantine.Look{Answered: true}.Fate()
 			}
-			l.answer, l.brokeAt = nil, time.Now()
+			l.brokeAt = time.Now()
 		case <-time.After(min(left, probePause)):
 		}
 	}
 }
 
+// renew replaces the held connection if the server may close it, or is not done with its answer.
+func (l *look) renew(ctx context.Context) {
+	if l.held.Usable(ctx, freshSign) {
+		return
+	}
+	l.held.Release()
+	l.held = l.g.sender.Hold(ctx, l.to, l.limit)
+}
+
 // probe looks for a process at the server's address, and reports whether that is conclusive.
 func (l *look) probe(ctx context.Context) (quarantine.Fate, bool) {
 	found := quarantine.Look{Broke: l.broke()}
--- a/internal/front/gateway/quarantine.go
+++ b/internal/front/gateway/quarantine.go
@@ -25,8 +25,9 @@
 	Sent(ctx context.Context, permit *quarantine.Permit, copied *quarantine.Copy)
 	Stalled(copied *quarantine.Copy) *quarantine.Permit
 	// GivenUp reports a copy that was given up, before its server is known to have outlived it; Decided ends that and releases its
-	// permit. If tell is not set, it is told elsewhere only once servers have ended under the request.
+	// permit. If tell is not set, or once ServerAnswered is called, it counts elsewhere only when servers have ended under the request.
 	GivenUp(copied *quarantine.Copy, permit *quarantine.Permit, tell bool) *quarantine.AtRisk
+	ServerAnswered(*quarantine.AtRisk)
 	Decided(*quarantine.AtRisk)
 	// Outlived reports that a server has outlived an attempt, TakeBack that an end was reported before.
 	Outlived(server incarnation.ID, attempt string)
--- a/internal/node/givenup_test.go
+++ b/internal/node/givenup_test.go
@@ -52,6 +52,24 @@
 	}
 }
 
+// TestRequestThatEndsServersLongAfterItsCallerLeftIsNotSentOn guards against a request that ends one server after the other because they
+// work on for longer than its copies are watched.
+func TestRequestThatEndsServersLongAfterItsCallerLeftIsNotSentOn(t *testing.T) {
+	for i, ending := range serverEndings() {
+		for k, patience := range []time.Duration{100 * time.Millisecond, 400 * time.Millisecond} {
+			kind := fatalKinds[(i+k)%len(fatalKinds)]
+			t.Run(endingName(ending.name, kind, patience.String()), func(t *testing.T) {
+				t.Parallel()
+				testbubble.Run(t, func(t *testing.T) {
+					f := fatalRequests()[kind]
+					f.Content, f.Attempts, f.Pause, f.Patience = workload.NewLongDelayedFatalContent(), givenUpAttempts, 150*time.Millisecond, patience
+					runGivenUp(t, trouble{run: func(_ *cluster, stop <-chan struct{}) { <-stop }}, ending, f)
+				})
+			})
+		}
+	}
+}
+
 // runGivenUp sends a request that ends servers beside a trouble, and checks how many end.
 func runGivenUp(t *testing.T, tr trouble, ending serverEnding, f workload.FatalRequest) {
 	var output lockedBuffer
--- a/internal/testing/workload/fatal.go
+++ b/internal/testing/workload/fatal.go
@@ -47,6 +47,15 @@
 	fatalDelay  = 300 * time.Millisecond
 )
 
+// longDelayedMark marks the content of one that does so after longFatalDelay, as if its server did not drop requests.
+const (
+	longDelayedMark = "long-delayed-"
+	longFatalDelay  = 900 * time.Millisecond
+)
+
+// NewLongDelayedFatalContent returns the content of a fatal request that ends servers long after they got it.
+func NewLongDelayedFatalContent() string { return longDelayedMark + NewFatalContent() }
+
 // NewDelayedFatalContent returns the content of a fatal request that ends servers some time after they got it.
 func NewDelayedFatalContent() string { return delayedMark + NewFatalContent() }
 
--- a/internal/testing/workload/server.go
+++ b/internal/testing/workload/server.go
@@ -128,6 +128,9 @@
 	if strings.HasPrefix(fatalContent(body), delayedMark) {
 		time.Sleep(fatalDelay)
 	}
+	if strings.HasPrefix(fatalContent(body), longDelayedMark) {
+		time.Sleep(longFatalDelay)
+	}
 	if s.checker.spares(fatalContent(body)) {
 		return false
 	}
--- a/internal/transport/upstream/probe.go
+++ b/internal/transport/upstream/probe.go
@@ -151,16 +151,29 @@
 	return c
 }
 
-// Open reports whether the process that accepted the connection has not closed it. It must not be called after Ask.
-func (h *Held) Open() bool { return network.IsOpen(h.conn.Conn) }
+// Open reports whether the process that accepted the connection has not closed it. After Ask it is false unless the connection can be
+// used again.
+func (h *Held) Open() bool {
+	if h.asked != nil {
+		select {
+		case <-h.asked:
+		default:
+			return false
+		}
+		if !h.reusable {
+			return false
+		}
+	}
+	return network.IsOpen(h.conn.Conn)
+}
 
 // Ask sends a request without an ID for a path on the connection, which no server runs, and returns a channel that gets nil with the
 // response, or the error with which the connection ended. Any response will do: it shows that the server's process lives.
 func (h *Held) Ask(path string) <-chan error {
-	h.asked = make(chan struct{})
-	answer := make(chan error, 1)
+	asked, answer := make(chan struct{}), make(chan error, 1)
+	h.asked, h.reusable = asked, false
 	go func() {
-		defer close(h.asked)
+		defer close(asked)
 		response, err := h.ask(path)
 		answer <- err
 		h.reusable = err == nil && h.readWhole(response)
@@ -191,20 +204,28 @@
 	return err == nil && n < maxAskedBytes && framed && !response.Close && h.conn.reader.Buffered() == 0
 }
 
-// Asked returns a channel that is closed once the response to Ask has been read.
-func (h *Held) Asked() <-chan struct{} { return h.asked }
+// Expired reports whether the server may close the connection, as it has been idle for long.
+func (h *Held) Expired() bool { return !time.Now().Before(h.conn.expires) }
 
-// Release gives the connection back to the pool if it can be used again. An answer that is due is no longer waited for.
-func (h *Held) Release() {
-	usable := h.asked == nil && h.Open()
+// Usable reports whether the connection can be asked on again, once the response to Ask has been read, for which it waits for a time.
+func (h *Held) Usable(ctx context.Context, limit time.Duration) bool {
 	if h.asked != nil {
+		ctx, cancel := context.WithTimeout(ctx, limit)
+		defer cancel()
 		select {
 		case <-h.asked:
-		default:
-			_ = h.conn.Close()
-			<-h.asked
+		case <-ctx.Done():
 		}
-		usable = h.reusable
+	}
+	return h.Open() && !h.Expired()
+}
+
+// Release gives the connection back to the pool if it can be used again. An answer that is due is no longer waited for.
+func (h *Held) Release() {
+	usable := h.Open()
+	if h.asked != nil && !usable {
+		_ = h.conn.Close()
+		<-h.asked
 	}
 	if left := time.Until(h.conn.expires); left > 0 && usable {
 		h.pool.putIdle(h.to, h.conn, left+idleMargin)
