gateway: the fate of a given-up copy is found in one place

Read-through: watchGivenUp did the looking and the reporting. An open end of a silent server was reported again when the further look found nothing else; Decided released a permit twice. Behaviour is otherwise the same: TestRequestIsNotSentOnWhenItsCallerLeaves and TestImpatientCallersOfHealthyServersAreNotRefused green.

--- a/internal/decide/quarantine/client.go
+++ b/internal/decide/quarantine/client.go
@@ -52,7 +52,7 @@
 	tracker  *Tracker
 	answers  answerLog
 	suspects *SuspectLog
-	atRisk   copiesAtRisk
+	atRisk   []*AtRisk
 	// responses has the last response of each server, heard when the last part of one was read; ended has the servers that are
 	// taken for ended, open ends included.
 	responses map[incarnation.ID]Response
--- a/internal/decide/quarantine/watch.go
+++ b/internal/decide/quarantine/watch.go
@@ -62,10 +62,8 @@
 	}
 }
 
-// copiesAtRisk are copies that this daemon has given up, and whose servers are not known to have outlived them.
-type copiesAtRisk struct{ copies []*AtRisk }
-
-// AtRisk is a copy of a request that may have ended its server unseen. Registrars count it like a copy in flight once they are told.
+// AtRisk is a copy of a request that this daemon has given up, and that may have ended its server unseen. Registrars count it like a copy
+// in flight once they are told.
 type AtRisk struct {
 	copied *Copy
 	permit *Permit
@@ -86,7 +84,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.atRisk.copies = append(c.atRisk.copies, a)
+	c.atRisk = append(c.atRisk, a)
 	return a
 }
 
@@ -100,11 +98,12 @@
 	c.Release(permit)
 }
 
-// Decided records that it is known what became of the server of a copy, or that no more is to be learnt of it.
+// Decided records that it is known what became of the server of a copy, or that no more is to be learnt of it. It may be called again.
 func (c *Client) Decided(a *AtRisk) {
 	c.mu.Lock()
-	c.atRisk.copies = slices.DeleteFunc(c.atRisk.copies, func(other *AtRisk) bool { return other == a })
+	c.atRisk = slices.DeleteFunc(c.atRisk, func(other *AtRisk) bool { return other == a })
 	permit := a.permit
+	a.permit = nil
 	c.mu.Unlock()
 	c.Release(permit)
 }
@@ -135,7 +134,7 @@
 // discloseCopies returns the given-up copies of a request that registrars don't count; ended tells that servers have ended under it. The
 // caller holds c.mu.
 func (c *Client) discloseCopies(key Key, ended bool) (sent []SentCopy) {
-	for _, a := range c.atRisk.copies {
+	for _, a := range c.atRisk {
 		if a.permit == nil && (ended || !a.answered) && slices.Contains(a.copied.Keys, key) {
 			a.permit = newPermit(a.copied.Keys)
 			sent = append(sent, c.describeCopy(a.permit, a.copied).Sent...)
--- a/internal/front/gateway/givenup.go
+++ b/internal/front/gateway/givenup.go
@@ -37,42 +37,38 @@
 func (c *sentCopy) watchGivenUp(ctx context.Context, reason string, unanswered bool, reported func()) {
 	permit, now := c.finish(), time.Now()
 	silent := now.Sub(later(c.SentAt, c.g.quarantine.LastHeard(c.Server))) >= silenceTime
+	counts := silent && unanswered
 	end := c.end(now, quarantine.Silent)
-	runEnd, lateEnd := now.Add(quarantine.RunEndTime), now.Add(quarantine.LateEndTime)
-	end.RunsUntil = runEnd
+	end.RunsUntil = now.Add(quarantine.RunEndTime)
 	if unanswered { // else its caller does not repeat it
-		end.RunsUntil = lateEnd
+		end.RunsUntil = now.Add(quarantine.LateEndTime)
 	}
 	atRisk := c.g.quarantine.GivenUp(&c.Copy, permit, unanswered)
-	c.reportOpen(ctx, reason, end, silent && unanswered)
+	defer c.g.quarantine.Decided(atRisk)
+	c.reportOpen(ctx, reason, end, counts)
 	reported()
+	defer c.g.givenUp.Add(-1)
 	if c.g.givenUp.Add(1) > maxGivenUp {
-		c.g.givenUp.Add(-1)
-		c.g.quarantine.Decided(atRisk)
 		return
 	}
-	defer c.g.givenUp.Add(-1)
-	l := &look{sentCopy: c, held: c.g.sender.Hold(ctx, c.to, c.limit)}
+	l := &look{sentCopy: c, atRisk: atRisk, held: c.g.sender.Hold(ctx, c.to, c.limit)}
 	defer l.stop()
-	l.awaitBreak(ctx, runEnd)
-	fate := l.await(ctx, quarantine.AnswerTime)
-	if fate.Outlived && unanswered && l.held != nil && !l.broke() {
-		c.g.quarantine.ServerAnswered(atRisk)
-		l.awaitBreak(ctx, lateEnd)
-		fate = l.await(ctx, quarantine.AnswerTime)
-	}
-	l.decide(ctx, reason, fate, silent)
+	fate := l.findFate(ctx, now.Add(quarantine.RunEndTime), end.RunsUntil)
+	l.decide(ctx, reason, fate, counts)
 	c.g.quarantine.Decided(atRisk)
-	if fate.Evidence == quarantine.Silent { // what takes the end back is looked for until the list of servers tells of it
-		if fate = l.await(ctx, maxRelookTime); !l.broke() {
-			l.decide(ctx, reason, fate, true)
-		}
+	if fate.Evidence != quarantine.Silent {
+		return
+	}
+	// What takes the end back is looked for until the list of servers tells of it.
+	if fate = l.await(ctx, maxRelookTime); fate.Evidence != quarantine.Silent && !l.broke() {
+		l.decide(ctx, reason, fate, true)
 	}
 }
 
 // look finds out what became of the server of a copy that was given up.
 type look struct {
 	*sentCopy
+	atRisk *quarantine.AtRisk
 	// held is a connection from when the copy was given up; nil if there was none.
 	held *upstream.Held
 	// answer tells of the response to a request on it; nil before that is sent, and once it has been told.
@@ -81,6 +77,18 @@
 	brokeAt time.Time
 }
 
+// findFate returns what becomes of the server, which should work on the copy until runEnd, and may until lateEnd.
+func (l *look) findFate(ctx context.Context, runEnd, lateEnd time.Time) quarantine.Fate {
+	l.awaitBreak(ctx, runEnd)
+	fate := l.await(ctx, quarantine.AnswerTime)
+	if !fate.Outlived || l.held == nil || l.broke() || !lateEnd.After(runEnd) {
+		return fate
+	}
+	l.g.quarantine.ServerAnswered(l.atRisk)
+	l.awaitBreak(ctx, lateEnd)
+	return l.await(ctx, quarantine.AnswerTime)
+}
+
 func (l *look) stop() {
 	if l.held != nil {
 		l.held.Release()
