--- a/internal/transport/upstream/probe.go
+++ b/internal/transport/upstream/probe.go
@@ -168,20 +168,20 @@
 }
 
 // Ask sends a request without an ID for a path on the connection, which no server runs, and returns a channel that gets nil with the
-// response, or the error with which the connection ended. Any response will do: it shows that the server's process lives.
+// first byte of the response, or the error with which the connection ended. Any byte shows that the server's process lives.
 func (h *Held) Ask(path string) <-chan error {
 	asked, answer := make(chan struct{}), make(chan error, 1)
 	h.asked, h.reusable = asked, false
 	go func() {
 		defer close(asked)
-		response, err := h.ask(path)
+		request, err := h.ask(path)
 		answer <- err
-		h.reusable = err == nil && h.readWhole(response)
+		h.reusable = err == nil && h.readWhole(request)
 	}()
 	return answer
 }
 
-func (h *Held) ask(path string) (*http.Response, error) {
+func (h *Held) ask(path string) (*http.Request, error) {
 	request, err := http.NewRequest(http.MethodGet, "http://"+h.to.Address+path, nil)
 	if err != nil {
 		return nil, Error.Wrap(err)
@@ -189,16 +189,20 @@
 	if err := request.Write(h.conn); err != nil {
 		return nil, Error.Wrap(err)
 	}
-	if _, err := h.conn.peekHead(); err != nil { // bounds the head
-		return nil, Error.Wrap(err)
-	}
-	response, err := http.ReadResponse(h.conn.reader, request)
-	return response, Error.Wrap(err)
+	_, err = h.conn.reader.Peek(1)
+	return request, Error.Wrap(err)
 }
 
 // readWhole reads a response and reports whether the connection can be used again. The body is not closed, since that reads it to an end
 // that may never come.
-func (h *Held) readWhole(response *http.Response) bool {
+func (h *Held) readWhole(request *http.Request) bool {
+	if _, err := h.conn.peekHead(); err != nil { // bounds the head
+		return false
+	}
+	response, err := http.ReadResponse(h.conn.reader, request)
+	if err != nil {
+		return false
+	}
 	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxAskedBytes))
 	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 	return err == nil && n < maxAskedBytes && framed && !response.Close && h.conn.reader.Buffered() == 0
--- a/internal/transport/upstream/probe_test.go
+++ b/internal/transport/upstream/probe_test.go
@@ -76,11 +76,12 @@
 		endless, ended bool
 		kept           bool
 	}{
-		"answers":            {answer: "HTTP/1.1 503 Unavailable\r\nContent-Length: 2\r\n\r\nno", kept: true},
-		"answers and closes": {answer: "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"},
-		"answers endlessly":  {answer: "HTTP/1.1 200 OK\r\n\r\n", endless: true},
-		"ends":               {ended: true},
-		"is silent":          {},
+		"answers":                {answer: "HTTP/1.1 503 Unavailable\r\nContent-Length: 2\r\n\r\nno", kept: true},
+		"answers and closes":     {answer: "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"},
+		"answers endlessly":      {answer: "HTTP/1.1 200 OK\r\n\r\n", endless: true},
+		"answers without a head": {answer: "HTTP/1.1 102 Processing\r\n"},
+		"ends":                   {ended: true},
+		"is silent":              {},
 	} {
 		t.Run(strings.ReplaceAll(name, " ", "-"), func(t *testing.T) {
 			address := server(t, func(conn net.Conn, r *bufio.Reader) {
