quarantine: old news of a registrar does not end a crowded request

What callers saw: a request whose caller gives up 0.15 s after each try ended 4 or 5 servers beside other work, although at most three copies may be at servers that are not known to have outlived them.

Cause: a front daemon learns of crowded requests by replies to its reports and by polls. A registrar made the reply to a report before it had applied the copies in it, so that the reply said "not crowded", and it reached the daemon after the poll that said "crowded". The last word counted, and the next try at this daemon got no permit. A registrar that had missed a report ended it in the same way.

Change: replies are made after the whole report is applied.

--- a/internal/decide/quarantine/permits.go
+++ b/internal/decide/quarantine/permits.go
@@ -88,18 +88,42 @@
 	}
 }
 
-// SetCrowded tells whether a request is crowded, as a registrar knows it.
-func (t *Tracker) SetCrowded(now time.Time, key Key, crowded bool) {
-	e := t.entries[key]
+// crowdedNews is what a start of a registrar has told last of whether a request is crowded.
+type crowdedNews struct {
+	registrar, version uint64
+	// until is until when the request counts as crowded; zero if it is not.
+	until time.Time
+}
+
+// SetCrowded tells whether a request is crowded, as a registrar knows it. Its replies may arrive in another order than it sent them.
+func (t *Tracker) SetCrowded(now time.Time, s *Status) {
+	e := t.entries[s.Key]
 	if e == nil {
 		return
 	}
-	e.crowdedUntil = time.Time{}
-	if crowded {
-		e.crowdedUntil = now.Add(maxCrowdedTime)
+	i := slices.IndexFunc(e.news, func(n crowdedNews) bool { return n.registrar == s.Registrar })
+	if i < 0 {
+		if len(e.news) >= RegistrarCount {
+			e.news = slices.DeleteFunc(e.news, func(n crowdedNews) bool { return !now.Before(n.until) })
+		}
+		i = len(e.news)
+		e.news = append(e.news, crowdedNews{registrar: s.Registrar})
+	}
+	news := &e.news[i]
+	if s.Version < news.version {
+		return
+	}
+	news.version, news.until = s.Version, time.Time{}
+	if s.Crowded {
+		news.until = now.Add(maxCrowdedTime)
 	}
 }
 
+// toldCrowded reports whether a registrar has told that the request is crowded. One that does not may have missed a report.
+func (e *entry) toldCrowded(now time.Time) bool {
+	return slices.ContainsFunc(e.news, func(n crowdedNews) bool { return now.Before(n.until) })
+}
+
 // Admission is whether a copy of a request may be sent now.
 type Admission int
 
--- a/internal/decide/quarantine/service.go
+++ b/internal/decide/quarantine/service.go
@@ -58,7 +58,7 @@
 	defer s.mu.Unlock()
 	now, before := time.Now(), s.tracker.Version()
 	s.tracker.Expire(now)
-	reply.Requests = s.merge(now, args.Requests)
+	s.merge(now, args.Requests)
 	for _, w := range args.Withdrawn {
 		s.tracker.Withdraw(now, w.Key, w.Withdrawal)
 	}
@@ -74,6 +74,7 @@
 			s.tracker.NoteRoom(now, key)
 		}
 	}
+	reply.Requests = s.statuses(now, args.Requests)
 	s.notify(before)
 	return s.save()
 }
@@ -129,7 +130,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now, before := time.Now(), s.tracker.Version()
-	reply.Requests = s.merge(now, args.Requests)
+	s.merge(now, args.Requests)
 	for _, r := range args.Requests {
 		reply.Admission = max(reply.Admission, s.tracker.Admit(now, r.Key, args.ID, now.Add(args.For)))
 	}
@@ -138,18 +139,32 @@
 			s.tracker.Release(r.Key, args.ID)
 		}
 	}
+	reply.Requests = s.statuses(now, args.Requests)
 	s.notify(before)
 	return s.save()
 }
 
-// merge adds what a front daemon knows of requests and returns what is known of them then. The caller holds s.mu.
-func (s *Service) merge(now time.Time, requests []Status) []Status {
-	merged := make([]Status, len(requests))
-	for i, r := range requests {
+// merge adds what a front daemon knows of requests. The caller holds s.mu.
+func (s *Service) merge(now time.Time, requests []Status) {
+	for _, r := range requests {
 		r.applyTo(s.tracker, now)
-		merged[i] = newStatus(now, r.Key, r.Owner, s.tracker.State(now, r.Key))
 	}
-	return merged
+}
+
+// statuses returns what is known of requests now. The caller holds s.mu.
+func (s *Service) statuses(now time.Time, requests []Status) []Status {
+	known := make([]Status, len(requests))
+	for i, r := range requests {
+		known[i] = s.status(now, r.Key, r.Owner, s.tracker.State(now, r.Key))
+	}
+	return known
+}
+
+// status returns the status of a request in a state. The caller holds s.mu.
+func (s *Service) status(now time.Time, key Key, owner Owner, state State) Status {
+	status := newStatus(now, key, owner, state)
+	status.Registrar, status.Version = s.start, s.tracker.Version()
+	return status
 }
 
 // notify wakes polls if anything has changed since a version. The caller holds s.mu.
@@ -283,7 +298,7 @@
 	now := time.Now()
 	reply.Start, reply.Version = s.start, after
 	for _, c := range s.tracker.Changes(now, after, maxChangesPerPoll) {
-		reply.Changes = append(reply.Changes, newStatus(now, c.Key, c.Owner, c.State))
+		reply.Changes = append(reply.Changes, s.status(now, c.Key, c.Owner, c.State))
 		reply.Version = c.Version
 	}
 	return s.changed
--- a/internal/decide/quarantine/tracker.go
+++ b/internal/decide/quarantine/tracker.go
@@ -68,10 +68,10 @@
 	answers   []Tally
 	// permits are the copies in flight of which a registrar knows.
 	permits []permit
-	// crowdedUntil is until when registrars have told that the request is crowded; of front daemons only. wasCrowded is what a registrar
-	// has told last.
-	crowdedUntil time.Time
-	wasCrowded   bool
+	// news is what registrars have told of whether the request is crowded; of front daemons only. wasCrowded is what a registrar has
+	// told last.
+	news       []crowdedNews
+	wasCrowded bool
 	// from and until are the beginning and the end of the quarantine; zero if the request was never quarantined or was
 	// cleared.
 	from, until time.Time
@@ -361,7 +361,7 @@
 
 func (t *Tracker) state(now time.Time, e *entry) State {
 	ends, answers := t.counted(now, e), countAnswers(now, e.answers)
-	crowded := now.Before(e.crowdedUntil) || e.crowded(weighable(ends, answers), answers)
+	crowded := e.toldCrowded(now) || e.crowded(weighable(ends, answers), answers)
 	s := State{Ends: ends, Withdrawn: slices.Clone(e.withdrawn), Answers: slices.Clone(e.answers), Until: e.until, Crowded: crowded,
 		Quarantined: !now.Before(e.from) && now.Before(e.until), Suspect: crowded || !outweighed(weighable(ends, answers), answers)}
 	if s.Quarantined {
--- a/internal/decide/quarantine/watch_test.go
+++ b/internal/decide/quarantine/watch_test.go
@@ -112,10 +112,26 @@
 func TestCrowdedIsToldByRegistrars(t *testing.T) {
 	tracker, key := NewTracker(), keyOf("x")
 	tracker.Add(at(0), key, 0)
-	tracker.SetCrowded(at(0), key, true)
+	tracker.SetCrowded(at(0), &Status{Key: key, Registrar: 1, Version: 1, Crowded: true})
 	assert.Assert(t, tracker.State(at(1), key).Suspect)
 	assert.Assert(t, !tracker.State(at(0).Add(maxCrowdedTime), key).Suspect, "without further news")
-	tracker.SetCrowded(at(1), key, true)
-	tracker.SetCrowded(at(2), key, false)
+	tracker.SetCrowded(at(1), &Status{Key: key, Registrar: 1, Version: 2, Crowded: true})
+	tracker.SetCrowded(at(2), &Status{Key: key, Registrar: 1, Version: 3})
 	assert.Assert(t, !tracker.State(at(2), key).Suspect)
 }
+
+// TestLateNewsDoesNotEndCrowded guards against copies without a permit because a reply overtakes news, or one registrar missed a report.
+func TestLateNewsDoesNotEndCrowded(t *testing.T) {
+	tracker, key := NewTracker(), keyOf("x")
+	tracker.Add(at(0), key, 0)
+	tracker.SetCrowded(at(0), &Status{Key: key, Registrar: 1, Version: 8, Crowded: true})
+	tracker.SetCrowded(at(0), &Status{Key: key, Registrar: 1, Version: 7})
+	tracker.SetCrowded(at(0), &Status{Key: key, Registrar: 2, Version: 9})
+	assert.Assert(t, tracker.State(at(0.1), key).Suspect)
+	tracker.SetCrowded(at(0.1), &Status{Key: key, Registrar: 1, Version: 9})
+	assert.Assert(t, !tracker.State(at(0.1), key).Suspect)
+	for start := range uint64(20) {
+		tracker.SetCrowded(at(0.1), &Status{Key: key, Registrar: 10 + start, Version: 1})
+	}
+	assert.Assert(t, len(tracker.entries[key].news) <= RegistrarCount, "starts of registrars that have ended")
+}
--- a/internal/decide/quarantine/wire.go
+++ b/internal/decide/quarantine/wire.go
@@ -53,6 +53,8 @@
 	Quarantined bool
 	// Crowded is that of State, as far as a registrar knows.
 	Crowded bool
+	// Registrar is the start of the registrar that tells this, and Version its version; zero from front daemons.
+	Registrar, Version uint64
 }
 
 func newStatus(now time.Time, key Key, owner Owner, state State) Status {
