node tests: only one server takes the place of one that ended

Each now looks whether the server in its place is still the one that ended. Nothing is checked less: the servers end as before.

--- a/internal/node/serverendings_test.go
+++ b/internal/node/serverendings_test.go
@@ -149,8 +149,12 @@
 	}
 	c.fabric.Freeze(serverHost(i))
 	c.lapse(i, leaseTime)
+	frozen := c.servers[i].Entry().ID
 	c.ended.Go(func() {
 		time.Sleep(freezeTime)
+		if c.servers[i].Entry().ID != frozen {
+			return // another one stands in for it already
+		}
 		c.closeProcess(i, process)
 		c.fabric.Thaw(serverHost(i))
 		entry := c.servers[i].Replace()
@@ -201,13 +205,14 @@
 
 // replaceLater starts another server in the place of one that has ended for good.
 func (c *cluster) replaceLater(i int) {
+	ended := c.servers[i].Entry().ID
 	c.ended.Go(func() {
 		time.Sleep(standInTime)
 		c.mu.Lock()
-		ended := c.processes[i] == nil
+		gone := c.processes[i] == nil
 		c.mu.Unlock()
-		if !ended {
-			return
+		if !gone || c.servers[i].Entry().ID != ended {
+			return // the process that ended has another one in its place, which may have ended too
 		}
 		c.fabric.End(serverHost(i))
 		c.fabric.Thaw(serverHost(i))
