--- a/internal/node/endtroubles_test.go
+++ b/internal/node/endtroubles_test.go
@@ -35,20 +35,6 @@
 			w.platform.SetFault(nil, false)
 		}
 	}
-	// inTurn does something to one VM after the other, with a pause after each.
-	inTurn := func(vms func(*cluster) []*vm, pause time.Duration, do func(*cluster, *vm)) func(*cluster, <-chan struct{}) {
-		return func(w *cluster, stop <-chan struct{}) {
-			for i := 0; ; i++ {
-				select {
-				case <-stop:
-					return
-				case <-time.After(pause):
-				}
-				do(w, vms(w)[i%len(vms(w))])
-			}
-		}
-	}
-	fronts := func(w *cluster) []*vm { return w.fronts }
 	stores := func(w *cluster) []*vm { return w.stores }
 	freeze := func(w *cluster, m *vm) {
 		w.checker.AllowLateArrivals(time.Now().Add(time.Hour))
@@ -74,7 +60,7 @@
 			}
 		}, 1500 * time.Millisecond, nil},
 		{"store forgets its history", inTurn(stores, time.Second, func(w *cluster, _ *vm) { w.platform.Compact() }), 2 * time.Second, nil},
-		{"fronts killed one by one", inTurn(fronts, 400*time.Millisecond, func(w *cluster, m *vm) { w.restart(m, 200*time.Millisecond, false) }), 500 * time.Millisecond, fatalKinds},
+		{"fronts killed one by one", inTurn(allFronts, 400*time.Millisecond, func(w *cluster, m *vm) { w.restart(m, 200*time.Millisecond, false) }), 500 * time.Millisecond, fatalKinds},
 		{"all daemons killed", func(w *cluster, stop <-chan struct{}) {
 			time.Sleep(2500 * time.Millisecond)
 			w.killAll()
@@ -89,9 +75,9 @@
 		}, time.Second, nil},
 		{"store daemons killed one by one", inTurn(stores, 2*time.Second, func(w *cluster, m *vm) { w.restart(m, 300*time.Millisecond, false) }), time.Second, nil},
 		{"a disk lost", inTurn(stores, 12*time.Second, func(w *cluster, m *vm) { w.restart(m, 300*time.Millisecond, true) }), time.Second, nil},
-		{"fronts frozen one by one", inTurn(fronts, time.Second, freeze), time.Second, nil},
+		{"fronts frozen one by one", inTurn(allFronts, time.Second, freeze), time.Second, nil},
 		{"store daemons frozen one by one", inTurn(stores, 2*time.Second, freeze), time.Second, nil},
-		{"fronts cut off from the stores one by one", inTurn(fronts, 500*time.Millisecond, func(w *cluster, m *vm) { w.cut(m, hostNames(w.stores), faultDuration) }), time.Second, nil},
+		{"fronts cut off from the stores one by one", inTurn(allFronts, 500*time.Millisecond, func(w *cluster, m *vm) { w.cut(m, hostNames(w.stores), faultDuration) }), time.Second, nil},
 		{"stores cut off from the platform one by one", inTurn(stores, 500*time.Millisecond, func(w *cluster, m *vm) { w.cut(m, []string{storeHost}, faultDuration) }), time.Second, nil},
 		{"stores cut off from the others one by one", inTurn(stores, 2*time.Second, func(w *cluster, m *vm) {
 			w.cut(m, append(hostNames(w.stores), hostNames(w.fronts)...), faultDuration)
@@ -99,6 +85,22 @@
 	}
 }
 
+// inTurn does something to one VM after the other until stop is closed, with a pause before each.
+func inTurn(vms func(*cluster) []*vm, pause time.Duration, do func(*cluster, *vm)) func(*cluster, <-chan struct{}) {
+	return func(w *cluster, stop <-chan struct{}) {
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(pause):
+			}
+			do(w, vms(w)[i%len(vms(w))])
+		}
+	}
+}
+
+func allFronts(w *cluster) []*vm { return w.fronts }
+
 // killAll kills all daemons and starts them again at once.
 func (c *cluster) killAll() {
 	for _, m := range c.vms() {
--- a/internal/node/givenup_test.go
+++ b/internal/node/givenup_test.go
@@ -92,35 +92,19 @@
 	assert.Equal(t, len(w.checker.Violations()), 0, "%v", w.checker.Violations())
 }
 
-// frontsReplaced replaces one front after the other by one with a new name.
-func frontsReplaced(w *cluster, stop <-chan struct{}) {
-	for i := 0; ; i++ {
-		select {
-		case <-stop:
-			return
-		case <-time.After(400 * time.Millisecond):
-		}
-		m := w.fronts[i%len(w.fronts)]
-		w.kill(m)
-		time.Sleep(200 * time.Millisecond)
-		m.name = fmt.Sprintf("front-new-%d", i)
-		w.start(m, true)
-	}
+// replaceFront kills a front and starts one with a new name in its place.
+func replaceFront(w *cluster, m *vm) {
+	w.kill(m)
+	time.Sleep(200 * time.Millisecond)
+	m.name += "-new"
+	w.start(m, true)
 }
 
-// frontsDrained stops one front after the other in an orderly way and starts it again.
-func frontsDrained(w *cluster, stop <-chan struct{}) {
-	for i := 0; ; i++ {
-		select {
-		case <-stop:
-			return
-		case <-time.After(400 * time.Millisecond):
-		}
-		m := w.fronts[i%len(w.fronts)]
-		m.stop()
-		<-m.done
-		w.start(m, false)
-	}
+// drainFront stops a front in an orderly way and starts it again.
+func drainFront(w *cluster, m *vm) {
+	m.stop()
+	<-m.done
+	w.start(m, false)
 }
 
 // frontTroubles are troubles in which fronts end that watch copies.
@@ -138,8 +122,8 @@
 			all = append(all, tr)
 		}
 	}
-	return append(all, trouble{name: "fronts replaced", run: frontsReplaced, pause: 500 * time.Millisecond},
-		trouble{name: "fronts drained", run: frontsDrained, pause: 500 * time.Millisecond})
+	return append(all, trouble{name: "fronts replaced", run: inTurn(allFronts, 400*time.Millisecond, replaceFront), pause: 500 * time.Millisecond},
+		trouble{name: "fronts drained", run: inTurn(allFronts, 400*time.Millisecond, drainFront), pause: 500 * time.Millisecond})
 }
 
 // TestStreamThatFallsSilentIsNotSentOnWhileFrontsEnd guards against a request that silences one server after the other in the middle
