quarantine: one call applies what a registrar tells

Both places that apply a registrar's status told the tracker separately whether the request is crowded; applyTo does it now, for statuses that name a registrar (those of front daemons don't). Four places compared an end's server and attempt; End.isOf is the one.

--- a/internal/decide/quarantine/client.go
+++ b/internal/decide/quarantine/client.go
@@ -313,7 +313,6 @@
 	var missing *ReportArgs
 	for _, status := range reply.Requests {
 		status.applyTo(c.tracker, now)
-		c.tracker.SetCrowded(now, &status)
 		if state := c.tracker.State(now, status.Key); now.Before(state.Until) && !status.Quarantined {
 			if missing == nil {
 				missing = &ReportArgs{}
--- a/internal/decide/quarantine/follow.go
+++ b/internal/decide/quarantine/follow.go
@@ -118,7 +118,6 @@
 	for _, status := range changes {
 		before := c.tracker.State(now, status.Key)
 		status.applyTo(c.tracker, now)
-		c.tracker.SetCrowded(now, &status)
 		suspect := c.tracker.State(now, status.Key).Suspect // else enough daemons have objected
 		if suspect && !status.counts(c.source) && c.applyAnswers(now, status.Key) {
 			objections.Requests = append(objections.Requests, newStatus(now, status.Key, status.Owner, c.tracker.State(now, status.Key)))
--- a/internal/decide/quarantine/permits.go
+++ b/internal/decide/quarantine/permits.go
@@ -55,7 +55,7 @@
 // inFlight returns how many copies are in flight, and how many of these were given up. Those that have ended their servers count there.
 func (e *entry) inFlight() (n, givenUp int) {
 	for _, p := range e.permits {
-		if p.unheard || slices.ContainsFunc(e.ends, func(end End) bool { return end.Server == p.server && end.Attempt == p.attempt }) {
+		if p.unheard || slices.ContainsFunc(e.ends, func(end End) bool { return end.isOf(p.server, p.attempt) }) {
 			continue
 		}
 		n++
@@ -228,7 +228,7 @@
 	e.permits = slices.Delete(e.permits, i, i+1)
 	if p.unheard {
 		e.ends = slices.DeleteFunc(e.ends, func(end End) bool {
-			return end.Evidence == Unheard && end.Server == p.server && end.Attempt == p.attempt
+			return end.Evidence == Unheard && end.isOf(p.server, p.attempt)
 		})
 		t.markChanged(e)
 	}
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -119,6 +119,11 @@
 	return openTime - max(0, listed.Sub(e.EndedAt))
 }
 
+// isOf reports whether the end is that of a server under an attempt.
+func (e End) isOf(server incarnation.ID, attempt string) bool {
+	return e.Server == server && e.Attempt == attempt
+}
+
 // Response tells that a server has responded to a request.
 type Response struct {
 	Server incarnation.ID
@@ -143,7 +148,7 @@
 
 // of reports whether the end is the withdrawn one. What is certain is not withdrawn.
 func (w Withdrawal) of(end End) bool {
-	return w.Server == end.Server && w.Attempt == end.Attempt && end.Evidence.rank() < Restarted.rank()
+	return end.isOf(w.Server, w.Attempt) && end.Evidence.rank() < Restarted.rank()
 }
 
 // State is what is known of a request.
--- a/internal/decide/quarantine/suspects.go
+++ b/internal/decide/quarantine/suspects.go
@@ -66,7 +66,7 @@
 
 // Outlived drops an attempt that its server has outlived.
 func (l *SuspectLog) Outlived(server incarnation.ID, attempt string) {
-	l.suspects = slices.DeleteFunc(l.suspects, func(s Suspect) bool { return s.End.Server == server && s.End.Attempt == attempt })
+	l.suspects = slices.DeleteFunc(l.suspects, func(s Suspect) bool { return s.End.isOf(server, attempt) })
 }
 
 // Ended records that a server has ended and returns the attempts that failed there before, with that evidence.
--- a/internal/decide/quarantine/wire.go
+++ b/internal/decide/quarantine/wire.go
@@ -75,6 +75,9 @@
 	for _, w := range s.Withdrawn {
 		t.Withdraw(now, s.Key, w)
 	}
+	if s.Registrar != 0 { // registrars know of copies at all daemons
+		t.SetCrowded(now, s)
+	}
 }
 
 // counts reports whether the good answers that a daemon has counted are included.
