Tests: callers that leave early share their runs

Three tests of callers that leave, two of servers that pause, and the two callers that send the same content again had a copy each of the same steps. The cases, their names, bounds and assertions stay; the order in which random numbers are drawn too.

--- a/internal/node/givenup_test.go
+++ b/internal/node/givenup_test.go
@@ -40,12 +40,7 @@
 			for k, patience := range []time.Duration{100 * time.Millisecond, 400 * time.Millisecond} {
 				kind := at.kinds[(n+i+k)%len(at.kinds)]
 				t.Run(endingName(at.name, ending.name, kind, patience.String()), func(t *testing.T) {
-					t.Parallel()
-					testbubble.Run(t, func(t *testing.T) {
-						f := fatalRequests()[kind]
-						f.Content, f.Attempts, f.Pause, f.Patience = at.newContent(), givenUpAttempts, 150*time.Millisecond, patience
-						runGivenUp(t, trouble{run: func(_ *cluster, stop <-chan struct{}) { <-stop }}, ending, f)
-					})
+					runCallerLeaves(t, noTrouble, ending, kind, at.newContent, 150*time.Millisecond, patience)
 				})
 			}
 		}
@@ -59,17 +54,25 @@
 		for k, patience := range []time.Duration{100 * time.Millisecond, 400 * time.Millisecond} {
 			kind := fatalKinds[(i+k)%len(fatalKinds)]
 			t.Run(endingName(ending.name, kind, patience.String()), func(t *testing.T) {
-				t.Parallel()
-				testbubble.Run(t, func(t *testing.T) {
-					f := fatalRequests()[kind]
-					f.Content, f.Attempts, f.Pause, f.Patience = workload.NewLongDelayedFatalContent(), givenUpAttempts, 150*time.Millisecond, patience
-					runGivenUp(t, trouble{run: func(_ *cluster, stop <-chan struct{}) { <-stop }}, ending, f)
-				})
+				runCallerLeaves(t, noTrouble, ending, kind, workload.NewLongDelayedFatalContent, 150*time.Millisecond, patience)
 			})
 		}
 	}
 }
 
+// noTrouble leaves the system alone.
+var noTrouble = trouble{run: func(_ *cluster, stop <-chan struct{}) { <-stop }}
+
+// runCallerLeaves runs a request of a kind whose caller gives each try up after patience.
+func runCallerLeaves(t *testing.T, tr trouble, ending serverEnding, kind string, newContent func() string, pause, patience time.Duration) {
+	t.Parallel()
+	testbubble.Run(t, func(t *testing.T) {
+		f := fatalRequests()[kind]
+		f.Content, f.Attempts, f.Pause, f.Patience = newContent(), givenUpAttempts, pause, patience
+		runGivenUp(t, tr, ending, f)
+	})
+}
+
 // runGivenUp sends a request that ends servers beside a trouble, and checks how many end.
 func runGivenUp(t *testing.T, tr trouble, ending serverEnding, f workload.FatalRequest) {
 	var output lockedBuffer
@@ -156,12 +159,7 @@
 			at := endTimes()[(n+i)%len(endTimes())]
 			kind := at.kinds[(n+i)%len(at.kinds)]
 			t.Run(endingName(tr.name, ending.name, at.name, kind), func(t *testing.T) {
-				t.Parallel()
-				testbubble.Run(t, func(t *testing.T) {
-					f := fatalRequests()[kind]
-					f.Content, f.Attempts, f.Pause, f.Patience = at.newContent(), givenUpAttempts, 400*time.Millisecond, 200*time.Millisecond
-					runGivenUp(t, tr, ending, f)
-				})
+				runCallerLeaves(t, tr, ending, kind, at.newContent, 400*time.Millisecond, 200*time.Millisecond)
 			})
 		}
 	}
@@ -199,21 +197,14 @@
 // from servers that are slow, stand still for a moment or are cut off, and end none of them.
 func TestImpatientCallersOfHealthyServersAreNotRefused(t *testing.T) {
 	for name, disturb := range map[string]func(w *cluster, stop <-chan struct{}){
-		"nothing": func(_ *cluster, stop <-chan struct{}) { <-stop },
+		"nothing": noTrouble.run,
 		"slow servers": func(w *cluster, stop <-chan struct{}) {
 			for _, s := range w.servers {
 				s.SetFault(workload.ReadLate)
 			}
 			<-stop
 		},
-		"servers that pause": func(w *cluster, stop <-chan struct{}) {
-			w.checker.AllowLateArrivals(time.Now().Add(time.Hour))
-			w.disturbServers(stop, func(i int) {
-				w.fabric.Freeze(serverHost(i))
-				time.Sleep(800 * time.Millisecond)
-				w.fabric.Thaw(serverHost(i))
-			})
-		},
+		"servers that pause": pauseServers,
 		"servers cut off from a front": func(w *cluster, stop <-chan struct{}) {
 			w.disturbServers(stop, func(i int) { w.cut(w.fronts[i%len(w.fronts)], []string{serverHost(i)}, 800*time.Millisecond) })
 		},
@@ -223,13 +214,8 @@
 			w.platform.SetFault(nil, false)
 		},
 		"pauses in an outage of the store": func(w *cluster, stop <-chan struct{}) {
-			w.checker.AllowLateArrivals(time.Now().Add(time.Hour))
 			w.platform.SetFault(outages["resets"], false)
-			w.disturbServers(stop, func(i int) {
-				w.fabric.Freeze(serverHost(i))
-				time.Sleep(800 * time.Millisecond)
-				w.fabric.Thaw(serverHost(i))
-			})
+			pauseServers(w, stop)
 			w.platform.SetFault(nil, false)
 		},
 	} {
@@ -280,6 +266,16 @@
 	assert.Equal(t, refused, "", "%.1500s", refused)
 }
 
+// pauseServers makes one server after the other stand still for a moment.
+func pauseServers(w *cluster, stop <-chan struct{}) {
+	w.checker.AllowLateArrivals(time.Now().Add(time.Hour))
+	w.disturbServers(stop, func(i int) {
+		w.fabric.Freeze(serverHost(i))
+		time.Sleep(800 * time.Millisecond)
+		w.fabric.Thaw(serverHost(i))
+	})
+}
+
 // disturbServers does something to two servers after another every 300 ms until stop is closed.
 func (c *cluster) disturbServers(stop <-chan struct{}, do func(i int)) {
 	var doing sync.WaitGroup
--- a/internal/testing/workload/fatal.go
+++ b/internal/testing/workload/fatal.go
@@ -121,23 +121,27 @@
 		if call.Program != "" {
 			call.Budget = tokenBudget(false)
 		}
-		body := fatalMark + f.Content
-		c.checker.RecordSent(id, body, f.Path == "/lookup/" || f.Path == resumablePath)
-		c.mu.Lock()
-		front := fronts[c.random.IntN(len(fronts))]
-		c.mu.Unlock()
-		began := time.Now()
-		status, _, _, err := c.sendVaried(front, f.Path+f.Content, call, body, cmp.Or(f.Patience, call.Deadline), func(r *http.Request) {
+		c.attempt(&result, fronts, f.Path, f.Content, call, fatalMark+f.Content, cmp.Or(f.Patience, call.Deadline), func(r *http.Request) {
 			if f.Vary != nil {
 				f.Vary(n, r)
 			}
 		})
-		result.Took = append(result.Took, time.Since(began))
-		result.Statuses = append(result.Statuses, c.recordStatus(id, status, err))
 	}
 	return result
 }
 
+// attempt sends a request to a front daemon that it draws from fronts, and adds to result what its caller saw.
+func (c *Caller) attempt(result *FatalResult, fronts []string, path, content string, call platformtest.Call, body string, patience time.Duration, vary func(*http.Request)) {
+	c.checker.RecordSent(call.ID, body, path == "/lookup/" || path == resumablePath)
+	c.mu.Lock()
+	front := fronts[c.random.IntN(len(fronts))]
+	c.mu.Unlock()
+	began := time.Now()
+	status, _, _, err := c.sendVaried(front, path+content, call, body, patience, vary)
+	result.Took = append(result.Took, time.Since(began))
+	result.Statuses = append(result.Statuses, c.recordStatus(call.ID, status, err))
+}
+
 // popularPause is the pause between two copies of the popular request by one caller.
 const popularPause = 30 * time.Millisecond
 
@@ -152,16 +156,8 @@
 		if path == "/turn/" || path == resumablePath {
 			call.Program, call.Budget = program, tokenBudget(false)*int64(n)
 		}
-		body := "impatient " + content
-		c.checker.RecordSent(id, body, path == "/lookup/" || path == resumablePath)
-		c.mu.Lock()
-		front := c.fronts[c.random.IntN(len(c.fronts))]
-		c.mu.Unlock()
 		patience := least + (most-least)*time.Duration(i%7)/6
-		began := time.Now()
-		status, _, _, err := c.sendVaried(front, path+content, call, body, patience, func(*http.Request) {})
-		result.Took = append(result.Took, time.Since(began))
-		result.Statuses = append(result.Statuses, c.recordStatus(id, status, err))
+		c.attempt(&result, c.fronts, path, content, call, "impatient "+content, patience, func(*http.Request) {})
 		time.Sleep(pause)
 	}
 	return result
