Tests: crowds of clients that don't keep to the limits, known red

Real front and store daemons on loopback with limits of their own (64 and 96 MB, 600 descriptors), 29 ways of 250 connections at the callers' address, the same at readiness, metrics and the addresses for peers, beside reloads, pauses, an outage of the platform's store and of a store daemon at three fronts, and beside a stop. Checked: the process lives, peak memory and descriptors stay within its limits, an ordinary request is answered afterwards, a later configuration takes effect. The other error: clients at the very edge of the limits, on a connection's first and later requests.

Crowd and bounds are those of this commit; no time and no share of served requests is checked.

--- /dev/null
+++ b/internal/testing/crowds/crowds_test.go
@@ -0,0 +1,267 @@
+// Package crowds plays clients that don't keep to the limits against real daemons. Its tests need the machine for
+// themselves.
+package crowds
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/rookpass/rookpass/platform/platformtest"
+)
+
+// TestCrowdDoesNotEndOrHangFront guards against memory that no budget counts and connections that leave none for others.
+func TestCrowdDoesNotEndOrHangFront(t *testing.T) {
+	s := newSystem(t, 1)
+	for i, k := range kinds {
+		t.Run(k.name, func(t *testing.T) {
+			s.t, s.fronts[0].t = t, t
+			d := s.fronts[0]
+			if i > 0 {
+				d.kill()
+				d.start()
+			}
+			s.awaitReady()
+			s.checkServes(d, "/lookup/")
+			check := watchLimits(t, d)
+			w := gather(d.callers(), crowdSize, k.act)
+			time.Sleep(crowdTime)
+			w.leave()
+			s.checkServes(d, "/lookup/")
+			check()
+		})
+		s.t, s.fronts[0].t = t, t
+	}
+}
+
+// TestFrontLearnsChangesAfterItsDescriptorsWereUsedUp guards against an error of one accept that ends the watches of a front
+// daemon.
+func TestFrontLearnsChangesAfterItsDescriptorsWereUsedUp(t *testing.T) {
+	s := newSystem(t, 1)
+	d := s.fronts[0]
+	check := watchLimits(t, d)
+	w := gather(d.callers(), frontDescriptors+200, kindOf("nothing").act)
+	time.Sleep(time.Second)
+	peers := gather(d.address(platformtest.FirstPort), 10, func(c *client) { _ = c.send("127.0.0.1:1\n"); c.hold() })
+	time.Sleep(crowdTime)
+	peers.leave()
+	w.leave()
+	s.checkServes(d, "/lookup/")
+	s.checkServes(d, fmt.Sprintf("/new%d/", s.publishConfig()))
+	check()
+}
+
+// TestCrowdAtOtherAddressesDoesNotEndOrHangFront guards against limits that only the callers' address has.
+func TestCrowdAtOtherAddressesDoesNotEndOrHangFront(t *testing.T) {
+	s := newSystem(t, 1)
+	d := s.fronts[0]
+	for _, at := range []struct {
+		name string
+		port int
+	}{{"readiness", platformtest.ReadyPort}, {"metrics", platformtest.FirstPort + 1}, {"peers", platformtest.FirstPort}} {
+		for _, name := range []string{"nothing", "fields held", "line without end", "fields without end"} {
+			t.Run(at.name+"/"+name, func(t *testing.T) {
+				s.t, d.t = t, t
+				d.kill()
+				d.start()
+				s.awaitReady()
+				check := watchLimits(t, d)
+				size := crowdSize
+				if name == "nothing" {
+					size = frontDescriptors + 200
+				}
+				w := gather(d.address(at.port), size, kindOf(name).act)
+				time.Sleep(crowdTime)
+				w.leave()
+				s.checkServes(d, "/lookup/")
+				s.checkServes(d, fmt.Sprintf("/new%d/", s.publishConfig()))
+				s.awaitReady()
+				check()
+			})
+			s.t, d.t = t, t
+		}
+	}
+}
+
+// gobLength is the beginning of a message of net/rpc that declares 9 MB, and of one that declares 900 MB.
+const (
+	gobOf9MB   = "\xfd\x90\x00\x00"
+	gobOf900MB = "\xfc\x36\x00\x00\x00"
+)
+
+// storeKinds are the ways of clients at the address for other daemons.
+var storeKinds = []kind{
+	kindOf("nothing"), kindOf("fields held"), kindOf("line without end"),
+	{"message of 9 MB that does not come", func(c *client) { _ = c.send(gobOf9MB); c.hold() }},
+	{"message of 9 MB that trickles", func(c *client) {
+		if c.send(gobOf9MB) {
+			c.trickle(longText[:1000], 100*time.Millisecond)
+		}
+	}},
+	{"message of 900 MB", func(c *client) {
+		if c.send(gobOf900MB) {
+			c.repeat(longText)
+		}
+	}},
+}
+
+// TestCrowdDoesNotEndOrHangStores guards against the same faults in store daemons, by turns kept after the crowd.
+func TestCrowdDoesNotEndOrHangStores(t *testing.T) {
+	s := newSystem(t, 1)
+	for _, port := range []int{platformtest.ControlPort, platformtest.FirstPort} {
+		for _, k := range storeKinds {
+			t.Run(fmt.Sprint(k.name, " at ", port), func(t *testing.T) {
+				s.t = t
+				var checks []func()
+				var crowds []*crowd
+				for _, d := range s.stores {
+					d.t = t
+					if !d.alive() {
+						d.start()
+					}
+					checks = append(checks, watchLimits(t, d))
+					size := crowdSize
+					if k.name == "nothing" {
+						size = storeDescriptors + 200
+					}
+					crowds = append(crowds, gather(d.address(port), size, k.act))
+				}
+				time.Sleep(crowdTime)
+				for _, w := range crowds {
+					w.leave()
+				}
+				s.checkServes(s.fronts[0], "/question/") // counted by the stores
+				s.checkServes(s.fronts[0], fmt.Sprintf("/new%d/", s.publishConfig()))
+				for _, check := range checks {
+					check()
+				}
+			})
+			s.t = t
+			for _, d := range s.stores {
+				d.t = t
+			}
+		}
+	}
+}
+
+// troubles are what happens to a system beside a crowd.
+var troubles = []struct {
+	name string
+	play func(s *system)
+}{
+	{"reload", func(s *system) {
+		for range 10 {
+			for _, d := range s.fronts {
+				d.signal(syscall.SIGHUP)
+			}
+			s.publishConfig()
+			time.Sleep(crowdTime / 10)
+		}
+	}},
+	{"platform's store away", func(s *system) {
+		s.store.SetFault(func(w http.ResponseWriter) { w.WriteHeader(http.StatusServiceUnavailable) }, false)
+		time.Sleep(crowdTime)
+		s.store.SetFault(nil, false)
+	}},
+	{"pause", func(s *system) {
+		s.fronts[0].signal(syscall.SIGSTOP)
+		time.Sleep(crowdTime / 2)
+		s.fronts[0].signal(syscall.SIGCONT)
+		time.Sleep(crowdTime / 2)
+	}},
+	{"store daemon away", func(s *system) {
+		s.stores[0].kill()
+		time.Sleep(crowdTime)
+		s.stores[0].start()
+	}},
+}
+
+// TestCrowdBesideTroubles guards against faults that only a crowd beside another trouble shows, at several fronts.
+func TestCrowdBesideTroubles(t *testing.T) {
+	s := newSystem(t, 3)
+	for _, trouble := range troubles {
+		for _, name := range []string{"nothing", "fields held", "many fields and part of a body", "fields without end"} {
+			t.Run(trouble.name+"/"+name, func(t *testing.T) {
+				s.t = t
+				var checks []func()
+				var crowds []*crowd
+				for _, d := range s.fronts {
+					d.t = t
+					d.kill()
+					d.start()
+				}
+				s.awaitReady()
+				for _, d := range s.fronts {
+					checks = append(checks, watchLimits(t, d))
+					crowds = append(crowds, gather(d.callers(), crowdSize, kindOf(name).act))
+				}
+				trouble.play(s)
+				for _, w := range crowds {
+					w.leave()
+				}
+				for i, d := range s.fronts {
+					s.checkServes(d, "/lookup/")
+					s.checkServes(d, fmt.Sprintf("/new%d/", s.publishConfig()))
+					checks[i]()
+				}
+			})
+			s.t = t
+			for _, d := range append(s.fronts, s.stores...) {
+				d.t = t
+			}
+		}
+	}
+}
+
+// TestFrontStopsBesideCrowd guards against clients that keep a daemon from its stop.
+func TestFrontStopsBesideCrowd(t *testing.T) {
+	s := newSystem(t, 1)
+	d := s.fronts[0]
+	for _, name := range []string{"nothing", "fields held", "many fields and part of a body", "fields without end", "body that trickles", "pipelined requests whose answers are not read"} {
+		t.Run(name, func(t *testing.T) {
+			s.t, d.t = t, t
+			w := gather(d.callers(), crowdSize, kindOf(name).act)
+			time.Sleep(crowdTime / 4)
+			d.signal(syscall.SIGTERM)
+			select {
+			case <-d.exited:
+			case <-time.After(graceSeconds*time.Second + answerPatience):
+				t.Error("still running long after its stop grace")
+				d.kill()
+			}
+			assert.Check(t, d.cmd.ProcessState.ExitCode() == 0, "%s", d.cmd.ProcessState)
+			w.leave()
+			d.start()
+			s.awaitReady()
+			s.checkServes(d, "/lookup/")
+		})
+		s.t, d.t = t, t
+	}
+}
+
+// TestOrdinaryCallersAreAnsweredBesideCrowd guards against a crowd that takes all connections or all memory.
+func TestOrdinaryCallersAreAnsweredBesideCrowd(t *testing.T) {
+	s := newSystem(t, 1)
+	d := s.fronts[0]
+	for _, name := range []string{"nothing", "fields held", "fields inside the limit held", "long field held", "trickling head"} {
+		t.Run(name, func(t *testing.T) {
+			s.t, d.t = t, t
+			w := gather(d.callers(), frontDescriptors+200, kindOf(name).act)
+			defer w.leave()
+			time.Sleep(crowdTime / 2)
+			var answered atomic.Bool
+			status, _ := lookup(d.callers(), "/lookup/")
+			for deadline := time.Now().Add(answerPatience); status != http.StatusOK && time.Now().Before(deadline); {
+				status, _ = lookup(d.callers(), "/lookup/")
+			}
+			answered.Store(status == http.StatusOK)
+			assert.Check(t, answered.Load(), "no ordinary request was answered")
+		})
+		s.t, d.t = t, t
+	}
+}
