Daemons: an accept that fails for a time ends no part of a process

What callers saw: after a front's descriptors had been used up for a moment, 503 key-unproved for good or routes that stay unknown, though its process lived and had descriptors again.

Cause: the server of relayed connections returned on any error of Accept. EMFILE ended the group of the front's watches, whose other members ended with it, but its HTTP server, which is not bound to the group, went on. The same in a store daemon's server for other daemons, and in rookpassd: fasthttp and the server for peers end on EMFILE, and the daemon ran on without them.

Change: listeners retry errors that pass (too few descriptors or buffers, connections that were gone already) after 5 ms to 1 s, with a metric (rookpass_accept_errors_total) and at most a log line a second. A part of a front or of rookpassd that ends for another reason ends the process, so that it is started again.

--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -163,15 +163,15 @@
 }
 
 func (f *front) run(ctx context.Context) error {
-	callers, err := f.listen(f.settings.CallerAddress)
+	callers, err := f.listen("callers", f.settings.CallerAddress)
 	if err != nil {
 		return err
 	}
-	readiness, err := f.listen(f.settings.ReadyAddress)
+	readiness, err := f.listen("readiness", f.settings.ReadyAddress)
 	if err != nil {
 		return err
 	}
-	peers, err := f.listen(f.settings.PeerAddress())
+	peers, err := f.listen("peers", f.settings.PeerAddress())
 	if err != nil {
 		return err
 	}
@@ -198,7 +198,8 @@
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
-		case <-work.Done():
+		case <-work.Done(): // a part has failed: the daemon ends, so that it is started again
+			_ = errors.Join(server.Close(), ready.Close())
 			return work.Err()
 		}
 		f.drain(server)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/zeebo/errs"
+	"golang.org/x/time/rate"
 
 	"github.com/rookpass/rookpass/internal/base/eventlog"
 	"github.com/rookpass/rookpass/internal/base/filesystem"
@@ -52,6 +53,8 @@
 	memoryLimitShare = 0.6
 	// gcPercent is the heap growth over the live data at which the heap is collected.
 	gcPercent = 40
+	// connectionLogInterval is the shortest time between two log lines about the connections at one address.
+	connectionLogInterval = time.Second
 )
 
 // storeWatchShare and mirrorWatchShare are the shares of the maximum revocation delay for which watches of the
@@ -144,9 +147,20 @@
 	b.out.Close()
 }
 
-func (b *base) listen(address string) (net.Listener, error) {
+// listen listens at an address. name is that of the address in logs and metrics. An accept that fails for a time, for want
+// of descriptors, does not end the listener.
+func (b *base) listen(name, address string) (net.Listener, error) {
 	listener, err := b.host.listen(address)
-	return listener, Error.Wrap(err)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	logged := rate.Sometimes{Interval: connectionLogInterval}
+	return network.RetryAccept(listener, func(err error) {
+		b.metrics.Count("rookpass_accept_errors_total", name)
+		logged.Do(func() {
+			b.log.WithFields(logrus.Fields{"event": "accept-failed", "address": name, "error": err}).Warn("connection not accepted; retrying")
+		})
+	}), nil
 }
 
 // newWatcher returns a watcher of a handler's prefix that logs its outages and exports the age of its data as a metric.
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -131,7 +131,7 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(status(r)) // the client may have disconnected
 	})
-	listener, err := b.listen(b.settings.MetricsAddress())
+	listener, err := b.listen("metrics", b.settings.MetricsAddress())
 	if err == nil {
 		stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 		defer stop()
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -129,11 +129,11 @@
 	if err != nil {
 		return err
 	}
-	for _, address := range []string{s.PeerAddress(), s.ControlAddress} {
+	for name, address := range map[string]string{"peers": s.PeerAddress(), "control": s.ControlAddress} {
 		if address == "" {
 			continue
 		}
-		listener, err := b.listen(address)
+		listener, err := b.listen(name, address)
 		if err != nil {
 			return err
 		}
--- a/internal/rookpassd/daemon/servers.go
+++ b/internal/rookpassd/daemon/servers.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/contrib/instrumentation/google.golang.org/grpc/otelgrpc"
 	"go.opentelemetry.io/otel/propagation"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 	"google.golang.org/grpc"
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
@@ -19,10 +20,15 @@
 	"github.com/rookpass/rookpass/internal/rookpassd/entry"
 	"github.com/rookpass/rookpass/internal/rookpassd/peer"
 	"github.com/rookpass/rookpass/internal/rookpassd/route"
+	"github.com/rookpass/rookpass/internal/transport/network"
 )
 
-// maxCallerMessageBytes is the maximum size of a message from a caller.
-const maxCallerMessageBytes = 1 << 20
+const (
+	// maxCallerMessageBytes is the maximum size of a message from a caller.
+	maxCallerMessageBytes = 1 << 20
+	// acceptLogInterval is the shortest time between two log lines about failed accepts at one address.
+	acceptLogInterval = time.Second
+)
 
 // servers holds a daemon's listeners and the servers that use them.
 type servers struct {
@@ -69,41 +75,58 @@
 	})
 	s.http = newHTTPServer(entry.NewHTTP(chain, d.Ready).Handler(), d.log)
 	for _, open := range []struct {
+		name     string
 		listener *net.Listener
 		listen   func(string) (net.Listener, error)
 		address  string
 	}{
-		{&s.callerListener, d.network.ListenCallers, d.settings.CallerAddress},
-		{&s.httpListener, d.network.ListenHTTP, d.settings.HTTPAddress},
-		{&s.forwardListener, d.network.ListenPeers, d.settings.ForwardAddress},
-		{&s.peerListener, d.network.ListenPeers, d.settings.PeerAddress},
+		{"callers", &s.callerListener, d.network.ListenCallers, d.settings.CallerAddress},
+		{"http", &s.httpListener, d.network.ListenHTTP, d.settings.HTTPAddress},
+		{"forward", &s.forwardListener, d.network.ListenPeers, d.settings.ForwardAddress},
+		{"peers", &s.peerListener, d.network.ListenPeers, d.settings.PeerAddress},
 	} {
 		listener, err := open.listen(open.address)
 		if err != nil {
 			s.close()
 			return nil, Error.Wrap(err)
 		}
-		*open.listener = listener
+		*open.listener = keepAccepting(open.name, listener, d.log)
 	}
 	return s, nil
 }
 
-// serve serves requests on all listeners until ctx ends.
-func (s *servers) serve(ctx context.Context) error {
-	var group errgroup.Group
-	group.Go(func() error { return s.callers.Serve(s.callerListener) })
-	group.Go(func() error { return s.forward.Serve(s.forwardListener) })
-	group.Go(func() error { return s.http.Serve(s.httpListener) })
-	group.Go(func() error {
-		err := peer.Serve(s.peerListener, local{s.daemon})
-		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
-			return nil
-		}
-		return err
+// keepAccepting returns a listener which an accept that fails for a time does not end.
+func keepAccepting(name string, l net.Listener, log logrus.FieldLogger) net.Listener {
+	logged := rate.Sometimes{Interval: acceptLogInterval}
+	return network.RetryAccept(l, func(err error) {
+		logged.Do(func() {
+			log.WithFields(logrus.Fields{"event": "accept.failed", "address": name, "error": err}).Warn("connection not accepted; retrying")
+		})
 	})
-	<-ctx.Done()
+}
+
+// serve serves requests on all listeners until ctx ends, or one of the servers fails.
+func (s *servers) serve(ctx context.Context) error {
+	group, anyFailed := errgroup.WithContext(ctx)
+	for _, serve := range []func() error{
+		func() error { return s.callers.Serve(s.callerListener) },
+		func() error { return s.forward.Serve(s.forwardListener) },
+		func() error { return s.http.Serve(s.httpListener) },
+		func() error { return peer.Serve(s.peerListener, local{s.daemon}) },
+	} {
+		group.Go(func() error {
+			err := serve()
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) || errors.Is(err, grpc.ErrServerStopped) {
+				return nil // closed on purpose
+			}
+			return err
+		})
+	}
+	<-anyFailed.Done()
 	s.close()
-	_ = group.Wait() // The listeners were closed on purpose.
+	if err := group.Wait(); err != nil {
+		return Error.Wrap(err)
+	}
 	return ctx.Err()
 }
 
