peerlink: messages are counted before they are allocated

Cause: gob allocates up to 10 MB of what a message declares before a byte of it arrives, and grows on from there. The budget of requests counted 64 KB for a request until it had been read whole. A message that never came, and a response that nobody read, held their memory for ever.

Change: the reader reads the length first and waits until so much fits into the budget. A message over the whole budget is refused, a request's header has 64 KB. From its first byte on a message has 10 s, a response 10 s to be sent. rookpassd's server for peers, which had no budget, uses the same with 128 MB.

--- a/internal/rookpassd/peer/server.go
+++ b/internal/rookpassd/peer/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/rpc"
 	"sync"
 	"time"
 
@@ -13,11 +12,15 @@
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
 	"github.com/rookpass/rookpass/internal/base/verdict"
 	"github.com/rookpass/rookpass/internal/objects/objectapi"
+	"github.com/rookpass/rookpass/internal/transport/peerlink"
 )
 
 // serviceName is the net/rpc name of the service.
 const serviceName = "Peer"
 
+// maxRequestBytes bounds the requests under way together. The largest ones hand over the programs of a partition.
+const maxRequestBytes = 128 << 20
+
 // Timeouts for serving a request, since net/rpc carries no deadline.
 const (
 	witnessTimeout = 500 * time.Millisecond
@@ -51,8 +54,8 @@
 
 // Serve serves peers on a listener until it is closed, then closes all connections and returns the listener's error.
 func Serve(listener net.Listener, local Local) error {
-	server := rpc.NewServer()
-	if err := server.RegisterName(serviceName, &Service{local: local}); err != nil {
+	server, err := peerlink.NewServer(map[string]any{serviceName: &Service{local: local}}, maxRequestBytes)
+	if err != nil {
 		return err
 	}
 	var mu sync.Mutex
