Fronts: what a client sends before its request is parsed is bounded

What callers saw: beside 250 connections with heads of many small fields a front of 64 MB takes up to 171 MB (712 of 256 with 1,500), nobody is served beside some crowds, and the process is ended for its memory. A connection that rests for 12 of 15 s before its first request is cut off, though inside the limits.

Cause: net/http reads and parses a head before anything of ours sees it. The configuration's limits (16 KB, 3 s, 15 s) were decoded and used nowhere; 64 KB, 10 s and 90 s were fixed, the 10 s counted from the accept. A head of small fields takes 15 times its bytes once it is parsed, and no budget counted that. Connections were bounded by descriptors only, which servers and disks need too.

Change: package callers follows each connection. - Heads are counted as they arrive, by bytes and lines, in a class of their own of the memory budget (0.1 of the VM's; ordinary heads may use the reserve of small requests). While one doesn't fit, the oldest large head that isn't complete gives way; a head that still doesn't fit gets 503, which is true, as it was not parsed. Over the limit of bytes (and 4 KB that clients may not count) it gets 431. - The limits are those of the configuration in force, also for connections that are open. A head's time begins with its first byte, that of a connection at rest with the end of its last response or with its accept. Connections with unread data are spared: then the daemon is late, after a pause for example. - At most 0.3 of the descriptors are for callers (1,230 of 4,100). At the bound the connection that has rested for longest gives way, then the oldest head, then the oldest body that has not come; a request that was received whole never does. - What a pipelined request leaves in the buffer no longer hides the head after it, and neither does an empty line behind a body: it ended the check of the framing too.

Decisions: decide/connlimit. The share of memory per field is checked against net/http in TestHeadMemoryCoversWhatHTTPLibraryHolds.

--- a/internal/base/membudget/membudget.go
+++ b/internal/base/membudget/membudget.go
@@ -22,17 +22,19 @@
 	CachedTurns
 	// Connections are the buffers of connections and the fixed cost of requests.
 	Connections
+	// Heads are the heads of requests as they were received.
+	Heads
 	classCount
 )
 
-var classNames = [classCount]string{"bodies", "histories", "responses", "cached-turns", "connections"}
+var classNames = [classCount]string{"bodies", "histories", "responses", "cached-turns", "connections", "heads"}
 
 // String returns the name of a class in metrics and log lines.
 func (c Class) String() string { return classNames[c] }
 
 // Classes returns all classes.
 func Classes() []Class {
-	return []Class{RequestBodies, Histories, Responses, CachedTurns, Connections}
+	return []Class{RequestBodies, Histories, Responses, CachedTurns, Connections, Heads}
 }
 
 // Priority tells how much of the limit a reservation may use.
--- a/internal/front/gateway/fixture_test.go
+++ b/internal/front/gateway/fixture_test.go
@@ -22,15 +22,16 @@
 	"github.com/rookpass/rookpass/internal/base/metrics"
 	"github.com/rookpass/rookpass/internal/base/place"
 	"github.com/rookpass/rookpass/internal/base/secret"
+	"github.com/rookpass/rookpass/internal/decide/connlimit"
 	"github.com/rookpass/rookpass/internal/decide/dispatch"
 	"github.com/rookpass/rookpass/internal/decide/policy"
 	"github.com/rookpass/rookpass/internal/decide/quarantine"
 	"github.com/rookpass/rookpass/internal/front/balance"
+	"github.com/rookpass/rookpass/internal/front/callers"
 	"github.com/rookpass/rookpass/internal/front/catalog"
 	"github.com/rookpass/rookpass/internal/front/gateway"
 	"github.com/rookpass/rookpass/internal/objects/objectapi"
 	"github.com/rookpass/rookpass/internal/transport/call"
-	httpframing "github.com/rookpass/rookpass/internal/transport/framing"
 	"github.com/rookpass/rookpass/internal/transport/upstream"
 	"github.com/rookpass/rookpass/internal/turns/ledger"
 	"github.com/rookpass/rookpass/internal/turns/turn"
@@ -208,7 +209,9 @@
 func (loopback) serve(t *testing.T, name string, h http.Handler) string {
 	s := httptest.NewUnstartedServer(h)
 	if name == "front" {
-		s.Listener = httpframing.Observe(s.Config, s.Listener)
+		set := callers.New(callers.Options{Name: "callers", MaxConns: 1000, Limits: func() connlimit.Limits { return connlimit.Limits{} },
+			Memory: membudget.New(membudget.Limits{Total: 64 << 20}), Observer: metrics.New(), Log: logrus.New()})
+		s.Listener = set.Attach(s.Config, s.Listener)
 	}
 	s.Start()
 	t.Cleanup(s.Close)
--- a/internal/front/gateway/steps.go
+++ b/internal/front/gateway/steps.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rookpass/rookpass/internal/base/membudget"
+	"github.com/rookpass/rookpass/internal/front/callers"
 	"github.com/rookpass/rookpass/internal/transport/framing"
 )
 
@@ -39,11 +40,11 @@
 
 // withSoundFraming refuses requests whose body is not certain, and closes the connection where its next request is not.
 func withSoundFraming(x *exchange) *refusal {
-	verdict := framing.OfRequest(x.r)
-	if verdict != framing.Sound {
+	verdict := callers.FramingOf(x.r)
+	if verdict != callers.Sound {
 		x.w.Header().Set("Connection", "close")
 	}
-	if verdict == framing.Faulty {
+	if verdict == callers.Faulty {
 		return &refusal{status: http.StatusBadRequest, reason: "faulty-framing", err: framing.ErrFaulty}
 	}
 	return nil
@@ -128,6 +129,9 @@
 	if refused := x.reserveRecord(len(body)); refused != nil {
 		return refused
 	}
+	if !callers.Received(x.r) {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "connection-gave-way", err: net.ErrClosed}
+	}
 	x.body = body
 	x.header = x.g.headerCodec.ForwardedHeaders(x.r.Header)
 	return nil
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -17,11 +17,13 @@
 	"github.com/rookpass/rookpass/internal/base/incarnation"
 	"github.com/rookpass/rookpass/internal/base/membudget"
 	"github.com/rookpass/rookpass/internal/base/wait"
+	"github.com/rookpass/rookpass/internal/decide/connlimit"
 	"github.com/rookpass/rookpass/internal/decide/dispatch"
 	"github.com/rookpass/rookpass/internal/decide/policy"
 	"github.com/rookpass/rookpass/internal/decide/quarantine"
 	"github.com/rookpass/rookpass/internal/decide/quota"
 	"github.com/rookpass/rookpass/internal/front/balance"
+	"github.com/rookpass/rookpass/internal/front/callers"
 	"github.com/rookpass/rookpass/internal/front/catalog"
 	"github.com/rookpass/rookpass/internal/front/exchange"
 	"github.com/rookpass/rookpass/internal/front/gateway"
@@ -29,7 +31,6 @@
 	"github.com/rookpass/rookpass/internal/objects/mirror"
 	"github.com/rookpass/rookpass/internal/objects/objectapi"
 	"github.com/rookpass/rookpass/internal/objects/watch"
-	"github.com/rookpass/rookpass/internal/transport/framing"
 	"github.com/rookpass/rookpass/internal/transport/peerlink"
 	"github.com/rookpass/rookpass/internal/transport/tunnel"
 	"github.com/rookpass/rookpass/internal/transport/upstream"
@@ -73,15 +74,10 @@
 	// goroutines: net/http keeps a reader and a writer of 4 KiB each, package upstream a reader of 4 KiB.
 	callerConnectionBytes = 14 << 10
 	serverConnectionBytes = 6 << 10
-	// serverConnectionShare is the share of a VM's descriptors for connections to servers; callers, disks and other
-	// daemons need the rest.
-	serverConnectionShare = 0.5
-	// headerTimeout bounds reading a request's headers before the configuration sets its own bound.
-	headerTimeout = 10 * time.Second
-	// idleTimeout is how long an idle connection of a caller is kept. Configurations set less.
-	idleTimeout = 90 * time.Second
-	// maxHeaderBytes bounds a request's headers. Configurations set less.
-	maxHeaderBytes = 64 << 10
+	// headMemoryShare is the share of a VM's memory for the heads of requests that are larger than ordinary ones.
+	headMemoryShare = 0.1
+	// readinessHeaderTimeout bounds reading the headers of a question for readiness.
+	readinessHeaderTimeout = 10 * time.Second
 	// sweepInterval is the time between two removals of unused connections and servers.
 	sweepInterval = time.Second
 	// costLogFactor is the factor by which an estimated cost or speed must change to be logged again.
@@ -99,6 +95,7 @@
 	balancer   *balance.Balancer
 	scheduler  *dispatch.Scheduler
 	pool       *upstream.Pool
+	callers    *callers.Set
 	ledger     *ledger.Ledger
 	gateway    *gateway.Gateway
 	memory     *membudget.Budget
@@ -120,11 +117,14 @@
 
 func newFront(b *base) *front {
 	f := &front{base: b, catalog: catalog.New(), balancer: balance.New(b.settings.Node, b.settings.Topology()), scheduler: dispatch.New()}
-	f.pool = upstream.NewPool(b.host.dial, platform.HeaderCodec{}, int(serverConnectionShare*float64(b.settings.MaxDescriptors)))
+	f.pool = upstream.NewPool(b.host.dial, platform.HeaderCodec{}, b.bounds.Servers)
 	f.pool.OnDial(f.recordConnectTime)
 	memoryShare := func(share float64) int64 { return int64(share * float64(b.settings.MemoryBytes)) }
 	f.memory = membudget.New(membudget.Limits{Total: memoryShare(heldMemoryShare), SmallBytes: smallRequestBytes,
-		ByClass: map[membudget.Class]int64{membudget.RequestBodies: memoryShare(requestBodyShare)}})
+		ByClass: map[membudget.Class]int64{membudget.RequestBodies: memoryShare(requestBodyShare), membudget.Heads: memoryShare(headMemoryShare)}})
+	f.callers = callers.New(callers.Options{Name: "callers", MaxConns: b.bounds.Callers, Limits: f.callerLimits, Memory: f.memory, Observer: b.metrics, Log: b.log})
+	b.metrics.Gauge("rookpass_caller_connections", func() float64 { return float64(f.callers.Open()) })
+	b.metrics.Gauge("rookpass_caller_connections_max", func() float64 { return float64(b.bounds.Callers) })
 	f.pool.OnOpenChange(func(change int) { f.memory.Charge(membudget.Connections, serverConnectionBytes*int64(change)) })
 	f.relay = tunnel.NewDialer(b.host.dial, b.settings.PeerAddress())
 	b.links.WithFallback(f.relay.Dial, diskFallbackDelay)
@@ -163,7 +163,7 @@
 }
 
 func (f *front) run(ctx context.Context) error {
-	callers, err := f.listen("callers", f.settings.CallerAddress)
+	callersListener, err := f.listen("callers", f.settings.CallerAddress)
 	if err != nil {
 		return err
 	}
@@ -175,13 +175,14 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: f.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: f.countCallerConnection}
-	ready := &http.Server{Handler: http.HandlerFunc(f.serveReadiness), ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: f.gateway, ConnState: f.countCallerConnection}
+	observed := f.callers.Attach(server, callersListener)
+	ready := &http.Server{Handler: http.HandlerFunc(f.serveReadiness), ReadHeaderTimeout: readinessHeaderTimeout}
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 	group, work := errgroup.WithContext(work)
-	observed := framing.Observe(server, callers)
 	group.Go(func() error { return serve(server, observed) })
+	group.Go(func() error { return f.callers.Run(work) })
 	group.Go(func() error { return serve(ready, readiness) })
 	group.Go(func() error {
 		<-work.Done()
@@ -221,6 +222,16 @@
 	}
 }
 
+// callerLimits returns the limits of the configuration in force.
+func (f *front) callerLimits() connlimit.Limits {
+	table := f.catalog.Table()
+	if table == nil {
+		return connlimit.Limits{}
+	}
+	limits := table.Config.Limits
+	return connlimit.Limits{HeadBytes: limits.MaxHeaderBytes, HeadTime: limits.HeaderTimeout, IdleTime: limits.IdleTimeout}
+}
+
 func serve(server *http.Server, listener net.Listener) error {
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return Error.Wrap(err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/rookpass/rookpass/internal/base/filesystem"
 	"github.com/rookpass/rookpass/internal/base/metrics"
 	"github.com/rookpass/rookpass/internal/base/telemetry"
+	"github.com/rookpass/rookpass/internal/decide/connlimit"
 	"github.com/rookpass/rookpass/internal/objects/objectapi"
 	"github.com/rookpass/rookpass/internal/objects/watch"
 	"github.com/rookpass/rookpass/internal/transport/network"
@@ -110,6 +111,8 @@
 	metrics  *metrics.Registry
 	store    *platform.Store
 	links    *peerlink.Pool
+	// bounds bound the daemon's connections.
+	bounds connlimit.Bounds
 	// seeds are the addresses of store daemons to use while the layout is not known.
 	seeds atomic.Pointer[[]string]
 }
@@ -128,6 +131,7 @@
 		metrics:  metrics.New(),
 		store:    platform.NewStore(settings.StoreAddress, host.dial),
 		links:    peerlink.NewPool(host.dial),
+		bounds:   connlimit.BoundsOf(settings.MaxDescriptors),
 	}
 	b.applySettings(settings)
 	b.metrics.Gauge("rookpass_store_calls_total", func() float64 { return float64(b.store.Calls()) })
--- a/internal/transport/framing/framing.go
+++ b/internal/transport/framing/framing.go
@@ -29,13 +29,16 @@
 // Head is what the head of a message says of its framing. It is filled while the head is received, and reads on as long
 // as the heads are those of interim responses. The zero value is ready for a request.
 type Head struct {
-	kind     Kind
-	line     [keptLineBytes]byte
-	length   int
-	started  bool
-	complete bool
+	kind   Kind
+	line   [keptLineBytes]byte
+	length int
+	// bytes and lines count what was received of the head.
+	bytes, lines int
+	started      bool
+	complete     bool
 	// version10 is set for HTTP/1.0 and earlier versions.
 	version10        bool
+	versionKnown     bool
 	interim          bool
 	transferEncoding bool
 	contentLength    bool
@@ -45,9 +48,19 @@
 // NewHead returns the empty head of a message.
 func NewHead(kind Kind) Head { return Head{kind: kind} }
 
-// Complete reports whether the end of the head has been received, or a line that no library accepts.
+// Complete reports whether the end of the head has been received or, in a response, a line that no library accepts. The
+// head of a request may have begun before what was seen of it, so that all lines up to its end are its own.
 func (h *Head) Complete() bool { return h.complete }
 
+// VersionKnown reports whether the start line has been received with its version.
+func (h *Head) VersionKnown() bool { return h.versionKnown }
+
+// Bytes returns the number of bytes received of the head.
+func (h *Head) Bytes() int { return h.bytes }
+
+// Lines returns the number of lines received of the head.
+func (h *Head) Lines() int { return h.lines }
+
 // Faulty reports whether the framing is faulty. It is false until the head is complete.
 func (h *Head) Faulty() bool { return h.complete && (h.transferEncoding && h.version10 || h.spaced) }
 
@@ -59,9 +72,12 @@
 	for len(p) > 0 && !h.complete {
 		end := bytes.IndexByte(p, '\n')
 		if end < 0 {
+			h.bytes += len(p)
 			h.keep(p)
 			return
 		}
+		h.bytes += end + 1
+		h.lines++
 		h.keep(p[:end])
 		p = p[end+1:]
 		h.endLine()
@@ -88,6 +104,7 @@
 	line := bytes.TrimSuffix(h.line[:h.length], []byte("\r"))
 	h.length = 0
 	switch {
+	case !h.started && h.kind == Request && len(line) == 0: // some clients end a body with a line of its own
 	case !h.started:
 		h.started = true
 		h.addStartLine(line)
@@ -110,7 +127,12 @@
 		h.interim = bytes.HasPrefix(line[space+1:], []byte("1"))
 	}
 	major, minor, ok := http.ParseHTTPVersion(string(version))
+	h.versionKnown = ok
 	h.version10 = major < 1 || major == 1 && minor == 0
+	if h.kind == Request {
+		h.version10 = h.version10 && ok
+		return
+	}
 	h.complete = !ok
 }
 
@@ -120,7 +142,7 @@
 	}
 	name, _, found := bytes.Cut(line, []byte(":"))
 	if !found && len(line) < keptLineBytes {
-		h.complete = true
+		h.complete = h.kind == Response
 		return
 	}
 	trimmed := bytes.TrimRight(name, " \t")
