Daemons: quiet connections at the addresses for peers give way

What callers saw: 800 idle connections at a store daemon's address for other daemons, or at that of a front, take all 600 descriptors: requests are refused as limit-unsure for as long as they stay, since nobody reaches the daemon and it reaches nobody.

Cause: connections of other daemons were not bounded, and nothing told those that are used from others.

At the bound, the one on which nothing has been received for longest gives way to a new one. Daemons ask again within seconds, so that theirs stay.

--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -171,7 +171,7 @@
 	if err != nil {
 		return err
 	}
-	peers, err := f.listen("peers", f.settings.PeerAddress())
+	peers, err := f.listenBounded("peers", f.settings.PeerAddress(), f.bounds.Relayed)
 	if err != nil {
 		return err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -167,6 +167,21 @@
 	}), nil
 }
 
+// listenBounded does the same for at most a number of connections, of which the quietest gives way to a new one.
+func (b *base) listenBounded(name, address string, most int) (net.Listener, error) {
+	listener, err := b.listen(name, address)
+	if err != nil {
+		return nil, err
+	}
+	logged := rate.Sometimes{Interval: connectionLogInterval}
+	return network.BoundConns(listener, most, func() {
+		b.metrics.Count("rookpass_client_connections_closed_total", name+"-gave-way")
+		logged.Do(func() {
+			b.log.WithFields(logrus.Fields{"event": "client-closed", "address": name, "why": "gave-way", "max_connections": most}).Warn("quietest connection closed for a new one")
+		})
+	}), nil
+}
+
 // newWatcher returns a watcher of a handler's prefix that logs its outages and exports the age of its data as a metric.
 func (b *base) newWatcher(source *watch.SharedSource, d time.Duration, h watch.Handler) *watch.Watcher {
 	w := watch.New(source, minWatchInterval, h).WithPollTimeout(d).WithLog(b.log)
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -133,7 +133,7 @@
 		if address == "" {
 			continue
 		}
-		listener, err := b.listen(name, address)
+		listener, err := b.listenBounded(name, address, b.bounds.Peers)
 		if err != nil {
 			return err
 		}
