Daemons: readiness, metrics and status have limits of their own

What was seen: 250 connections at a front's address for readiness or metrics take 85 to 627 MB of 64; beside fields without end the platform's question for readiness and the front's own calls got no answer, and requests were refused as limit-unsure.

Cause: these servers had net/http's default of 1 MB for a head, no bound of connections, and the metrics' server no time limits at all. net/http wrote its own errors to the process's standard error, unbounded and without fields.

What these servers and the callers' report goes to the daemon's log, a line a second at most.

--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -76,8 +76,6 @@
 	serverConnectionBytes = 6 << 10
 	// headMemoryShare is the share of a VM's memory for the heads of requests that are larger than ordinary ones.
 	headMemoryShare = 0.1
-	// readinessHeaderTimeout bounds reading the headers of a question for readiness.
-	readinessHeaderTimeout = 10 * time.Second
 	// sweepInterval is the time between two removals of unused connections and servers.
 	sweepInterval = time.Second
 	// costLogFactor is the factor by which an estimated cost or speed must change to be logged again.
@@ -175,15 +173,17 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: f.gateway, ConnState: f.countCallerConnection}
+	server := &http.Server{Handler: f.gateway, ConnState: f.countCallerConnection, ErrorLog: f.serverErrors("callers")}
 	observed := f.callers.Attach(server, callersListener)
-	ready := &http.Server{Handler: http.HandlerFunc(f.serveReadiness), ReadHeaderTimeout: readinessHeaderTimeout}
+	ready, readyConns := f.newPageServer("readiness", http.HandlerFunc(f.serveReadiness))
+	readiness = readyConns.Attach(ready, readiness)
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 	group, work := errgroup.WithContext(work)
 	group.Go(func() error { return serve(server, observed) })
 	group.Go(func() error { return f.callers.Run(work) })
 	group.Go(func() error { return serve(ready, readiness) })
+	group.Go(func() error { return readyConns.Run(work) })
 	group.Go(func() error {
 		<-work.Done()
 		_ = peers.Close()
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -1,13 +1,9 @@
 package node
 
 import (
-	"context"
-	"encoding/json"
 	"math"
 	"net/http"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/rookpass/rookpass/internal/decide/policy"
 	"github.com/rookpass/rookpass/internal/decide/quarantine"
 	"github.com/rookpass/rookpass/internal/decide/quota"
@@ -122,24 +118,3 @@
 		return s
 	}
 }
-
-// servePages serves the metrics and the status page until ctx ends. The daemon runs on if that fails.
-func (b *base) servePages(ctx context.Context, status func(*http.Request) any) error {
-	mux := http.NewServeMux()
-	mux.Handle("/metrics", b.metrics)
-	mux.HandleFunc(StatusPath, func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(status(r)) // the client may have disconnected
-	})
-	listener, err := b.listen("metrics", b.settings.MetricsAddress())
-	if err == nil {
-		stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
-		defer stop()
-		err = http.Serve(listener, mux)
-	}
-	if ctx.Err() == nil {
-		b.log.WithFields(logrus.Fields{"event": "metrics-failed", "error": err}).Error("metrics and status page not served")
-	}
-	<-ctx.Done()
-	return ctx.Err()
-}
