rookpassd: callers that send nothing, and heads without end, are bounded

What callers could do (read, not measured on a real process): hold HTTP connections for ever, as fasthttp had no time limits; send 16 MB of metadata with a gRPC call; hold gRPC connections without a call, and open any number of either.

Change: 30 s to receive a request, 30 s to send a response to one that does not read, 5 minutes at rest; heads and metadata of 16 KB (HTTP had 4 KB); 10 s to establish a gRPC connection, 1,024 calls on it; 4,096 connections at each address, beyond which new ones wait.

Open: the bodies of HTTP callers, up to 1 MB each, and the messages of gRPC callers are counted by no budget.

--- a/internal/rookpassd/daemon/servers.go
+++ b/internal/rookpassd/daemon/servers.go
@@ -11,9 +11,11 @@
 	"github.com/valyala/fasthttp"
 	"go.opentelemetry.io/contrib/instrumentation/google.golang.org/grpc/otelgrpc"
 	"go.opentelemetry.io/otel/propagation"
+	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
 
 	peerv1 "github.com/rookpass/rookpass/api/peer/v1"
 	rookpassv1 "github.com/rookpass/rookpass/api/rookpass/v1"
@@ -26,6 +28,19 @@
 const (
 	// maxCallerMessageBytes is the maximum size of a message from a caller.
 	maxCallerMessageBytes = 1 << 20
+	// maxConns bounds the open connections at each address. Further ones wait until one is closed.
+	maxConns = 4096
+	// maxHeadBytes bounds the metadata of a call, and the head of an HTTP request in the buffer of its connection.
+	maxHeadBytes = 16 << 10
+	// connectTime bounds the time until a gRPC connection is established.
+	connectTime = 10 * time.Second
+	// httpReadTime bounds the receipt of an HTTP request, httpWriteTime the sending of a response to a caller that does not
+	// read. idleTime is how long connections without calls or requests are kept.
+	httpReadTime  = 30 * time.Second
+	httpWriteTime = 30 * time.Second
+	idleTime      = 5 * time.Minute
+	// maxStreams bounds the calls under way on one gRPC connection.
+	maxStreams = 1024
 	// acceptLogInterval is the shortest time between two log lines about failed accepts at one address.
 	acceptLogInterval = time.Second
 )
@@ -55,6 +70,10 @@
 		Name:                  "rookpassd",
 		NoDefaultDate:         true,
 		MaxRequestBodySize:    maxCallerMessageBytes,
+		ReadBufferSize:        maxHeadBytes,
+		ReadTimeout:           httpReadTime,
+		WriteTimeout:          httpWriteTime,
+		IdleTimeout:           idleTime,
 		NoDefaultServerHeader: true,
 		Logger:                debugLog{log},
 	}
@@ -66,7 +85,8 @@
 	chain := d.chain()
 	tracing := grpc.StatsHandler(otelgrpc.NewServerHandler(otelgrpc.WithTracerProvider(d.tracing.Provider()),
 		otelgrpc.WithPropagators(propagation.TraceContext{})))
-	s.callers = grpc.NewServer(tracing, grpc.MaxRecvMsgSize(maxCallerMessageBytes), grpc.MaxSendMsgSize(route.MaxMessageBytes))
+	s.callers = grpc.NewServer(tracing, grpc.MaxRecvMsgSize(maxCallerMessageBytes), grpc.MaxSendMsgSize(route.MaxMessageBytes), grpc.MaxHeaderListSize(maxHeadBytes),
+		grpc.ConnectionTimeout(connectTime), grpc.MaxConcurrentStreams(maxStreams), grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: idleTime}))
 	rookpassv1.RegisterCallerServer(s.callers, entry.NewCaller(chain))
 	rookpassv1.RegisterOperatorServer(s.callers, d.newAdmin())
 	s.forward = grpc.NewServer(tracing, grpc.MaxRecvMsgSize(route.MaxMessageBytes), grpc.MaxSendMsgSize(route.MaxMessageBytes))
@@ -95,14 +115,14 @@
 	return s, nil
 }
 
-// keepAccepting returns a listener which an accept that fails for a time does not end.
+// keepAccepting returns a listener with a bounded number of connections, which an accept that fails for a time does not end.
 func keepAccepting(name string, l net.Listener, log logrus.FieldLogger) net.Listener {
 	logged := rate.Sometimes{Interval: acceptLogInterval}
-	return network.RetryAccept(l, func(err error) {
+	return netutil.LimitListener(network.RetryAccept(l, func(err error) {
 		logged.Do(func() {
 			log.WithFields(logrus.Fields{"event": "accept.failed", "address": name, "error": err}).Warn("connection not accepted; retrying")
 		})
-	})
+	}), maxConns)
 }
 
 // serve serves requests on all listeners until ctx ends, or one of the servers fails.
