gateway: the memory of a request's headers covers their fields

Cause: headers were counted by the bytes of names and values. Fields of a few bytes take some 100 bytes each in a map, in the forwarded request and in one attempt, so that a request with a head of 16 KB of small fields held some 400 KB that no budget counted.

Change: 96 bytes a field. The head as received is counted by its connection, so that two copies are left here in place of three; an ordinary request with 16 fields reserves 2.5 KB more.

Evidence: the gateway's tests; "fields inside the limit and part of a body" of TestCrowdDoesNotEndOrHangFront stays at 34 of 64 MB.

--- a/internal/front/gateway/memory.go
+++ b/internal/front/gateway/memory.go
@@ -15,8 +15,10 @@
 	// requestBytes approximates the memory of a request beside its headers, body and response: stacks of goroutines,
 	// readers and records of attempts.
 	requestBytes = 8 << 10
-	// headerCopies is how often a request's headers are held: as received, as forwarded, and in one attempt.
-	headerCopies = 3
+	// headerCopies is how often a request's headers are held beside the head as received: as forwarded, and in one attempt.
+	headerCopies = 2
+	// headerFieldBytes approximates the memory of a field beside its name and value.
+	headerFieldBytes = 96
 	// recordCopies is how many encoded copies of a finished turn are held while it is recorded: one for each disk of the
 	// nearest quorum.
 	recordCopies = 2
@@ -93,12 +95,12 @@
 	return min(max(int64(sizeMargin*size), minResponseBytes), limit), true
 }
 
-// headerBytes returns the size of headers.
+// headerBytes returns the memory of headers.
 func headerBytes(h http.Header) int64 {
 	n := 0
 	for name, values := range h {
 		for _, value := range values {
-			n += len(name) + len(value)
+			n += len(name) + len(value) + headerFieldBytes
 		}
 	}
 	return int64(n)
