gateway: responses that nobody reads hold their connection for 10 s

Cause: the end of a response that its caller does not read was written for two minutes after its request, so that a crowd of such callers held connections that give way to nobody. The two minutes were to be longer than a connection's rest, since the bound stayed for what net/http itself writes then; it removes the bound now.

Change: 10 s. What is left to write then is at most a buffer of a few KB; the response itself has its request's deadline as before.

Evidence: the gateway's tests of slow readers pass unchanged.

--- a/internal/front/gateway/gateway.go
+++ b/internal/front/gateway/gateway.go
@@ -218,9 +218,9 @@
 // the turn's record.
 const writeGrace = maxRecordWait + 500*time.Millisecond
 
-// finalWriteTime bounds writing the end of a response after the request has ended. It is longer than idle connections
-// are kept, so that it does not affect what net/http itself writes on them.
-const finalWriteTime = 2 * time.Minute
+// finalWriteTime bounds writing the end of a response, at most a few KB, after the request has ended. net/http removes the
+// bound before the next request.
+const finalWriteTime = 10 * time.Second
 
 // setWriteDeadline bounds writes to a caller that does not read. The zero time removes the bound.
 func (x *exchange) setWriteDeadline(until time.Time) {
