Fronts: requests without end on one connection give way to a new connection

Cause: requests that were received whole are never cut off, and a pipelined request begins as soon as the one before it has ended. So the connections of such clients never came to rest, and each new connection was closed.

Change: at the bound a new connection waits up to 50 ms, and the next connection whose response has been sent gives way to it before its next request is read.

--- a/internal/front/callers/set.go
+++ b/internal/front/callers/set.go
@@ -22,6 +22,8 @@
 	sweepInterval = 500 * time.Millisecond
 	// retryMemory is for requests whose heads exceed the free memory: about the duration of a call.
 	retryMemory = 200 * time.Millisecond
+	// roomWait is how long a new connection waits at the bound for a request on another one to end.
+	roomWait = 50 * time.Millisecond
 	// logInterval is the shortest time between two log lines of a set.
 	logInterval = time.Second
 )
@@ -68,8 +70,13 @@
 	options Options
 	logged  rate.Sometimes
 
+	// room is signalled when a connection leaves the set.
+	room chan struct{}
+
 	mu   sync.Mutex
 	open int
+	// waiting is set while a new connection waits: the next one to be at rest gives way to it, before it is served again.
+	waiting bool
 	// byPhase holds the connections, those that have been in their phase for longest first.
 	byPhase [connlimit.PhaseCount]list.List
 	// largeHeads holds those whose heads take more memory than ordinary ones and are not complete, oldest first.
@@ -89,7 +96,9 @@
 }
 
 // New returns an empty set.
-func New(o Options) *Set { return &Set{options: o, logged: rate.Sometimes{Interval: logInterval}} }
+func New(o Options) *Set {
+	return &Set{options: o, logged: rate.Sometimes{Interval: logInterval}, room: make(chan struct{}, 1)}
+}
 
 // Attach makes a server serve connections of the set. The server must serve the returned listener; its Handler,
 // ConnState and ConnContext must be set before. The server's own bounds of heads and of times at rest must not be narrower.
@@ -129,10 +138,10 @@
 			return nil, err
 		}
 		c := &conn{Conn: inner, set: l.set}
-		if l.set.add(c) {
+		if l.set.add(c) || l.set.addLater(c) {
 			return c, nil
 		}
-		_ = inner.Close()
+		_ = inner.Close() // its client may have closed it
 	}
 }
 
@@ -157,8 +166,8 @@
 func (s *Set) add(c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.open >= s.options.MaxConns && !s.makeRoom() {
-		s.count(reasonNoRoom)
+	s.waiting = s.open >= s.options.MaxConns && !s.makeRoom()
+	if s.waiting {
 		return false
 	}
 	s.open++
@@ -166,6 +175,25 @@
 	return true
 }
 
+// addLater adds a connection once another one has left, within roomWait. Otherwise it returns false. New connections are
+// added by one goroutine.
+func (s *Set) addLater(c *conn) bool {
+	for timeout := time.After(roomWait); ; {
+		select {
+		case <-s.room:
+			if s.add(c) {
+				return true
+			}
+		case <-timeout:
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.waiting = false
+			s.count(reasonNoRoom)
+			return false
+		}
+	}
+}
+
 // makeRoom closes the first connection that gives way, if any does. It is called with the lock held.
 func (s *Set) makeRoom() bool {
 	for _, phase := range connlimit.GiveWay() {
@@ -202,6 +230,11 @@
 	if c.place.gone {
 		return false
 	}
+	if phase == connlimit.AtRest && s.waiting {
+		s.waiting = false
+		s.closeLocked(c, reasonGaveWay)
+		return false
+	}
 	if phase == connlimit.AtRest {
 		s.setMemory(c, 0)
 	}
@@ -279,6 +312,10 @@
 	s.take(c)
 	s.setMemory(c, 0)
 	s.open--
+	select {
+	case s.room <- struct{}{}:
+	default:
+	}
 }
 
 // sweep closes the connections that have taken too long. Those with unread data are spared: the daemon is late, not the
