Store daemons: the bounds of both addresses leave descriptors for the disk

Cause: 0.6 of the descriptors at each of the two addresses for other daemons are more than there are.

--- a/internal/decide/connlimit/connlimit.go
+++ b/internal/decide/connlimit/connlimit.go
@@ -102,7 +102,8 @@
 	serverShare   = 0.5
 	pageShare     = 0.02
 	relayShare    = 0.03
-	peerShare     = 0.6
+	peerShare     = 0.5
+	controlShare  = 0.25
 	defaultTotal  = 4096
 	minimumBound  = 8
 	maxPageConns  = 64
@@ -115,8 +116,9 @@
 	Callers, Servers int
 	// Pages bounds the connections at each of the addresses for readiness, metrics and status.
 	Pages int
-	// Relayed bounds the connections of other daemons at a front daemon, Peers those at an address of a store daemon.
-	Relayed, Peers int
+	// Relayed bounds the connections of other daemons at a front daemon, Peers those at a store daemon and Control those at
+	// its control address, which daemons use that know no other one.
+	Relayed, Peers, Control int
 }
 
 // BoundsOf shares out descriptors; 0 means that their number is not known.
@@ -124,5 +126,5 @@
 	total := float64(cmp.Or(descriptors, defaultTotal))
 	share := func(s float64) int { return max(int(s*total), minimumBound) }
 	return Bounds{Callers: share(callerShare), Servers: share(serverShare), Pages: min(share(pageShare), maxPageConns),
-		Relayed: min(share(relayShare), maxRelayConns), Peers: share(peerShare)}
+		Relayed: min(share(relayShare), maxRelayConns), Peers: share(peerShare), Control: share(controlShare)}
 }
--- a/internal/decide/connlimit/connlimit_test.go
+++ b/internal/decide/connlimit/connlimit_test.go
@@ -92,6 +92,7 @@
 		}
 		front := b.Callers + b.Servers + 2*b.Pages + 2*b.Relayed
 		assert.Check(t, float64(total-front) >= 0.08*float64(total), "%d of %d descriptors used", front, total)
-		assert.Check(t, b.Peers+2*b.Pages < total)
+		store := b.Peers + b.Control + b.Pages
+		assert.Check(t, float64(total-store) >= 0.2*float64(total), "%d of %d descriptors used", store, total)
 	}
 }
--- a/internal/front/callers/callers_test.go
+++ b/internal/front/callers/callers_test.go
@@ -147,7 +147,7 @@
 // clients inside it meet: the time of a head begins with its first byte.
 func TestSlowHeadsAndIdleConnectionsAreClosed(t *testing.T) {
 	play(t, 10, 10<<20, func(f *fixture) {
-		slow, inside, idle := f.dial(), f.dial(), f.dial()
+		inside, idle := f.dial(), f.dial()
 		for range 3 {
 			time.Sleep(12 * time.Second)
 			inside.send(get)
@@ -156,7 +156,7 @@
 			assert.Equal(t, inside.status(), http.StatusOK)
 		}
 		assert.Equal(t, idle.status(), 0)
-		slow = f.dial()
+		slow := f.dial()
 		slow.send(get)
 		time.Sleep(4 * time.Second)
 		assert.Equal(t, slow.status(), 0)
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -129,11 +129,14 @@
 	if err != nil {
 		return err
 	}
-	for name, address := range map[string]string{"peers": s.PeerAddress(), "control": s.ControlAddress} {
-		if address == "" {
+	for _, at := range []struct {
+		name, address string
+		most          int
+	}{{"peers", s.PeerAddress(), b.bounds.Peers}, {"control", s.ControlAddress, b.bounds.Control}} {
+		if at.address == "" {
 			continue
 		}
-		listener, err := b.listenBounded(name, address, b.bounds.Peers)
+		listener, err := b.listenBounded(at.name, at.address, at.most)
 		if err != nil {
 			return err
 		}
