--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -182,6 +182,18 @@
 	}), nil
 }
 
+// countPeerRefusals returns a function that counts the connections of other daemons which are closed for a limit.
+func (b *base) countPeerRefusals() func(error) {
+	logged := rate.Sometimes{Interval: connectionLogInterval}
+	why := map[error]string{peerlink.ErrTooLarge: "message-too-large", peerlink.ErrLate: "message-time", peerlink.ErrUnread: "unread"}
+	return func(err error) {
+		b.metrics.Count("rookpass_client_connections_closed_total", "peers-"+why[err])
+		logged.Do(func() {
+			b.log.WithFields(logrus.Fields{"event": "client-closed", "address": "peers", "why": why[err]}).Warn("connection closed for a limit; the metric counts all")
+		})
+	}
+}
+
 // newWatcher returns a watcher of a handler's prefix that logs its outages and exports the age of its data as a metric.
 func (b *base) newWatcher(source *watch.SharedSource, d time.Duration, h watch.Handler) *watch.Watcher {
 	w := watch.New(source, minWatchInterval, h).WithPollTimeout(d).WithLog(b.log)
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -129,6 +129,7 @@
 	if err != nil {
 		return err
 	}
+	server.OnRefused(b.countPeerRefusals())
 	for _, at := range []struct {
 		name, address string
 		most          int
--- a/internal/transport/peerlink/message_test.go
+++ b/internal/transport/peerlink/message_test.go
@@ -53,6 +53,11 @@
 func TestDeclaredMessagesAreCounted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fabric, server := serveSizer(t, 10<<20)
+		late := 0
+		server.OnRefused(func(err error) {
+			assert.Check(t, err == ErrLate)
+			late++
+		})
 		for range 20 {
 			beginRequest(t, dialSizer(t, fabric, "client"), "\xfd\x90\x00\x00") // 9 MB
 		}
@@ -61,6 +66,7 @@
 		server.requests.mu.Unlock()
 		assert.Assert(t, held <= 10<<20+20*expectedRequestBytes, "%d bytes are held", held)
 		time.Sleep(21 * messageTime) // the declared messages don't come
+		assert.Assert(t, late >= 20)
 		caller := rpc.NewClient(dialSizer(t, fabric, "daemon"))
 		size := 0
 		assert.NilError(t, caller.Call("Sizer.Size", make([]byte, 9<<20), &size))
@@ -73,11 +79,27 @@
 	})
 }
 
+// TestRequestsWithoutBodiesAreCutOff guards against requests of which only the header comes, and which hold the memory of all.
+func TestRequestsWithoutBodiesAreCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fabric, _ := serveSizer(t, 1<<20)
+		for range 20 {
+			beginRequest(t, dialSizer(t, fabric, "client"), "")
+		}
+		caller := rpc.NewClient(dialSizer(t, fabric, "daemon"))
+		size := 0
+		assert.NilError(t, caller.Call("Sizer.Size", make([]byte, 1000), &size))
+		assert.NilError(t, caller.Close())
+	})
+}
+
 // TestMessageOverLimitIsRefused guards against a single message that takes more memory than all may.
 func TestMessageOverLimitIsRefused(t *testing.T) {
 	for _, declared := range []string{"\xfc\x36\x00\x00\x00", "\xf8\x7f\xff\xff\xff\xff\xff\xff\xff", "\xf0", "\xfd\xff\xff\xff"} {
 		synctest.Test(t, func(t *testing.T) {
-			fabric, _ := serveSizer(t, 10<<20)
+			fabric, server := serveSizer(t, 10<<20)
+			var reasons []error
+			server.OnRefused(func(err error) { reasons = append(reasons, err) })
 			for _, header := range []bool{true, false} {
 				conn := dialSizer(t, fabric, "client")
 				if header {
@@ -88,6 +110,8 @@
 				}
 				_, err := io.Copy(io.Discard, conn)
 				assert.NilError(t, err) // closed by the server
+				assert.Assert(t, len(reasons) > 0 && reasons[0] == ErrTooLarge)
+				reasons = nil
 			}
 		})
 	}
