rookpassd: clients outside the limits are counted and logged

Change: connections_open, accept_errors and http_refused among the metrics; http.refused, accept.failed and connections.full, a line a second at most. The statuses of requests that can't be read stay (431, 408, 400).

Evidence: the daemon's tests.

--- a/internal/rookpassd/daemon/clients_test.go
+++ b/internal/rookpassd/daemon/clients_test.go
@@ -35,7 +35,7 @@
 	assert.NilError(t, err)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	go func() { _ = server.Serve(keepAccepting("http", &exhaustedListener{listener, failures}, log)) }()
+	go func() { _ = server.Serve(newClients(log).listen("http", &exhaustedListener{listener, failures})) }()
 	t.Cleanup(func() { _ = server.Shutdown() })
 	return listener.Addr().String()
 }
@@ -43,7 +43,7 @@
 func newTestHTTPServer() *fasthttp.Server {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	return newHTTPServer(func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("ok") }, log)
+	return newHTTPServer(func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("ok") }, newClients(log))
 }
 
 // TestHTTPOutlivesUsedUpDescriptors guards against an error of one accept that ends the service of HTTP callers.
--- a/internal/rookpassd/daemon/daemon.go
+++ b/internal/rookpassd/daemon/daemon.go
@@ -54,6 +54,7 @@
 	forwarder *route.GRPCForwarder
 	runner    *backend.Runner
 	limits    *filter.Limits
+	clients   *clients
 
 	// random is used by one goroutine at a time: Run at first, then runIncarnations.
 	random *rand.Rand
@@ -125,6 +126,7 @@
 		forwarder: p.Forwarder,
 		runner:    p.Runner,
 		limits:    filter.NewLimits(),
+		clients:   newClients(p.Log),
 		drain:     make(chan struct{}),
 	}
 }
--- a/internal/rookpassd/daemon/framing_test.go
+++ b/internal/rookpassd/daemon/framing_test.go
@@ -31,7 +31,7 @@
 			var runs atomic.Int64
 			log := logrus.New()
 			log.SetOutput(io.Discard)
-			server := newHTTPServer(func(*fasthttp.RequestCtx) { runs.Add(1) }, log)
+			server := newHTTPServer(func(*fasthttp.RequestCtx) { runs.Add(1) }, newClients(log))
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			assert.NilError(t, err)
 			go func() { _ = server.Serve(listener) }()
--- a/internal/rookpassd/daemon/metrics.go
+++ b/internal/rookpassd/daemon/metrics.go
@@ -39,6 +39,9 @@
 			"holds_released":          in.holds.Released(),
 			"holds_orphans_released":  in.holds.Orphans(),
 			"organisations_in_flight": d.limits.Organisations(),
+			"connections_open":        d.clients.open.Load(),
+			"accept_errors":           d.clients.acceptErrors.Load(),
+			"http_refused":            d.clients.httpRefused.Load(),
 		}
 	})
 }
--- a/internal/rookpassd/daemon/servers.go
+++ b/internal/rookpassd/daemon/servers.go
@@ -11,9 +11,7 @@
 	"github.com/valyala/fasthttp"
 	"go.opentelemetry.io/contrib/instrumentation/google.golang.org/grpc/otelgrpc"
 	"go.opentelemetry.io/otel/propagation"
-	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/time/rate"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/keepalive"
 
@@ -22,7 +20,6 @@
 	"github.com/rookpass/rookpass/internal/rookpassd/entry"
 	"github.com/rookpass/rookpass/internal/rookpassd/peer"
 	"github.com/rookpass/rookpass/internal/rookpassd/route"
-	"github.com/rookpass/rookpass/internal/transport/network"
 )
 
 const (
@@ -41,8 +38,6 @@
 	idleTime      = 5 * time.Minute
 	// maxStreams bounds the calls under way on one gRPC connection.
 	maxStreams = 1024
-	// acceptLogInterval is the shortest time between two log lines about failed accepts at one address.
-	acceptLogInterval = time.Second
 )
 
 // servers holds a daemon's listeners and the servers that use them.
@@ -64,7 +59,7 @@
 }
 
 // newHTTPServer returns the server of HTTP callers.
-func newHTTPServer(handler fasthttp.RequestHandler, log logrus.FieldLogger) *fasthttp.Server {
+func newHTTPServer(handler fasthttp.RequestHandler, c *clients) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler:               handler,
 		Name:                  "rookpassd",
@@ -75,7 +70,8 @@
 		WriteTimeout:          httpWriteTime,
 		IdleTimeout:           idleTime,
 		NoDefaultServerHeader: true,
-		Logger:                debugLog{log},
+		Logger:                debugLog{c.log},
+		ErrorHandler:          c.refuseHTTP,
 	}
 }
 
@@ -93,7 +89,7 @@
 	peerv1.RegisterHolderServer(s.forward, &entry.ForwardServer{
 		Executor: func() entry.Executor { return d.current.Load().holder },
 	})
-	s.http = newHTTPServer(entry.NewHTTP(chain, d.Ready).Handler(), d.log)
+	s.http = newHTTPServer(entry.NewHTTP(chain, d.Ready).Handler(), d.clients)
 	for _, open := range []struct {
 		name     string
 		listener *net.Listener
@@ -110,21 +106,11 @@
 			s.close()
 			return nil, Error.Wrap(err)
 		}
-		*open.listener = keepAccepting(open.name, listener, d.log)
+		*open.listener = d.clients.listen(open.name, listener)
 	}
 	return s, nil
 }
 
-// keepAccepting returns a listener with a bounded number of connections, which an accept that fails for a time does not end.
-func keepAccepting(name string, l net.Listener, log logrus.FieldLogger) net.Listener {
-	logged := rate.Sometimes{Interval: acceptLogInterval}
-	return netutil.LimitListener(network.RetryAccept(l, func(err error) {
-		logged.Do(func() {
-			log.WithFields(logrus.Fields{"event": "accept.failed", "address": name, "error": err}).Warn("connection not accepted; retrying")
-		})
-	}), maxConns)
-}
-
 // serve serves requests on all listeners until ctx ends, or one of the servers fails.
 func (s *servers) serve(ctx context.Context) error {
 	group, anyFailed := errgroup.WithContext(ctx)
