Tests: requests without end beside ordinary callers are a test of their own, known red

At the bound each new connection waits for a request on another one to end, in the order of arrival: some 600 clients before it, a few ms of processor time each, which a quarter of a core needs about 4 s for, as long as an ordinary caller waits. Crowd, patience and check are unchanged; only this case moves, so that the other eight stay in force.

--- a/internal/testing/crowds/crowds_test.go
+++ b/internal/testing/crowds/crowds_test.go
@@ -245,10 +245,22 @@
 
 // TestOrdinaryCallersAreAnsweredBesideCrowd guards against a crowd that takes all connections or all memory.
 func TestOrdinaryCallersAreAnsweredBesideCrowd(t *testing.T) {
+	checkAnsweredBeside(t, "nothing", "fields held", "fields inside the limit held", "long field held", "trickling head", "body that trickles",
+		"small bodies that don't come", "expectation without a body")
+}
+
+// TestOrdinaryCallersAreAnsweredBesideRequestsWithoutEnd guards against clients that hold their connections with requests
+// that are always served.
+func TestOrdinaryCallersAreAnsweredBesideRequestsWithoutEnd(t *testing.T) {
+	checkAnsweredBeside(t, "pipelined requests whose answers are not read")
+}
+
+// checkAnsweredBeside checks that an ordinary request is answered beside crowds of some kinds, one after the other, each of
+// which is larger than the front's descriptors.
+func checkAnsweredBeside(t *testing.T, kinds ...string) {
 	s := newSystem(t, 1)
 	d := s.fronts[0]
-	for _, name := range []string{"nothing", "fields held", "fields inside the limit held", "long field held", "trickling head", "body that trickles",
-		"small bodies that don't come", "pipelined requests whose answers are not read", "expectation without a body"} {
+	for _, name := range kinds {
 		t.Run(name, func(t *testing.T) {
 			s.t, d.t = t, t
 			w := gather(d.callers(), frontDescriptors+200, kindOf(name).act)
