Connections closed for a limit are counted in one place

The daemons counted and logged them in two functions beside the one of package callers, each with the metric's name written out. One function serves both addresses for other daemons now; the name stands once. In the set, the memory of a head is only ever released whole. Log fields, metrics and behaviour stay, but for the text of the line about the quietest connection, which is that of the others.

--- a/internal/front/callers/set.go
+++ b/internal/front/callers/set.go
@@ -30,8 +30,8 @@
 	logInterval = time.Second
 )
 
-// metricClosed counts the connections that were closed for a limit, by address and limit.
-const metricClosed = "rookpass_client_connections_closed_total"
+// MetricClosed counts the connections that were closed for a limit, by address and limit.
+const MetricClosed = "rookpass_client_connections_closed_total"
 
 // reason is why a connection is closed.
 type reason string
@@ -241,13 +241,13 @@
 	if c.place.gone {
 		return false
 	}
-	if phase == connlimit.AtRest && s.waiting {
-		s.waiting = false
-		s.closeLocked(c, reasonGaveWay)
-		return false
-	}
 	if phase == connlimit.AtRest {
-		s.setMemory(c, 0)
+		if s.waiting {
+			s.waiting = false
+			s.closeLocked(c, reasonGaveWay)
+			return false
+		}
+		s.releaseHead(c)
 	}
 	if c.place.phase != phase {
 		s.move(c, phase)
@@ -295,10 +295,10 @@
 	}
 }
 
-// setMemory changes the memory of a connection's head to less. It is called with the lock held.
-func (s *Set) setMemory(c *conn, memory int64) {
-	s.options.Memory.Release(membudget.Heads, c.place.memory-memory)
-	c.place.memory = memory
+// releaseHead releases the memory of a connection's head. It is called with the lock held.
+func (s *Set) releaseHead(c *conn) {
+	s.options.Memory.Release(membudget.Heads, c.place.memory)
+	c.place.memory = 0
 }
 
 // closeLocked closes a connection for a limit. It is called with the lock held.
@@ -321,7 +321,7 @@
 	}
 	c.place.gone = true
 	s.take(c)
-	s.setMemory(c, 0)
+	s.releaseHead(c)
 	s.open--
 	select {
 	case s.room <- struct{}{}:
@@ -352,7 +352,7 @@
 // count counts a connection that is closed for a limit, and logs it now and then. Connections at rest are closed in the
 // normal course of things.
 func (s *Set) count(why reason) {
-	s.options.Observer.Count(metricClosed, s.options.Name+"-"+string(why))
+	s.options.Observer.Count(MetricClosed, s.options.Name+"-"+string(why))
 	if why == reasonIdle {
 		return
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/rookpass/rookpass/internal/base/metrics"
 	"github.com/rookpass/rookpass/internal/base/telemetry"
 	"github.com/rookpass/rookpass/internal/decide/connlimit"
+	"github.com/rookpass/rookpass/internal/front/callers"
 	"github.com/rookpass/rookpass/internal/objects/objectapi"
 	"github.com/rookpass/rookpass/internal/objects/watch"
 	"github.com/rookpass/rookpass/internal/transport/network"
@@ -173,23 +174,26 @@
 	if err != nil {
 		return nil, err
 	}
-	logged := rate.Sometimes{Interval: connectionLogInterval}
-	return network.BoundConns(listener, most, func() {
-		b.metrics.Count("rookpass_client_connections_closed_total", name+"-gave-way")
-		logged.Do(func() {
-			b.log.WithFields(logrus.Fields{"event": "client-closed", "address": name, "why": "gave-way", "max_connections": most}).Warn("quietest connection closed for a new one")
-		})
-	}), nil
+	closed := b.countClosed(name, logrus.Fields{"max_connections": most})
+	return network.BoundConns(listener, most, func() { closed("gave-way") }), nil
 }
 
-// countPeerRefusals returns a function that counts the connections of other daemons which are closed for a limit.
+// countPeerRefusals returns a function that counts the connections of other daemons which are closed for a message.
 func (b *base) countPeerRefusals() func(error) {
-	logged := rate.Sometimes{Interval: connectionLogInterval}
 	why := map[error]string{peerlink.ErrTooLarge: "message-too-large", peerlink.ErrLate: "message-time", peerlink.ErrUnread: "unread"}
-	return func(err error) {
-		b.metrics.Count("rookpass_client_connections_closed_total", "peers-"+why[err])
+	closed := b.countClosed("peers", nil)
+	return func(err error) { closed(why[err]) }
+}
+
+// countClosed returns a function that counts the connections at an address which are closed for a limit, and logs them with
+// some fields now and then.
+func (b *base) countClosed(name string, fields logrus.Fields) func(why string) {
+	logged := rate.Sometimes{Interval: connectionLogInterval}
+	log := b.log.WithFields(fields)
+	return func(why string) {
+		b.metrics.Count(callers.MetricClosed, name+"-"+why)
 		logged.Do(func() {
-			b.log.WithFields(logrus.Fields{"event": "client-closed", "address": "peers", "why": why[err]}).Warn("connection closed for a limit; the metric counts all")
+			log.WithFields(logrus.Fields{"event": "client-closed", "address": name, "why": why}).Warn("connections closed for a limit; the metric counts all")
 		})
 	}
 }
