Tests: a front gives the connections of a crowd back after it has left

The kernel's table tells how many connections a daemon still holds at a port: none, within the patience of the other checks, at the addresses for callers, readiness, metrics and relayed connections.

--- a/internal/testing/crowds/crowds_test.go
+++ b/internal/testing/crowds/crowds_test.go
@@ -31,6 +31,7 @@
 			time.Sleep(crowdTime)
 			w.leave()
 			s.checkServes(d, "/lookup/")
+			d.checkGivesBack(platformtest.CallerPort)
 			check()
 		})
 	}
@@ -46,10 +47,12 @@
 	time.Sleep(time.Second)
 	peers := gather(d.address(platformtest.FirstPort), 10, func(c *client) { _ = c.send("127.0.0.1:1\n"); c.hold() })
 	time.Sleep(crowdTime)
+	assert.Check(t, d.connections(platformtest.CallerPort) > 0) // the count sees them
 	peers.leave()
 	w.leave()
 	s.checkServes(d, "/lookup/")
 	s.checkServes(d, fmt.Sprintf("/new%d/", s.publishConfig()))
+	d.checkGivesBack(platformtest.CallerPort)
 	check()
 }
 
@@ -77,6 +80,7 @@
 				s.checkServes(d, "/lookup/")
 				s.checkServes(d, fmt.Sprintf("/new%d/", s.publishConfig()))
 				s.awaitReady()
+				d.checkGivesBack(at.port)
 				check()
 			})
 		}
--- a/internal/testing/crowds/system_test.go
+++ b/internal/testing/crowds/system_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
@@ -47,7 +48,8 @@
 	sampleEvery   = 20 * time.Millisecond
 )
 
-var binary string
+// program is the path of the built rookpass-node.
+var program string
 
 func TestMain(m *testing.M) {
 	os.Exit(func() int {
@@ -56,8 +58,8 @@
 			panic(err)
 		}
 		defer func() { _ = os.RemoveAll(dir) }()
-		binary = filepath.Join(dir, "rookpass-node")
-		out, err := exec.Command("go", "build", "-o", binary, "github.com/rookpass/rookpass/cmd/rookpass-node").CombinedOutput()
+		program = filepath.Join(dir, "rookpass-node")
+		out, err := exec.Command("go", "build", "-o", program, "github.com/rookpass/rookpass/cmd/rookpass-node").CombinedOutput()
 		if err != nil {
 			panic(string(out))
 		}
@@ -83,7 +85,7 @@
 	assert.NilError(d.t, platformtest.WriteSettings(path, d.settings))
 	out, err := os.OpenFile(filepath.Join(d.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	assert.NilError(d.t, err)
-	d.cmd = exec.Command(binary, d.settings.Class)
+	d.cmd = exec.Command(program, d.settings.Class)
 	d.cmd.Env = append(os.Environ(), platformtest.EnvSettings+"="+path, "GOMAXPROCS=1")
 	d.cmd.Stdout, d.cmd.Stderr = out, out
 	d.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -139,6 +141,38 @@
 	return len(entries)
 }
 
+// tcpListen is the state of a listening socket in /proc/net/tcp.
+const tcpListen = "0A"
+
+// connections returns the number of connections that a daemon holds at one of its ports.
+func (d *daemon) connections(port int) int {
+	table, err := os.ReadFile("/proc/net/tcp")
+	assert.NilError(d.t, err)
+	ip := net.ParseIP(d.settings.IP).To4()
+	local := fmt.Sprintf("%08X:%04X", binary.NativeEndian.Uint32(ip), port) // the kernel shows the address as a number
+	count := 0
+	for line := range strings.Lines(string(table)) {
+		fields := strings.Fields(line)
+		// Sockets without an inode belong to no process any more, or not yet.
+		if len(fields) > 9 && fields[1] == local && fields[3] != tcpListen && fields[9] != "0" {
+			count++
+		}
+	}
+	return count
+}
+
+// checkGivesBack checks that a daemon gives the connections at a port back after their clients have left.
+func (d *daemon) checkGivesBack(port int) {
+	d.t.Helper()
+	left := 0
+	for deadline := time.Now().Add(answerPatience); time.Now().Before(deadline); time.Sleep(sampleEvery) {
+		if left = d.connections(port); left == 0 {
+			return
+		}
+	}
+	d.t.Errorf("%s: %d connections are still held at port %d", d.settings.Node, left, port)
+}
+
 // system is three store daemons, fronts, and stand-ins for the platform's store and the backend servers.
 type system struct {
 	t       *testing.T
