--- a/review/driver2/main.go
+++ b/review/driver2/main.go
@@ -20,14 +20,14 @@
 
 // setup is the deployment of a case.
 type setup struct {
-	zones, fronts, stores int
-	play                  script
+	zones, fronts, stores, tolerance int
+	play                             script
 }
 
 var setups = map[string]setup{
-	"first-start-killed": {zones: 3, fronts: 3, stores: 3, play: firstStartKilled},
-	"first-start":        {zones: 3, fronts: 3, stores: 3, play: firstStart},
-	"retire-lost-disk":   {zones: 4, fronts: 4, stores: 4, play: retireLostDisk},
+	"two-slots-filled":   {zones: 3, fronts: 3, stores: 5, tolerance: 2, play: twoSlotsFilled},
+	"first-start-killed": {zones: 3, fronts: 3, stores: 3, tolerance: 1, play: firstStartKilled},
+	"first-start":        {zones: 3, fronts: 3, stores: 3, tolerance: 1, play: firstStart},
 }
 
 func main() {
@@ -50,7 +50,7 @@
 		return notRun
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
-	s, err := newSystem(os.Args[3], record, setup.zones, setup.fronts, setup.stores)
+	s, err := newSystem(os.Args[3], record, setup)
 	if s != nil {
 		defer s.close(os.Getenv("KEEP"))
 	}
--- a/review/driver2/system.go
+++ b/review/driver2/system.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -38,6 +40,8 @@
 	servers     []*model
 	zones       []string
 	tolerance   int
+	// onLayout, if set, is called after the platform's store has acknowledged a layout that a VM has written.
+	onLayout func(from *machine, layout []byte)
 }
 
 // machine is a VM with one daemon.
@@ -56,25 +60,25 @@
 	exited chan struct{}
 }
 
-// newSystem returns a system without daemons that run. fronts and stores are the numbers of VMs, which are spread over the zones.
-func newSystem(binary string, record *recorder, zones, fronts, stores int) (*system, error) {
+// newSystem returns a system without daemons that run. Its VMs are spread over the zones.
+func newSystem(binary string, record *recorder, setup setup) (*system, error) {
 	dir, err := os.MkdirTemp("", "rookpass-review-")
 	if err != nil {
 		return nil, err
 	}
-	s := &system{dir: dir, binary: binary, record: record, store: platformtest.NewStore(), tolerance: 1}
-	for i := range zones {
+	s := &system{dir: dir, binary: binary, record: record, store: platformtest.NewStore(), tolerance: setup.tolerance}
+	for i := range setup.zones {
 		s.zones = append(s.zones, fmt.Sprintf("hall-%c", 'a'+i))
 	}
 	if s.network, s.reservation, err = reserveNetwork(); err != nil {
 		return s, err
 	}
-	for i := range fronts {
+	for i := range setup.fronts {
 		if err := s.addMachine("front", i); err != nil {
 			return s, err
 		}
 	}
-	for i := range stores {
+	for i := range setup.stores {
 		if err := s.addMachine("store", i); err != nil {
 			return s, err
 		}
@@ -87,7 +91,7 @@
 		s.servers = append(s.servers, server)
 		s.store.Set("servers", server.id, server.entry())
 	}
-	s.store.Set("config", "main", operatorConfig(7))
+	s.store.Set("config", "main", operatorConfig())
 	return s, nil
 }
 
@@ -127,7 +131,32 @@
 		w.WriteHeader(http.StatusServiceUnavailable) // nothing was done
 		return
 	}
-	m.system.store.ServeHTTP(w, r)
+	if m.system.onLayout == nil || r.Method != http.MethodPut || !strings.HasPrefix(r.URL.Path, "/objects/rookpass-layout/") {
+		m.system.store.ServeHTTP(w, r)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	answer := &statusWriter{ResponseWriter: w}
+	m.system.store.ServeHTTP(answer, r)
+	if answer.status == http.StatusOK {
+		m.system.onLayout(m, body)
+	}
+}
+
+// statusWriter keeps the status of a response.
+type statusWriter struct {
+	http.ResponseWriter
+	status int
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *statusWriter) WriteHeader(status int) {
+	w.status = status
+	w.ResponseWriter.WriteHeader(status)
 }
 
 func (s *system) ofClass(class string) []*machine {
@@ -239,12 +268,6 @@
 	return m.start()
 }
 
-// retire asks for a store VM to be emptied.
-func (s *system) retire(m *machine) {
-	s.record.say("the operator asks for %s to be emptied", m.node)
-	s.store.Set("retirements", m.node, map[string]any{"duration_s": retireTime.Seconds()})
-}
-
 // startAll starts all daemons.
 func (s *system) startAll() error {
 	for _, m := range s.machines {
@@ -278,16 +301,6 @@
 	return resp.Body.Close() == nil && resp.StatusCode == http.StatusOK
 }
 
-// ran reports whether any server has run a request.
-func (s *system) ran(id string) bool {
-	for _, server := range s.servers {
-		if _, known := server.ran(id); known {
-			return true
-		}
-	}
-	return false
-}
-
 // close ends all processes and stand-ins. keep copies the daemons' logs there if it is not empty.
 func (s *system) close(keep string) {
 	for _, m := range s.machines {
